--- a/worksrail/core/results.py
+++ b/worksrail/core/results.py
@@ -153,6 +153,9 @@
     INVALID_DEADLINE = _not_run(
         2010, 400, 'The deadline header is no positive number.', _FIX_REQUEST
     )
+    UNKNOWN_ROUTE = _not_run(
+        2011, 404, 'No route has this host and path.', _FIX_REQUEST
+    )
     NO_SLOT = _not_run(
         2101, 503, 'No upstream slot became free in time.', _RETRY_LATER
     )
@@ -210,6 +213,12 @@
     UNVERIFIABLE_ANSWER = _unknown(
         4006, 502, 'The answer has no verifiable length.', _READ_BACK
     )
+    SPOILED_ANSWER = _unknown(
+        4007,
+        502,
+        'What the upstream sent is no answer to this request.',
+        _READ_BACK,
+    )
     INVALID_BUNDLE = _operator(
         5001, 422, _EXIT_INVALID, 'The bundle has faults.', 'Correct them.'
     )
--- /dev/null
+++ b/worksrail/core/steering/__init__.py
@@ -0,0 +1,47 @@
+"""Steering with discovered upstreams: routes, choice, repeats, recovery."""
+
+from worksrail.core.steering._catalog import Catalog, UpstreamRecord
+from worksrail.core.steering._directory import EntryList, look_up
+from worksrail.core.steering._fleet import EntryDigest
+from worksrail.core.steering._reducer import reduce
+from worksrail.core.steering._routes import (
+    CallerLimits,
+    NoRoute,
+    Route,
+    RouteKind,
+    RoutingConfiguration,
+    ServicePolicy,
+    ServiceWeight,
+)
+from worksrail.core.steering._settings import (
+    EntryAddresses,
+    EntrySettings,
+    SteeringBounds,
+)
+from worksrail.core.steering.state import (
+    NotConfigured,
+    SteeredRequest,
+    SteeringState,
+)
+
+__all__ = (
+    'CallerLimits',
+    'Catalog',
+    'EntryAddresses',
+    'EntryDigest',
+    'EntryList',
+    'EntrySettings',
+    'NoRoute',
+    'NotConfigured',
+    'Route',
+    'RouteKind',
+    'RoutingConfiguration',
+    'ServicePolicy',
+    'ServiceWeight',
+    'SteeredRequest',
+    'SteeringBounds',
+    'SteeringState',
+    'UpstreamRecord',
+    'look_up',
+    'reduce',
+)
--- /dev/null
+++ b/worksrail/core/steering/_catalog.py
@@ -0,0 +1,203 @@
+"""What is known about upstreams from discovery."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from math import inf
+from typing import Final
+
+from worksrail.core.identity import RegionName, ServiceName, ZoneName
+
+# Entries that lapsed while the store was away return within two seconds of
+# its own return, say the operators; the rest is for the answer's way.
+_RETURN_TIME: Final = 2.2
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamRecord:
+    """One upstream as discovery lists it."""
+
+    name: str
+    """Identifier of this life of the upstream."""
+
+    service: ServiceName
+    """Service it belongs to."""
+
+    address: str
+    """IP number and port."""
+
+    zone: ZoneName
+    """Availability zone."""
+
+    slots: int
+    """Requests it executes at once."""
+
+    draining: bool
+    """It will end soon and takes no new requests."""
+
+    sequence: int
+    """Grows with each report of the upstream."""
+
+    cold_time: float = 0
+    """Seconds for which it stayed cold when the record was written."""
+
+
+@dataclass(slots=True)
+class Upstream:
+    """One upstream, with what this entry made of its records."""
+
+    record: UpstreamRecord
+    """The newest record."""
+
+    region: RegionName
+    """Region of its zone."""
+
+    cold_until: float
+    """When it is warm."""
+
+    missing_until: float = inf
+    """When it counts as gone unless it is listed again."""
+
+    misdirected: bool = False
+    """Another upstream answered at its address."""
+
+    @property
+    def name(self) -> str:
+        """Identifier of this life of the upstream."""
+        return self.record.name
+
+
+@dataclass(slots=True)
+class Catalog:
+    """All upstreams that discovery lists, and the zones being evacuated.
+
+    While the store is away, nothing is removed: entries may lapse only
+    because their reports did not reach it.  What is still missing some time
+    after its return is gone.
+    """
+
+    regions: dict[ZoneName, RegionName]
+    """Region of each zone."""
+
+    upstreams: dict[str, Upstream] = field(default_factory=dict)
+    """Upstreams by identifier."""
+
+    services: dict[ServiceName, list[Upstream]] = field(default_factory=dict)
+    """Usable upstreams by service; draining ones are left out."""
+
+    evacuated: frozenset[ZoneName] = frozenset()
+    """Zones whose upstreams get nothing."""
+
+    generation: int = 0
+    """Grows whenever the usable upstreams change."""
+
+    returned_at: float = -inf
+    """When the store came back last."""
+
+    away: bool = False
+    """The store cannot be reached."""
+
+    def store_lost(self) -> None:
+        """The store cannot be reached: what is known stays."""
+        self.away = True
+
+    def store_regained(self, now: float) -> None:
+        """The store answers again."""
+        if self.away:
+            self.away = False
+            self.returned_at = now
+
+    def replace(self, records: Iterable[UpstreamRecord], now: float) -> None:
+        """Take in a complete list."""
+        listed = set()
+        for record in records:
+            listed.add(record.name)
+            self._take(record, now)
+        for name in tuple(self.upstreams):
+            if name not in listed:
+                self._miss(name, now)
+        self._index()
+
+    def change(
+        self,
+        records: Iterable[UpstreamRecord],
+        removed: Iterable[str],
+        now: float,
+    ) -> None:
+        """Take in what has changed since the last list or change."""
+        for record in records:
+            self._take(record, now)
+        for name in removed:
+            self._miss(name, now)
+        self._index()
+
+    def evacuate(self, zones: frozenset[ZoneName]) -> None:
+        """Take in the zones that are to be left alone."""
+        if zones != self.evacuated:
+            self.evacuated = zones
+            self._index()
+
+    def misdirect(self, name: str) -> None:
+        """Another upstream answered at the address of this one."""
+        upstream = self.upstreams.get(name)
+        if upstream and not upstream.misdirected:
+            upstream.misdirected = True
+            self._index()
+
+    def expire(self, now: float) -> list[str]:
+        """Remove what has been missing for too long; gives the names."""
+        gone = [
+            name
+            for name, upstream in self.upstreams.items()
+            if upstream.missing_until <= now
+        ]
+        for name in gone:
+            self.upstreams.pop(name)
+        if gone:
+            self._index()
+        return gone
+
+    def usable(self, service: ServiceName) -> Iterator[Upstream]:
+        """Upstreams of a service that may get requests."""
+        return iter(self.services.get(service, ()))
+
+    def _take(self, record: UpstreamRecord, now: float) -> None:
+        known = self.upstreams.get(record.name)
+        if known and record.sequence < known.record.sequence:
+            # An older report; it only proves that the entry is listed.
+            known.missing_until = inf
+            return
+        cold_until = now + record.cold_time
+        if known is None:
+            region = self.regions.get(record.zone, '')
+            known = Upstream(record, region, cold_until)
+            self.upstreams[record.name] = known
+            return
+        if record.address != known.record.address:
+            known.misdirected = False
+        if record.cold_time != known.record.cold_time:
+            known.cold_until = cold_until
+        known.record = record
+        known.missing_until = inf
+
+    def _miss(self, name: str, now: float) -> None:
+        upstream = self.upstreams.get(name)
+        if upstream is None:
+            return
+        limit = self.returned_at + _RETURN_TIME
+        if self.away:
+            limit = inf
+        if upstream.record.draining or limit <= now:
+            self.upstreams.pop(name)
+        else:
+            upstream.missing_until = min(upstream.missing_until, limit)
+
+    def _index(self) -> None:
+        services: dict[ServiceName, list[Upstream]] = {}
+        for upstream in self.upstreams.values():
+            record = upstream.record
+            if record.draining or upstream.misdirected:
+                continue
+            if record.zone not in self.evacuated:
+                services.setdefault(record.service, []).append(upstream)
+        self.services = services
+        self.generation += 1
--- /dev/null
+++ b/worksrail/core/steering/_load.py
@@ -0,0 +1,131 @@
+"""What is known of each upstream's load, speed and faults."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+# How much one answer moves the learned figures.
+_GAIN: Final = 0.2
+# A slow upstream is tried less often; its figure fades so that it is tried
+# again.  Seconds in which the figure halves its distance to normal.
+_FADE: Final = 4.0
+# Failures in a row after which an upstream is left alone.
+_EJECT_AFTER: Final = 3
+_FIRST_EJECTION: Final = 1.0
+_LONGEST_EJECTION: Final = 8.0
+_FASTEST: Final = 0.25
+_SLOWEST: Final = 30.0
+
+
+@dataclass(slots=True)
+class UpstreamLoad:
+    """Load, speed and faults of one upstream as this entry knows them."""
+
+    own: int = 0
+    """Requests of this entry in flight there."""
+
+    others: int = 0
+    """Requests of other entries in flight, as they told last."""
+
+    slowness: float = 1
+    """Time of an execution over what is usual for its kind."""
+
+    slowness_at: float = 0
+    """When ``slowness`` was learned."""
+
+    failures: int = 0
+    """Failures in a row."""
+
+    ejected_until: float = 0
+    """Until when it gets nothing."""
+
+    @property
+    def in_flight(self) -> int:
+        """Requests of all entries in flight there."""
+        return self.own + self.others
+
+    def slowness_now(self, now: float) -> float:
+        """The learned slowness, faded by its age."""
+        age = now - self.slowness_at
+        return 1 + (self.slowness - 1) * 2 ** (-age / _FADE)
+
+    def note_speed(self, ratio: float, now: float) -> None:
+        """Learn from the time of one execution over the usual time."""
+        bounded = max(_FASTEST, min(_SLOWEST, ratio))
+        current = self.slowness_now(now)
+        self.slowness = current + _GAIN * (bounded - current)
+        self.slowness_at = now
+
+    def note_success(self) -> None:
+        """A whole answer came."""
+        self.failures = 0
+        self.ejected_until = 0
+
+    def note_failure(self, now: float) -> bool:
+        """No whole answer came; true if this ejects the upstream."""
+        self.failures += 1
+        if self.failures < _EJECT_AFTER:
+            return False
+        times = self.failures - _EJECT_AFTER
+        pause = min(_LONGEST_EJECTION, _FIRST_EJECTION * 2**times)
+        self.ejected_until = now + pause
+        return True
+
+
+@dataclass(slots=True)
+class LearnedTime:
+    """A moving average of times, in seconds."""
+
+    typical: float
+    """The average."""
+
+    def add(self, seconds: float) -> None:
+        """Take in one time."""
+        self.typical += _GAIN * (seconds - self.typical)
+
+
+@dataclass(slots=True)
+class LoadTable:
+    """Loads of all upstreams, by identifier."""
+
+    loads: dict[str, UpstreamLoad] = field(default_factory=dict)
+    """Loads."""
+
+    told: dict[str, dict[str, int]] = field(default_factory=dict)
+    """In flight by upstream, as each other entry told last."""
+
+    def of(self, name: str) -> UpstreamLoad:
+        """Load of one upstream."""
+        load = self.loads.get(name)
+        if load is None:
+            load = UpstreamLoad()
+            self.loads[name] = load
+        return load
+
+    def take(self, entry: str, in_flight: dict[str, int]) -> None:
+        """Take in what another entry tells; replaces what it told before."""
+        for name, count in self.told.get(entry, {}).items():
+            self.of(name).others -= count
+        for name, count in in_flight.items():
+            self.of(name).others += count
+        self.told[entry] = in_flight
+
+    def forget_entry(self, entry: str) -> None:
+        """Another entry is gone, and its requests with it."""
+        self.take(entry, {})
+        self.told.pop(entry)
+
+    def own_in_flight(self) -> dict[str, int]:
+        """This entry's requests in flight, by upstream."""
+        return {
+            name: load.own for name, load in self.loads.items() if load.own
+        }
+
+    def keep_only(self, names: set[str]) -> None:
+        """Drop upstreams that are gone and have nothing in flight."""
+        gone = [
+            name
+            for name, load in self.loads.items()
+            if name not in names and not load.own and not load.others
+        ]
+        for name in gone:
+            self.loads.pop(name)
--- /dev/null
+++ b/worksrail/core/steering/_on_requests.py
@@ -0,0 +1,403 @@
+"""What happens to a request: placed, repeated, refused, answered."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from worksrail.core.results import ResultCode
+from worksrail.core.steering._choosing import Choice, choose, distance
+from worksrail.core.steering._routes import (
+    NoRoute,
+    Route,
+    RoutingConfiguration,
+)
+from worksrail.core.steering.effects import (
+    AnswerResult,
+    CancelAttempt,
+    Decision,
+    DecisionKind,
+    Effect,
+    SendUpstream,
+)
+from worksrail.core.steering.events import (
+    AttemptEnded,
+    AttemptOutcome,
+    CallerGone,
+    RequestArrived,
+)
+from worksrail.core.steering.state import SteeredRequest, SteeringState
+
+# Seconds for which an answer is awaited beyond the time that the upstream
+# was given: its own word that the time is over has to come back.
+_ANSWER_MARGIN: Final = 0.1
+# Attempts that find no connection leave the budget and the route's attempts
+# alone; so many are made at the most.
+_CONNECT_ATTEMPTS: Final = 4
+# Seconds after the request to stop from which new requests are refused, as a
+# share of the grace period.
+_LAST_ARRIVALS: Final = 0.58
+# An execution that would have less time than this is not begun; seconds.
+_LEAST_TIME: Final = 0.02
+_SHORTEST_RETRY: Final = 0.05
+_LONGEST_RETRY: Final = 1.0
+_RETRY_SPREAD: Final = (0.5, 1.5)
+_SERVER_ERROR: Final = 500
+
+_NOT_EXECUTED: Final = frozenset(
+    (
+        AttemptOutcome.NOT_CONNECTED,
+        AttemptOutcome.NOT_EXECUTED,
+        AttemptOutcome.OTHER_UPSTREAM,
+    )
+)
+_REPEATABLE: Final = frozenset(
+    (AttemptOutcome.BROKE_BEFORE_ANSWER, AttemptOutcome.SPOILED)
+)
+_FINAL_CODES: Final = {
+    AttemptOutcome.NOT_CONNECTED: ResultCode.UPSTREAM_UNREACHABLE,
+    AttemptOutcome.NOT_EXECUTED: ResultCode.UPSTREAM_SHED,
+    AttemptOutcome.OTHER_UPSTREAM: ResultCode.UPSTREAM_UNREACHABLE,
+    AttemptOutcome.BROKE_BEFORE_ANSWER: ResultCode.UPSTREAM_BROKE,
+    AttemptOutcome.BROKE_IN_ANSWER: ResultCode.UPSTREAM_BROKE,
+    AttemptOutcome.SPOILED: ResultCode.SPOILED_ANSWER,
+    AttemptOutcome.TIMED_OUT: ResultCode.UPSTREAM_TIMEOUT,
+}
+
+
+def on_arrival(
+    state: SteeringState,
+    event: RequestArrived,
+) -> Iterator[Effect]:
+    """Match a request to its route and place it, or refuse it."""
+    route = _route(state, event)
+    if isinstance(route, ResultCode):
+        retry_after = _retry_after(state) if _comes_back(route) else 0
+        yield Decision(
+            DecisionKind.REQUEST_REFUSED,
+            route.name,
+            event.request,
+            (('version', _version(state)),),
+        )
+        yield AnswerResult(event.request, route, retry_after)
+        return
+    allowed = route.timeout
+    if event.head.time_left is not None:
+        allowed = min(allowed, event.head.time_left)
+    request = SteeredRequest(
+        event.request,
+        event.head,
+        route,
+        state.splits.choose(route),
+        event.now,
+        event.now + allowed,
+    )
+    state.requests[event.request] = request
+    yield from _place(state, request, event.now)
+
+
+def on_caller_gone(
+    state: SteeringState,
+    event: CallerGone,
+) -> Iterator[Effect]:
+    """Cut off what may be cut off; nothing is repeated any more."""
+    request = state.requests.get(event.request)
+    if request is None:
+        return
+    request.caller_gone = True
+    yield Decision(
+        DecisionKind.CALLER_GONE,
+        request.upstream,
+        request.number,
+        (('after', round(event.now - request.arrived_at, 4)),),
+    )
+    # An execution that must not be repeated is left to end: the caller may
+    # well count on it.
+    if request.route.idempotent:
+        yield CancelAttempt(request.number)
+
+
+def on_attempt_ended(
+    state: SteeringState,
+    event: AttemptEnded,
+) -> Iterator[Effect]:
+    """Learn from an attempt, then finish the request or repeat it."""
+    request = state.requests.get(event.request)
+    if request is None or event.attempt != request.attempts:
+        return
+    yield from _learn(state, request, event)
+    request.last_upstream = request.upstream
+    request.upstream = ''
+    if event.outcome is AttemptOutcome.ANSWERED:
+        state.requests.pop(request.number)
+        yield _answered(request, event)
+        return
+    if event.outcome not in _NOT_EXECUTED:
+        request.maybe_executed = True
+    if request.caller_gone or event.outcome is AttemptOutcome.CANCELLED:
+        state.requests.pop(request.number)
+        return
+    denial = _denial(state, request, event)
+    if denial:
+        yield from _finish(state, request, event, denial)
+        return
+    yield from _place(state, request, event.now)
+
+
+def _route(
+    state: SteeringState,
+    event: RequestArrived,
+) -> Route | ResultCode:
+    configuration = state.configuration
+    if not isinstance(configuration, RoutingConfiguration):
+        return ResultCode.NOT_READY
+    if state.leaving:
+        since = event.now - state.leaving_at
+        if since > state.settings.bounds.grace_period * _LAST_ARRIVALS:
+            return ResultCode.ENTRY_LEAVING
+    route = configuration.match(event.head.host, event.head.target)
+    if isinstance(route, NoRoute):
+        return ResultCode.UNKNOWN_ROUTE
+    return route
+
+
+def _place(
+    state: SteeringState,
+    request: SteeredRequest,
+    now: float,
+) -> Iterator[Effect]:
+    if request.deadline - now < _LEAST_TIME:
+        yield from _refuse(state, request, ResultCode.DEADLINE_EXPIRED, now)
+        return
+    choice = choose(state, request, now)
+    if isinstance(choice, ResultCode):
+        yield from _refuse(state, request, choice, now)
+        return
+    yield from _send(state, request, choice, now)
+
+
+def _send(
+    state: SteeringState,
+    request: SteeredRequest,
+    choice: Choice,
+    now: float,
+) -> Iterator[Effect]:
+    upstream = choice.upstream
+    load = state.loads.of(upstream.name)
+    kind = DecisionKind.REQUEST_SENT
+    if request.sends:
+        kind = DecisionKind.REQUEST_REPEATED
+    else:
+        state.budget(request.service).note_request(now)
+    load.own += 1
+    request.attempts += 1
+    request.sends += 1
+    request.upstream = upstream.name
+    request.sent_at = now
+    request.expected = choice.wait + choice.work
+    request.warm = choice.warm
+    if upstream.cold_until > now:
+        state.cold.note_sent(upstream.name, now)
+    yield SendUpstream(
+        request.number,
+        request.attempts,
+        upstream.name,
+        upstream.record.address,
+        request.deadline,
+        request.deadline + _ANSWER_MARGIN,
+    )
+    yield Decision(
+        kind,
+        upstream.name,
+        request.number,
+        (
+            ('service', request.service),
+            ('cost', round(choice.cost, 4)),
+            ('wait', round(choice.wait, 4)),
+            ('own', load.own),
+            ('others', load.others),
+            ('warm', int(choice.warm)),
+            ('version', _version(state)),
+        ),
+    )
+
+
+def _learn(
+    state: SteeringState,
+    request: SteeredRequest,
+    event: AttemptEnded,
+) -> Iterator[Effect]:
+    name = request.upstream
+    load = state.loads.of(name)
+    load.own -= 1
+    _learn_distance(state, name, event.connect_time)
+    outcome = event.outcome
+    if outcome is AttemptOutcome.CANCELLED:
+        return
+    if outcome is AttemptOutcome.OTHER_UPSTREAM:
+        state.catalog.misdirect(name)
+        yield Decision(DecisionKind.UPSTREAM_MISDIRECTED, name, event.request)
+    elif outcome is AttemptOutcome.ANSWERED:
+        _learn_times(state, request, event)
+        if event.status < _SERVER_ERROR:
+            load.note_success()
+            return
+    elif outcome is AttemptOutcome.NOT_EXECUTED:
+        return
+    if load.note_failure(event.now):
+        yield Decision(
+            DecisionKind.UPSTREAM_EJECTED,
+            name,
+            event.request,
+            (
+                ('failures', load.failures),
+                ('seconds', round(load.ejected_until - event.now, 3)),
+            ),
+        )
+
+
+def _learn_distance(
+    state: SteeringState,
+    name: str,
+    connect_time: float,
+) -> None:
+    upstream = state.catalog.upstreams.get(name)
+    if connect_time and upstream:
+        distance(state, upstream.region).add(connect_time)
+
+
+def _learn_times(
+    state: SteeringState,
+    request: SteeredRequest,
+    event: AttemptEnded,
+) -> None:
+    if event.status >= _SERVER_ERROR:
+        return
+    name = request.upstream
+    load = state.loads.of(name)
+    taken = event.now - request.sent_at
+    load.note_speed(taken / max(request.expected, _LEAST_TIME), event.now)
+    upstream = state.catalog.upstreams.get(name)
+    if upstream is None:
+        return
+    executed = max(0, taken - distance(state, upstream.region).typical)
+    times = state.warmth.of(request.route, request.service)
+    known = request.head.key and name in state.warmth.warm_at(
+        request.service, request.head.key, event.now
+    )
+    if load.in_flight < upstream.record.slots:
+        average = times.warm if known else times.cold
+        average.add(executed)
+    if request.head.key:
+        state.warmth.note_served(
+            request.service, request.head.key, name, event.now
+        )
+
+
+def _denial(
+    state: SteeringState,
+    request: SteeredRequest,
+    event: AttemptEnded,
+) -> str:
+    """Why a request is not sent to one more upstream; empty if it may be."""
+    request.tried.add(request.last_upstream)
+    if event.outcome not in _NOT_EXECUTED:
+        if event.outcome not in _REPEATABLE:
+            return 'outcome'
+        if not request.route.idempotent:
+            return 'at most once'
+    if not event.replayable:
+        return 'body not kept'
+    if event.outcome is AttemptOutcome.NOT_CONNECTED:
+        # No byte left, so nothing arrived that the budget would count.
+        request.sends -= 1
+        return 'connections' if request.attempts >= _CONNECT_ATTEMPTS else ''
+    if request.sends >= request.route.max_attempts:
+        return 'attempts'
+    entries = 1 + len(state.fleet.entries)
+    if not state.budget(request.service).spend(event.now, entries):
+        return 'budget'
+    return ''
+
+
+def _finish(
+    state: SteeringState,
+    request: SteeredRequest,
+    event: AttemptEnded,
+    denial: str,
+) -> Iterator[Effect]:
+    code = _FINAL_CODES[event.outcome]
+    if event.outcome in _NOT_EXECUTED:
+        yield Decision(
+            DecisionKind.REPEAT_DENIED, denial, request.number
+        )
+        if not request.maybe_executed:
+            yield from _refuse(state, request, code, event.now)
+            return
+        code = ResultCode.UPSTREAM_BROKE
+    state.requests.pop(request.number)
+    yield Decision(
+        DecisionKind.REQUEST_FAILED,
+        code.name,
+        request.number,
+        (
+            ('outcome', event.outcome.name),
+            ('upstream', request.last_upstream),
+            ('denial', denial),
+            ('after', round(event.now - request.arrived_at, 4)),
+        ),
+    )
+    yield AnswerResult(request.number, code)
+
+
+def _refuse(
+    state: SteeringState,
+    request: SteeredRequest,
+    code: ResultCode,
+    now: float,
+) -> Iterator[Effect]:
+    state.requests.pop(request.number)
+    if request.maybe_executed:
+        code = ResultCode.UPSTREAM_BROKE
+        if not request.route.idempotent:
+            code = ResultCode.UPSTREAM_TIMEOUT
+    yield Decision(
+        DecisionKind.REQUEST_REFUSED,
+        code.name,
+        request.number,
+        (
+            ('service', request.service),
+            ('after', round(now - request.arrived_at, 4)),
+            ('version', _version(state)),
+        ),
+    )
+    yield AnswerResult(request.number, code, _retry_after(state))
+
+
+def _answered(request: SteeredRequest, event: AttemptEnded) -> Decision:
+    return Decision(
+        DecisionKind.REQUEST_ANSWERED,
+        request.last_upstream,
+        request.number,
+        (
+            ('status', event.status),
+            ('after', round(event.now - request.arrived_at, 4)),
+            ('execution', round(event.now - request.sent_at, 4)),
+            ('expected', round(request.expected, 4)),
+            ('sends', request.sends),
+        ),
+    )
+
+
+def _retry_after(state: SteeringState) -> float:
+    spread = state.rng.uniform(*_RETRY_SPREAD)
+    return round(min(_LONGEST_RETRY, _SHORTEST_RETRY * spread), 3)
+
+
+def _comes_back(code: ResultCode) -> bool:
+    return code in {ResultCode.NOT_READY, ResultCode.ENTRY_LEAVING}
+
+
+def _version(state: SteeringState) -> int:
+    configuration = state.configuration
+    if isinstance(configuration, RoutingConfiguration):
+        return configuration.version
+    return 0
--- /dev/null
+++ b/worksrail/core/steering/_on_store.py
@@ -0,0 +1,162 @@
+"""What is read from the store: configuration, upstreams, evacuations."""
+
+from collections.abc import Iterable, Iterator
+
+from worksrail.core.steering._catalog import UpstreamRecord
+from worksrail.core.steering._routes import RoutingConfiguration
+from worksrail.core.steering.effects import Decision, DecisionKind, Effect
+from worksrail.core.steering.events import (
+    ConfigurationRead,
+    EvacuationsRead,
+    StoreKind,
+    StoreLost,
+    StoreRegained,
+    UpstreamsChanged,
+    UpstreamsListed,
+)
+from worksrail.core.steering.state import SteeringState
+
+
+def on_configuration(
+    state: SteeringState,
+    event: ConfigurationRead,
+) -> Iterator[Effect]:
+    """Bring a higher version into force; a lower one never."""
+    state.seen.add(StoreKind.CONFIGURATION)
+    version = event.configuration.version
+    current = state.configuration
+    if isinstance(current, RoutingConfiguration):
+        if version <= current.version:
+            if version < current.version:
+                yield Decision(
+                    DecisionKind.CONFIGURATION_IGNORED,
+                    str(version),
+                    inputs=(('in_force', current.version),),
+                )
+            return
+    state.configuration = event.configuration
+    state.splits.forget_all()
+    yield Decision(DecisionKind.CONFIGURATION_APPLIED, str(version))
+
+
+def on_listed(
+    state: SteeringState,
+    event: UpstreamsListed,
+) -> Iterator[Effect]:
+    """Take in the complete list of upstreams."""
+    state.seen.add(StoreKind.UPSTREAMS)
+    before = _beliefs(state, event.now)
+    state.catalog.replace(event.records, event.now)
+    yield from _differences(state, before, event.now)
+
+
+def on_changed(
+    state: SteeringState,
+    event: UpstreamsChanged,
+) -> Iterator[Effect]:
+    """Take in changes of upstreams."""
+    before = _beliefs(state, event.now)
+    state.catalog.change(event.records, event.removed, event.now)
+    yield from _differences(state, before, event.now)
+
+
+def on_evacuations(
+    state: SteeringState,
+    event: EvacuationsRead,
+) -> Iterator[Effect]:
+    """Take in the zones that are to be left alone."""
+    state.seen.add(StoreKind.EVACUATIONS)
+    if event.zones != state.catalog.evacuated:
+        state.catalog.evacuate(event.zones)
+        zones = ','.join(sorted(event.zones))
+        yield Decision(DecisionKind.ZONES_EVACUATED, zones)
+
+
+def on_store_lost(
+    state: SteeringState,
+    event: StoreLost,
+) -> Iterator[Effect]:
+    """Keep what is known while the store does not answer."""
+    if event.kind in state.lost:
+        return
+    state.lost.add(event.kind)
+    if event.kind is StoreKind.UPSTREAMS:
+        state.catalog.store_lost()
+    yield Decision(
+        DecisionKind.STORE_LOST,
+        event.kind.value,
+        inputs=(('reason', event.reason),),
+    )
+
+
+def on_store_regained(
+    state: SteeringState,
+    event: StoreRegained,
+) -> Iterator[Effect]:
+    """Trust the store again, what is missing only after a while."""
+    if event.kind not in state.lost:
+        return
+    state.lost.discard(event.kind)
+    if event.kind is StoreKind.UPSTREAMS:
+        state.catalog.store_regained(event.now)
+    yield Decision(DecisionKind.STORE_REGAINED, event.kind.value)
+
+
+def expire_upstreams(state: SteeringState, now: float) -> Iterator[Effect]:
+    """Remove upstreams that have been missing for too long."""
+    for name in state.catalog.expire(now):
+        yield Decision(DecisionKind.UPSTREAM_GONE, name)
+
+
+_Belief = tuple[UpstreamRecord, bool]
+
+
+def _beliefs(state: SteeringState, now: float) -> dict[str, _Belief]:
+    return {
+        name: (upstream.record, upstream.cold_until > now)
+        for name, upstream in state.catalog.upstreams.items()
+    }
+
+
+def _differences(
+    state: SteeringState,
+    before: dict[str, _Belief],
+    now: float,
+) -> Iterator[Effect]:
+    after = _beliefs(state, now)
+    for name in before.keys() - after.keys():
+        yield Decision(DecisionKind.UPSTREAM_GONE, name)
+    for name, (record, cold) in after.items():
+        old, was_cold = before.get(name, (None, False))
+        yield from _news(record, old)
+        if cold and not was_cold:
+            yield Decision(
+                DecisionKind.UPSTREAM_COLD,
+                name,
+                inputs=(('seconds', round(record.cold_time, 3)),),
+            )
+    state.loads.keep_only(set(after))
+    warm = {name for name, (_, cold) in after.items() if not cold}
+    state.cold.forget(warm | (before.keys() - after.keys()))
+
+
+def _news(
+    record: UpstreamRecord,
+    old: UpstreamRecord | None,
+) -> Iterable[Effect]:
+    if old is None:
+        yield Decision(
+            DecisionKind.UPSTREAM_KNOWN,
+            record.name,
+            inputs=(
+                ('service', record.service),
+                ('address', record.address),
+                ('zone', record.zone),
+            ),
+        )
+    if record.draining and (old is None or not old.draining):
+        yield Decision(
+            DecisionKind.UPSTREAM_DRAINING,
+            record.name,
+            inputs=(('sequence', record.sequence),),
+        )
--- /dev/null
+++ b/worksrail/core/steering/_reducer.py
@@ -0,0 +1,53 @@
+"""One reducer over all events of an entry with discovered upstreams.
+
+It does no I/O, reads no clock and draws no randomness but from its seeded
+state, like :mod:`worksrail.core.reducer` for upstreams named in bundles.
+"""
+
+from collections.abc import Callable, Iterator
+from typing import Any, Final
+
+from worksrail.core.steering import _on_requests, _on_store, _on_time
+from worksrail.core.steering.effects import Effect
+from worksrail.core.steering.events import (
+    AttemptEnded,
+    CallerGone,
+    ConfigurationRead,
+    DigestReceived,
+    EvacuationsRead,
+    Event,
+    RequestArrived,
+    StopRequested,
+    StoreLost,
+    StoreRegained,
+    Ticked,
+    UpstreamsChanged,
+    UpstreamsListed,
+)
+from worksrail.core.steering.state import SteeringState
+
+_Handler = Callable[[SteeringState, Any], Iterator[Effect]]
+
+_HANDLERS: Final[dict[type, _Handler]] = {
+    Ticked: _on_time.on_tick,
+    DigestReceived: _on_time.on_digest,
+    StopRequested: _on_time.on_stop,
+    ConfigurationRead: _on_store.on_configuration,
+    UpstreamsListed: _on_store.on_listed,
+    UpstreamsChanged: _on_store.on_changed,
+    EvacuationsRead: _on_store.on_evacuations,
+    StoreLost: _on_store.on_store_lost,
+    StoreRegained: _on_store.on_store_regained,
+    RequestArrived: _on_requests.on_arrival,
+    CallerGone: _on_requests.on_caller_gone,
+    AttemptEnded: _on_requests.on_attempt_ended,
+}
+
+
+def reduce(state: SteeringState, event: Event) -> list[Effect]:
+    """Change the state by one event and give the effects to run."""
+    gap = event.now - state.last_event_at
+    state.last_event_at = event.now
+    effects = list(_on_time.on_pause(state, gap, event.now))
+    effects.extend(_HANDLERS[type(event)](state, event))
+    return effects
--- /dev/null
+++ b/worksrail/core/steering/effects.py
@@ -0,0 +1,126 @@
+"""Everything an entry with discovered upstreams does to the outside."""
+
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from worksrail.core.results import ResultCode
+from worksrail.core.steering._fleet import EntryDigest
+from worksrail.core.steering.events import RequestNumber
+
+
+@dataclass(frozen=True, slots=True)
+class SendUpstream:
+    """Send a request to an upstream."""
+
+    request: RequestNumber
+    """Which request."""
+
+    attempt: int
+    """Number of the attempt, from one."""
+
+    upstream: str
+    """Identifier that the upstream must have to execute it."""
+
+    address: str
+    """Its IP number and port."""
+
+    deadline: float
+    """Until when the upstream may work on it, by this entry's clock."""
+
+    give_up_at: float
+    """When this entry stops to wait for the answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerResult:
+    """Answer a request with a result code."""
+
+    request: RequestNumber
+    """Which request."""
+
+    code: ResultCode
+    """What to tell."""
+
+    retry_after: float = 0
+    """Seconds after which a retry makes sense."""
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Cut off the attempt that is under way."""
+
+    request: RequestNumber
+    """Which request."""
+
+
+@dataclass(frozen=True, slots=True)
+class SendDigest:
+    """Tell other entries of this one; each datagram may be lost."""
+
+    receivers: tuple[str, ...]
+    """Peer addresses."""
+
+    digest: EntryDigest
+    """What to tell."""
+
+
+@dataclass(frozen=True, slots=True)
+class ExitProcess:
+    """The graceful stop is complete."""
+
+
+@unique
+class DecisionKind(Enum):
+    """The fixed vocabulary of decisions in logs, metrics and time lines."""
+
+    REQUEST_SENT = 'request sent to an upstream'
+    REQUEST_REPEATED = 'request sent to one more upstream'
+    REPEAT_DENIED = 'request not sent once more'
+    REQUEST_REFUSED = 'request refused; it was not executed'
+    REQUEST_ANSWERED = 'answer of an upstream passed on'
+    REQUEST_FAILED = 'request ended without an answer of an upstream'
+    CALLER_GONE = 'caller left before the end of its answer'
+    CONFIGURATION_APPLIED = 'configuration in force'
+    CONFIGURATION_IGNORED = 'older configuration ignored'
+    UPSTREAM_KNOWN = 'upstream listed'
+    UPSTREAM_DRAINING = 'upstream drains'
+    UPSTREAM_GONE = 'upstream gone'
+    UPSTREAM_COLD = 'upstream cold'
+    UPSTREAM_EJECTED = 'upstream left alone for its failures'
+    UPSTREAM_MISDIRECTED = 'address belongs to another upstream'
+    ZONES_EVACUATED = 'zones to be evacuated'
+    STORE_LOST = 'store lost'
+    STORE_REGAINED = 'store regained'
+    ENTRY_SEEN = 'other entry seen'
+    ENTRY_LOST = 'other entry lost'
+    READY = 'ready for requests'
+    LEAVING = 'stopping'
+    STOPPED = 'stopped'
+    PAUSED = 'process stood still'
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """Log a decision and count it."""
+
+    kind: DecisionKind
+    """What was decided or believed."""
+
+    subject: str = ''
+    """Upstream, entry, service, version or result it is about."""
+
+    request: RequestNumber = 0
+    """Request it touches, if any."""
+
+    inputs: tuple[tuple[str, float | int | str], ...] = ()
+    """What decided it, with ages in seconds or versions."""
+
+
+Effect = (
+    SendUpstream
+    | AnswerResult
+    | CancelAttempt
+    | SendDigest
+    | ExitProcess
+    | Decision
+)
--- /dev/null
+++ b/worksrail/core/steering/state.py
@@ -0,0 +1,202 @@
+"""The whole state of an entry with discovered upstreams, by its owners."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum, unique
+from math import inf
+
+from worksrail.core.identity import Incarnation, RegionName, ServiceName
+from worksrail.core.steering._affinity import Affinity
+from worksrail.core.steering._catalog import Catalog
+from worksrail.core.steering._cold import ColdLimits
+from worksrail.core.steering._fleet import Fleet
+from worksrail.core.steering._load import LearnedTime, LoadTable
+from worksrail.core.steering._repeats import RepeatBudget
+from worksrail.core.steering._routes import Route, RoutingConfiguration
+from worksrail.core.steering._settings import EntrySettings
+from worksrail.core.steering._splits import Splits
+from worksrail.core.steering._warmth import Warmth
+from worksrail.core.steering.events import (
+    RequestNumber,
+    SteeredHead,
+    StoreKind,
+)
+
+
+@unique
+class NotConfigured(Enum):
+    """Sentinel: there is no configuration yet."""
+
+    NEVER_READ = 'no configuration was read so far'
+
+
+@dataclass(slots=True)
+class SteeredRequest:
+    """A request under way."""
+
+    number: RequestNumber
+    """Number of the arrival."""
+
+    head: SteeredHead
+    """What is known of it."""
+
+    route: Route
+    """Route that it matched on arrival."""
+
+    service: ServiceName
+    """Part of the route that it goes to."""
+
+    arrived_at: float
+    """When it came."""
+
+    deadline: float
+    """When its upstream must stop, and it gets its final answer."""
+
+    attempts: int = 0
+    """Attempts begun, those that found no connection included."""
+
+    sends: int = 0
+    """Upstreams that it was sent to."""
+
+    upstream: str = ''
+    """Upstream of the attempt under way; empty between attempts."""
+
+    last_upstream: str = ''
+    """Upstream of the attempt that ended last."""
+
+    sent_at: float = 0
+    """When the last attempt began."""
+
+    expected: float = 0
+    """Seconds which that attempt was expected to take."""
+
+    warm: bool = False
+    """Whether its key was expected to be warm there."""
+
+    tried: set[str] = field(default_factory=set)
+    """Upstreams that it shall not go to again."""
+
+    maybe_executed: bool = False
+    """An upstream may have executed it."""
+
+    caller_gone: bool = False
+    """The caller has left."""
+
+
+@dataclass(slots=True)
+class SteeringState:
+    """What :func:`worksrail.core.steering.reduce` works on."""
+
+    settings: EntrySettings
+    """Settings; replaced when they are read again."""
+
+    who: Incarnation
+    """Name and incarnation of this entry."""
+
+    rng: random.Random
+    """Source of spread; seeded, so that runs repeat."""
+
+    catalog: Catalog
+    """Upstreams and evacuated zones."""
+
+    fleet: Fleet
+    """The other entries."""
+
+    started_at: float
+    """When this incarnation began."""
+
+    last_event_at: float
+    """When the last event came; a long gap means a pause."""
+
+    configuration: RoutingConfiguration | NotConfigured = (
+        NotConfigured.NEVER_READ
+    )
+    """The configuration in force."""
+
+    loads: LoadTable = field(default_factory=LoadTable)
+    """Load, speed and faults of upstreams."""
+
+    affinity: Affinity = field(default_factory=Affinity)
+    """Order of upstreams by key."""
+
+    warmth: Warmth = field(default_factory=Warmth)
+    """Where keys are warm, and what that saves."""
+
+    splits: Splits = field(default_factory=Splits)
+    """Traffic splits."""
+
+    cold: ColdLimits = field(default_factory=ColdLimits)
+    """Limits on cold upstreams."""
+
+    budgets: dict[ServiceName, RepeatBudget] = field(default_factory=dict)
+    """Budgets of repeats by service."""
+
+    distances: dict[RegionName, LearnedTime] = field(default_factory=dict)
+    """Seconds to a region and back."""
+
+    requests: dict[RequestNumber, SteeredRequest] = field(default_factory=dict)
+    """Requests under way."""
+
+    lost: set[StoreKind] = field(default_factory=set)
+    """Kinds whose reading from the store fails."""
+
+    seen: set[StoreKind] = field(default_factory=set)
+    """Kinds that were read at least once."""
+
+    dead: set[str] = field(default_factory=set)
+    """Names of entries that are known but silent."""
+
+    ready: bool = False
+    """Takes requests."""
+
+    leaving_at: float = inf
+    """When the stop was requested."""
+
+    exited: bool = False
+    """The stop is complete."""
+
+    digests: int = 0
+    """Digests sent."""
+
+    next_digest_at: float = 0
+    """When the next digest is due."""
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: EntrySettings,
+        who: Incarnation,
+        now: float,
+        seed: int,
+    ) -> 'SteeringState':
+        """Begin an incarnation that knows its settings only."""
+        fleet = Fleet(who.name, settings.addresses.peer)
+        _learn_all(fleet, settings.seeds, now)
+        return cls(
+            settings,
+            who,
+            random.Random(seed),
+            Catalog(settings.regions),
+            fleet,
+            now,
+            now,
+        )
+
+    @property
+    def leaving(self) -> bool:
+        """Whether a stop was requested."""
+        return self.leaving_at < inf
+
+    def budget(self, service: ServiceName) -> RepeatBudget:
+        """Budget of repeats of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = RepeatBudget(self.settings.bounds)
+            self.budgets[service] = budget
+        return budget
+
+
+def _learn_all(fleet: Fleet, addresses: Iterable[str], now: float) -> None:
+    for address in addresses:
+        fleet.learn(address, now)
--- a/worksrail/daemon/_logs.py
+++ b/worksrail/daemon/_logs.py
@@ -1,4 +1,4 @@
-"""Structured logs: one JSON object a line on standard error."""
+"""Structured logs: one JSON object a line on standard output."""
 
 import json
 import sys
@@ -34,5 +34,5 @@
 
 
 def install_logs(instance: str, level: str) -> None:
-    """Send all records to standard error as JSON lines."""
-    JsonLines(instance, level, sys.stderr).push_application()
+    """Send all records to standard output as JSON lines."""
+    JsonLines(instance, level, sys.stdout).push_application()
--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -17,11 +17,13 @@
 
 from worksrail.daemon.http._body import BodyStream
 from worksrail.daemon.http._connections import ConnectionPool
+from worksrail.daemon.http._dialect import AnswerUse
 from worksrail.daemon.http._headers import BodyLength, answer_length
 
 _LOG: Final = Logger('worksrail.http')
 _CONNECT_TIMEOUT: Final = 1.0
 _FIRST_FINAL: Final = 200
+_ANSWERS_PASSED_OVER: Final = 4
 _MAX_HEADER: Final = 65_536
 _MAX_ANSWER: Final = 1_099_511_627_776
 _PARAMETERS: Final = HTTP1ConnectionParameters(
@@ -38,6 +40,7 @@
     NO_ANSWER = 'the connection broke before the answer'
     CUT_ANSWER = 'the connection broke within the answer'
     UNVERIFIABLE = 'the end of the answer cannot be known'
+    REJECTED = 'what came is no answer to the request'
     TIMED_OUT = 'the deadline passed'
     CANCELLED = 'it was cancelled'
 
@@ -45,8 +48,8 @@
 class AnswerSink(Protocol):
     """Where the answer goes."""
 
-    def wants(self, status: int, headers: httputil.HTTPHeaders) -> bool:
-        """Whether this answer is to be passed on."""
+    def judge(self, status: int, headers: httputil.HTTPHeaders) -> AnswerUse:
+        """What to do with this answer."""
 
     async def start_answer(
         self,
@@ -81,6 +84,9 @@
     deadline: float
     """When the attempt is given up."""
 
+    takes_unframed: bool = False
+    """An answer without length may end with its connection."""
+
 
 @dataclass(slots=True)
 class AttemptReport:
@@ -95,6 +101,9 @@
     headers: httputil.HTTPHeaders = field(default_factory=httputil.HTTPHeaders)
     """Headers of the answer."""
 
+    connect_time: float = 0
+    """Seconds that a new connection took; zero if one was kept."""
+
 
 @dataclass(slots=True)
 class _AnswerReader(httputil.HTTPMessageDelegate):
@@ -103,7 +112,9 @@
     method: str
     sink: AnswerSink
     report: AttemptReport
-    passing_on: bool = False
+    takes_unframed: bool
+    use: AnswerUse = AnswerUse.HOLD_BACK
+    until_close: bool = False
 
     async def headers_received(  # type: ignore[override]
         self,
@@ -115,28 +126,49 @@
             raise TypeError('expected the start of an answer')
         if start_line.code < _FIRST_FINAL:
             return
+        self._check_length(start_line.code, headers)
+        self.use = self.sink.judge(start_line.code, headers)
+        if self.use is AnswerUse.REJECT:
+            self.report.end = AttemptEnd.REJECTED
+            raise ConnectionAbortedError('not an answer to the request')
+        if self.use is AnswerUse.PASS_OVER:
+            return
         self.report.status = start_line.code
         self.report.headers = headers
-        length = answer_length(self.method, start_line.code, headers)
-        if length in {BodyLength.UNTIL_CLOSE, BodyLength.AMBIGUOUS}:
-            self.report.end = AttemptEnd.UNVERIFIABLE
-            raise ConnectionAbortedError('answer without a checkable length')
-        if self.sink.wants(start_line.code, headers):
-            self.passing_on = True
+        if self.use is AnswerUse.PASS_ON:
             self.report.end = AttemptEnd.CUT_ANSWER
             await self.sink.start_answer(start_line, headers)
 
     async def data_received(self, chunk: bytes) -> None:  # type: ignore
         """Pass on a part of the body."""
-        if self.passing_on:
+        if self.use is AnswerUse.PASS_ON:
             await self.sink.write(chunk)
 
     def finish(self) -> None:
+        """The answer is whole, unless its connection was reset."""
+        if not self.until_close:
+            self.complete()
+
+    def complete(self) -> None:
         """The answer is whole."""
+        if self.use is AnswerUse.PASS_OVER:
+            return
         self.report.end = AttemptEnd.WHOLE
-        if self.passing_on:
+        if self.use is AnswerUse.PASS_ON:
             self.sink.end()
 
+    def _check_length(
+        self,
+        status: int,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        length = answer_length(self.method, status, headers)
+        self.until_close = length is BodyLength.UNTIL_CLOSE
+        refused = self.until_close and not self.takes_unframed
+        if refused or length is BodyLength.AMBIGUOUS:
+            self.report.end = AttemptEnd.UNVERIFIABLE
+            raise ConnectionAbortedError('answer without a checkable length')
+
 
 @dataclass(slots=True)
 class HttpAttempt:
@@ -163,13 +195,14 @@
 
     async def run(self) -> AttemptReport:
         """Make the attempt; never raises but when cancelled from outside."""
-        stream = await self._connected()
+        report = AttemptReport(AttemptEnd.NOT_SENT)
+        stream = await self._connected(report)
         if stream is None:
-            return AttemptReport(AttemptEnd.NOT_SENT)
+            return report
         if self.clock() >= self.outgoing.not_after:
             self.pool.release(self.outgoing.address, stream)
-            return AttemptReport(AttemptEnd.NOT_SENT)
-        report = AttemptReport(AttemptEnd.NO_ANSWER)
+            return report
+        report.end = AttemptEnd.NO_ANSWER
         try:
             await self._exchange(stream, report)
         except asyncio.CancelledError:
@@ -180,13 +213,18 @@
             stream.close()
         return report
 
-    async def _connected(self) -> IOStream | None:
-        left = self.outgoing.deadline - self.clock()
-        timeout = min(_CONNECT_TIMEOUT, left)
+    async def _connected(self, report: AttemptReport) -> IOStream | None:
+        began = self.clock()
+        opened = self.pool.opened
+        timeout = min(_CONNECT_TIMEOUT, self.outgoing.deadline - began)
         try:
-            return await self.pool.acquire(self.outgoing.address, timeout)
-        except (OSError, TimeoutError, asyncio.CancelledError):
+            stream = await self.pool.acquire(self.outgoing.address, timeout)
+        except (OSError, TimeoutError, asyncio.CancelledError) as error:
+            _LOG.debug('no connection: {}: {}', self.outgoing.address, error)
             return None
+        if self.pool.opened > opened:
+            report.connect_time = self.clock() - began
+        return stream
 
     async def _exchange(
         self,
@@ -196,10 +234,9 @@
         left = max(0, self.outgoing.deadline - self.clock())
         connection = HTTP1Connection(stream, True, _PARAMETERS)
         writer = asyncio.ensure_future(self._write(connection))
-        reader = _AnswerReader(self.outgoing.start.method, self.sink, report)
         try:
             async with asyncio.timeout(left):
-                await connection.read_response(reader)
+                await self._read(connection, stream, report)
         except TimeoutError:
             if report.end is not AttemptEnd.WHOLE:
                 report.end = AttemptEnd.TIMED_OUT
@@ -211,6 +248,27 @@
                 report.headers['Connection'] = 'close'
                 writer.cancel()
 
+    async def _read(
+        self,
+        connection: HTTP1Connection,
+        stream: IOStream,
+        report: AttemptReport,
+    ) -> None:
+        for _ in range(_ANSWERS_PASSED_OVER):
+            reader = _AnswerReader(
+                self.outgoing.start.method,
+                self.sink,
+                report,
+                self.outgoing.takes_unframed,
+            )
+            await connection.read_response(reader)
+            if reader.until_close and stream.error is None:
+                reader.complete()
+            if reader.use is not AnswerUse.PASS_OVER or stream.closed():
+                return
+            # What came was a late answer to an earlier request.
+            connection = HTTP1Connection(stream, True, _PARAMETERS)
+
     async def _write(self, connection: HTTP1Connection) -> None:
         with contextlib.suppress(
             StreamClosedError, OSError, httputil.HTTPOutputError
--- a/worksrail/daemon/http/_exchange.py
+++ b/worksrail/daemon/http/_exchange.py
@@ -6,18 +6,23 @@
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from math import ceil
 from typing import Any, Final
 
 from logbook import Logger
 from tornado import httputil
 from tornado.iostream import StreamClosedError
 
-from worksrail.core.results import Certainty, ResultCode
+from worksrail.core.results import ResultCode
 from worksrail.daemon.http import _headers as names
 from worksrail.daemon.http._body import BodyStream
+from worksrail.daemon.http._dialect import (
+    AnswerUse,
+    CallerDialect,
+    OwnDialect,
+)
 
 _LOG: Final = Logger('worksrail.exchange')
+_OWN: Final = OwnDialect()
 
 
 @dataclass(slots=True)
@@ -50,6 +55,12 @@
     body: BodyStream = field(default_factory=BodyStream)
     """Body of the request."""
 
+    dialect: CallerDialect = _OWN
+    """How the answer is spelled."""
+
+    closing: bool = False
+    """The connection is closed after the answer."""
+
     from_instance: bool = False
     """The answer comes from another instance."""
 
@@ -67,17 +78,19 @@
 
     # -- answers passed through
 
-    def wants(self, status: int, headers: httputil.HTTPHeaders) -> bool:
+    def judge(self, status: int, headers: httputil.HTTPHeaders) -> AnswerUse:
         """Every answer is passed on but one that says *not run*.
 
         Other instances also answer with results of their own, which are
         decided on again here.
         """
         if names.NOT_RUN in headers:
-            return False
+            return AnswerUse.HOLD_BACK
         passed_on = str(ResultCode.OK.number)
         result = headers.get(names.RESULT, passed_on)
-        return not self.from_instance or result == passed_on
+        if self.from_instance and result != passed_on:
+            return AnswerUse.HOLD_BACK
+        return AnswerUse.PASS_ON
 
     async def start_answer(
         self,
@@ -89,8 +102,7 @@
             return
         self.begun = True
         out = names.end_to_end(headers)
-        out[names.RESULT] = str(ResultCode.OK.number)
-        out[names.TRACE] = self.trace
+        self.dialect.mark_answer(out, self.trace)
         self._announce_close(out)
         await self._written(self.connection.write_headers(start, out))
 
@@ -125,7 +137,9 @@
             return
         self.begun = True
         self.ended = True
-        headers = result_headers(code, self.trace, retry_after, entry)
+        headers = self.dialect.result_headers(
+            code, self.trace, retry_after, entry
+        )
         payload = result_payload(code, self.trace)
         if self.start.method == 'HEAD':
             payload = b''
@@ -144,6 +158,9 @@
 
     def answer_json(self, document: bytes) -> None:
         """Answer with a document of our own."""
+        if self.ended or self.gone:
+            self.ended = True
+            return
         self.begun = True
         self.ended = True
         headers = httputil.HTTPHeaders(
@@ -179,7 +196,7 @@
     def _announce_close(self, headers: httputil.HTTPHeaders) -> None:
         # The rest of a body is not read, so the connection cannot be used
         # for another request.
-        if not self.body.ended:
+        if self.closing or not self.body.ended:
             headers['Connection'] = 'close'
 
     async def _written(self, future: asyncio.Future[None]) -> None:
@@ -189,31 +206,6 @@
             self.gone = True
 
 
-def result_headers(
-    code: ResultCode,
-    trace: str,
-    retry_after: float = 0,
-    entry: str = '',
-) -> httputil.HTTPHeaders:
-    """Headers of an answer that carries a result code."""
-    headers = httputil.HTTPHeaders(
-        {
-            'Content-Type': 'application/json',
-            names.RESULT: str(code.number),
-            names.CERTAINTY: code.certainty.value,
-            names.TRACE: trace,
-        }
-    )
-    if code.certainty is Certainty.NOT_RUN:
-        headers[names.NOT_RUN] = 'true'
-    if retry_after:
-        headers['Retry-After'] = str(ceil(retry_after))
-        headers[names.RETRY_AFTER] = str(retry_after)
-    if entry:
-        headers[names.ENTRY] = entry
-    return headers
-
-
 def result_payload(code: ResultCode, trace: str) -> bytes:
     """Body of an answer that carries a result code."""
     document = {
--- a/worksrail/daemon/http/_requests.py
+++ b/worksrail/daemon/http/_requests.py
@@ -49,6 +49,7 @@
     AttemptEnd.NO_ANSWER: AttemptOutcome.BROKE_BEFORE_ANSWER,
     AttemptEnd.CUT_ANSWER: AttemptOutcome.BROKE_IN_ANSWER,
     AttemptEnd.UNVERIFIABLE: AttemptOutcome.UNVERIFIABLE,
+    AttemptEnd.REJECTED: AttemptOutcome.UNVERIFIABLE,
     AttemptEnd.TIMED_OUT: AttemptOutcome.TIMED_OUT,
     AttemptEnd.CANCELLED: AttemptOutcome.CANCELLED,
 }
--- a/worksrail/daemon/http/_server.py
+++ b/worksrail/daemon/http/_server.py
@@ -16,12 +16,14 @@
 from worksrail.core.results import ResultCode
 from worksrail.daemon.http import _headers as names
 from worksrail.daemon.http._body import REPLAY_LIMIT
+from worksrail.daemon.http._dialect import CallerDialect, OwnDialect
 from worksrail.daemon.http._exchange import Exchange, result_payload
 
 _BARE_BAD_REQUEST: Final = b'HTTP/1.1 400 Bad Request\r\n\r\n'
 _HARD_HEADER_LIMIT: Final = 1_048_576
 _TRACE_LIMIT: Final = 128
 _BODY_BYTES: Final = 67_108_864
+_OWN: Final = OwnDialect()
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +74,8 @@
         """Check the head of the request and hand it on."""
         if not isinstance(start_line, httputil.RequestStartLine):
             raise TypeError('expected the start of a request')
-        trace = headers.get(names.TRACE, '')[:_TRACE_LIMIT]
+        dialect = self.server.dialect
+        trace = dialect.trace_of(headers)[:_TRACE_LIMIT]
         exchange = Exchange(
             self.connection,
             start_line,
@@ -80,6 +83,7 @@
             self.client,
             trace or uuid.uuid4().hex,
             next(self.server.numbers),
+            dialect=dialect,
         )
         self.exchange = exchange
         fault = self._fault(start_line, headers)
@@ -91,15 +95,17 @@
             closing(self.on_connection_close)
         # An answer before the end of the body costs the connection, so a
         # small body is read first; only a large one is streamed.
-        if int(headers.get('Content-Length', '0')) > REPLAY_LIMIT or (
-            'Transfer-Encoding' in headers
-        ):
+        if int(headers.get('Content-Length', '0')) > REPLAY_LIMIT:
             self._hand_over()
 
     async def data_received(self, chunk: bytes) -> None:  # type: ignore
         """Take a part of the body."""
-        if self.exchange and not self.exchange.ended:
-            await self.exchange.body.feed(chunk)
+        exchange = self.exchange
+        if exchange is None or exchange.ended:
+            return
+        if exchange.body.size + len(chunk) > REPLAY_LIMIT:
+            self._hand_over()
+        await exchange.body.feed(chunk)
 
     def finish(self) -> None:
         """The body is complete."""
@@ -153,6 +159,7 @@
         handler: ExchangeHandler,
         limits: HttpLimits,
         numbers: Iterator[int],
+        dialect: CallerDialect = _OWN,
         **options: Any,
     ) -> None:
         """Prepare a server; it listens once sockets are added.
@@ -163,6 +170,7 @@
         self.handler = handler
         self.limits = limits
         self.numbers = numbers
+        self.dialect = dialect
         self.connections: set[HTTP1ServerConnection] = set()
         self.parameters = HTTP1ConnectionParameters(
             header_timeout=limits.header_seconds,
--- /dev/null
+++ b/worksrail/daemon/steered/__init__.py
@@ -0,0 +1,23 @@
+"""The daemon of an entry that finds its upstreams by discovery."""
+
+from worksrail.daemon.steered._adapter import (
+    Adapter,
+    AskedEntries,
+    StoreFault,
+    StoreNews,
+    SteeringStore,
+    UpstreamAnswer,
+    UpstreamDialect,
+)
+from worksrail.daemon.steered._daemon import serve
+
+__all__ = (
+    'Adapter',
+    'AskedEntries',
+    'SteeringStore',
+    'StoreFault',
+    'StoreNews',
+    'UpstreamAnswer',
+    'UpstreamDialect',
+    'serve',
+)
--- /dev/null
+++ b/worksrail/daemon/steered/_adapter.py
@@ -0,0 +1,164 @@
+"""What a platform has to translate for an entry.
+
+An adapter knows the names and formats of one platform and decides nothing.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, unique
+from typing import Protocol
+
+from tornado.httputil import HTTPHeaders
+
+from worksrail.core.identity import RegionName, ZoneName
+from worksrail.core.steering import (
+    EntryList,
+    EntrySettings,
+    RoutingConfiguration,
+    UpstreamRecord,
+)
+from worksrail.core.steering.events import (
+    ReportedLoad,
+    SteeredHead,
+    StoreKind,
+)
+from worksrail.daemon.http._dialect import CallerDialect
+
+
+@unique
+class StoreFault(Enum):
+    """Sentinel: why the store gave nothing."""
+
+    UNREACHABLE = 'there was no answer'
+    REFUSED = 'the store turned the call away'
+    HISTORY_GONE = 'changes since that revision are not kept any more'
+    MALFORMED = 'the answer makes no sense'
+
+
+@dataclass(frozen=True, slots=True)
+class StoreNews:
+    """What a call to the store brought, decoded."""
+
+    revision: int
+    """Revision of the store that it reflects; watch on from here."""
+
+    configuration: RoutingConfiguration | None = None
+    """A version of the configuration, if there is one."""
+
+    records: tuple[UpstreamRecord, ...] = ()
+    """Upstreams, in the order of their changes."""
+
+    zones: tuple[ZoneName, ...] = ()
+    """Zones to be evacuated."""
+
+    removed: tuple[str, ...] = ()
+    """Names of objects that were removed, as a watch tells."""
+
+    faults: tuple[str, ...] = ()
+    """Objects that could not be decoded, and what was expected."""
+
+
+class SteeringStore(Protocol):
+    """The platform's store, as far as entries read it."""
+
+    async def read_all(self, kind: StoreKind) -> StoreNews | StoreFault:
+        """Read all objects of a kind."""
+
+    async def watch(
+        self,
+        kind: StoreKind,
+        since: int,
+        seconds: float,
+    ) -> StoreNews | StoreFault:
+        """Wait for changes after a revision, some seconds at most."""
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamAnswer:
+    """What the head of an upstream's answer says besides its status."""
+
+    trace: str
+    """Request that it answers; empty if it does not say."""
+
+    executed: bool
+    """Whether the upstream executed the request."""
+
+    misdirected: bool
+    """Whether another upstream has the address."""
+
+    altered: bool
+    """Whether the body is not the upstream's own bytes."""
+
+    load: ReportedLoad | None
+    """The upstream's load, if it tells it."""
+
+    idle_time: float | None
+    """Seconds after which it closes an idle connection, if it says."""
+
+
+class UpstreamDialect(Protocol):
+    """Spells requests to upstreams and reads their answers."""
+
+    def mark_request(
+        self,
+        headers: HTTPHeaders,
+        upstream: str,
+        time_left: float,
+    ) -> None:
+        """Name the upstream that is meant, and the seconds it has."""
+
+    def read_answer(self, status: int, headers: HTTPHeaders) -> UpstreamAnswer:
+        """Read the head of an answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class AskedEntries:
+    """A look-up: which entries shall callers of this place use."""
+
+    region: RegionName
+    """Region of the callers."""
+
+    zone: ZoneName
+    """Availability zone of the callers."""
+
+
+class RequestDialect(CallerDialect, Protocol):
+    """Reads requests of callers, besides spelling their answers."""
+
+    def read_head(
+        self,
+        method: str,
+        target: str,
+        headers: HTTPHeaders,
+    ) -> SteeredHead | None:
+        """What decisions need to know; None if a header is malformed."""
+
+    def is_readiness(self, target: str) -> bool:
+        """Whether this asks if the entry is ready."""
+
+    def read_look_up(self, target: str) -> AskedEntries | None:
+        """The look-up that a target asks, if it is one."""
+
+    def render_entries(self, entries: EntryList) -> bytes:
+        """The document that answers a look-up."""
+
+
+class SettingsFaultError(ValueError):
+    """The settings cannot be used; the text names what was expected."""
+
+
+@dataclass(frozen=True, slots=True)
+class Adapter:
+    """All translations of one platform."""
+
+    read_settings: Callable[[], EntrySettings]
+    """Reads the settings anew; raises ``SettingsFaultError``."""
+
+    callers: RequestDialect
+    """Towards callers."""
+
+    upstreams: UpstreamDialect
+    """Towards upstreams."""
+
+    open_store: Callable[[str, Callable[[str], None]], SteeringStore]
+    """Makes a client of the store at an address; counts calls by kind."""
--- /dev/null
+++ b/worksrail/daemon/steered/_digests.py
@@ -0,0 +1,71 @@
+"""Digests between entries: small datagrams, each of which may be lost."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any, Final
+
+import msgspec
+from logbook import Logger
+
+from worksrail.core.steering import EntryDigest
+from worksrail.core.steering.effects import SendDigest
+from worksrail.core.steering.events import DigestReceived
+from worksrail.daemon.steered._engine import SteeringEngine
+
+_LOG: Final = Logger('worksrail.peers')
+
+
+@dataclass(slots=True)
+class DigestPort(asyncio.DatagramProtocol):
+    """Sends and receives digests at the peer address."""
+
+    engine: SteeringEngine
+    """Takes the events."""
+
+    transport: asyncio.DatagramTransport | None = None
+    """The socket, once it is open."""
+
+    async def open(self, address: str) -> None:
+        """Listen at an IP number and port."""
+        host, _, port = address.partition(':')
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, int(port))
+        )
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self.transport:
+            self.transport.close()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Remember the socket."""
+        if isinstance(transport, asyncio.DatagramTransport):
+            self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
+        """Make an event of a digest."""
+        try:
+            digest = _DECODER.decode(data)
+        except msgspec.DecodeError as error:
+            _LOG.warning(
+                'malformed digest', extra={'peer': addr[0], 'why': str(error)}
+            )
+            return
+        self.engine.dispatch(DigestReceived(self.engine.now(), digest))
+
+    def error_received(self, exc: Exception) -> None:
+        """A datagram could not be sent; the next one may."""
+        _LOG.debug('datagram failed: {}', exc)
+
+    def send(self, effect: SendDigest) -> None:
+        """Send a digest to some entries."""
+        if self.transport is None:
+            return
+        payload = msgspec.msgpack.encode(effect.digest)
+        for receiver in effect.receivers:
+            host, _, port = receiver.partition(':')
+            self.transport.sendto(payload, (host, int(port)))
+
+
+_DECODER: Final = msgspec.msgpack.Decoder(EntryDigest)
--- /dev/null
+++ b/worksrail/daemon/steered/_following.py
@@ -0,0 +1,132 @@
+"""Follows one kind of object in the store: list once, then watch."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+from typing import Final
+
+from logbook import Logger
+
+from worksrail.core.steering.events import (
+    ConfigurationRead,
+    EvacuationsRead,
+    StoreKind,
+    StoreLost,
+    StoreRegained,
+    UpstreamsChanged,
+    UpstreamsListed,
+)
+from worksrail.daemon.steered._adapter import (
+    SteeringStore,
+    StoreFault,
+    StoreNews,
+)
+from worksrail.daemon.steered._engine import SteeringEngine
+
+_LOG: Final = Logger('worksrail.store')
+# Seconds that one watch waits: longer ones cost fewer calls, and a dead
+# connection is noticed by the kernel's probes anyhow.
+_WATCH_TIME: Final = 25.0
+# Seconds between calls that fail, doubled each time up to the longest.
+_FIRST_PAUSE: Final = 0.1
+_LONGEST_PAUSE: Final = 0.8
+_PAUSE_SPREAD: Final = (0.7, 1.3)
+
+
+@dataclass(slots=True)
+class Follower:
+    """Keeps the state informed of one kind of object."""
+
+    engine: SteeringEngine
+    """Takes the events."""
+
+    store: SteeringStore
+    """Is read."""
+
+    kind: StoreKind
+    """What to follow."""
+
+    revision: int | None = None
+    """Revision up to which everything is known; None before a list."""
+
+    pause: float = _FIRST_PAUSE
+    """Seconds until the next call after a failure."""
+
+    zones: set[str] = field(default_factory=set)
+    """Zones to be evacuated, as far as read."""
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            news = await self._next()
+            if isinstance(news, StoreFault):
+                await self._fail(news)
+            else:
+                self._take(news)
+
+    async def _next(self) -> StoreNews | StoreFault:
+        if self.revision is None:
+            return await self.store.read_all(self.kind)
+        return await self.store.watch(self.kind, self.revision, _WATCH_TIME)
+
+    async def _fail(self, fault: StoreFault) -> None:
+        if fault is StoreFault.HISTORY_GONE:
+            _LOG.info(
+                'history dropped; listing anew',
+                extra={'kind': self.kind.value, 'revision': self.revision},
+            )
+            self.revision = None
+            return
+        now = self.engine.now()
+        self.engine.dispatch(StoreLost(now, self.kind, fault.value))
+        spread = random.uniform(*_PAUSE_SPREAD)
+        await asyncio.sleep(self.pause * spread)
+        self.pause = min(_LONGEST_PAUSE, self.pause * 2)
+
+    def _take(self, news: StoreNews) -> None:
+        listed = self.revision is None
+        self.revision = news.revision
+        self.pause = _FIRST_PAUSE
+        now = self.engine.now()
+        self.engine.dispatch(StoreRegained(now, self.kind))
+        for fault in news.faults:
+            _LOG.warning(
+                'object cannot be used; what is in force stays',
+                extra={'kind': self.kind.value, 'problem': fault},
+            )
+        if self.kind is StoreKind.CONFIGURATION:
+            if news.configuration:
+                self.engine.dispatch(
+                    ConfigurationRead(now, news.configuration)
+                )
+        elif self.kind is StoreKind.UPSTREAMS:
+            self._take_upstreams(news, now, listed=listed)
+        else:
+            self._take_zones(news, now, listed=listed)
+
+    def _take_upstreams(
+        self,
+        news: StoreNews,
+        now: float,
+        *,
+        listed: bool,
+    ) -> None:
+        if listed:
+            self.engine.dispatch(UpstreamsListed(now, news.records))
+        else:
+            self.engine.dispatch(
+                UpstreamsChanged(now, news.records, news.removed)
+            )
+
+    def _take_zones(
+        self,
+        news: StoreNews,
+        now: float,
+        *,
+        listed: bool,
+    ) -> None:
+        if listed:
+            self.zones.clear()
+        self.zones.difference_update(news.removed)
+        self.zones.update(news.zones)
+        self.engine.dispatch(EvacuationsRead(now, frozenset(self.zones)))
--- /dev/null
+++ b/worksrail/platform/_dialect.py
@@ -0,0 +1,146 @@
+"""Headers and targets of the platform, read and written."""
+
+import json
+from http.cookies import CookieError, SimpleCookie
+from typing import Final
+from urllib.parse import parse_qs, urlsplit
+
+from tornado.httputil import HTTPHeaders
+
+from worksrail.core.results import ResultCode
+from worksrail.core.steering import EntryList
+from worksrail.core.steering.events import ReportedLoad, SteeredHead
+from worksrail.daemon.steered import AskedEntries, UpstreamAnswer
+from worksrail.platform import _names as names
+
+_MILLISECONDS: Final = 1000
+_IDENTITY: Final = frozenset(('', 'identity'))
+
+
+class PlatformCallers:
+    """Requests of the platform's clients, and answers to them."""
+
+    __slots__ = ()
+
+    def trace_of(self, headers: HTTPHeaders) -> str:
+        """The caller's identifier of one attempt."""
+        return headers.get(names.REQUEST_ID, '')
+
+    def mark_answer(self, headers: HTTPHeaders, trace: str) -> None:
+        """An upstream's answer has all that callers expect."""
+
+    def result_headers(
+        self,
+        code: ResultCode,
+        trace: str,
+        retry_after: float,
+        entry: str,
+    ) -> HTTPHeaders:
+        """Headers of an answer that carries a result code."""
+        headers = HTTPHeaders(
+            {'Content-Type': 'application/json', names.REQUEST_ID: trace}
+        )
+        if retry_after:
+            # Fractions are understood.
+            headers[names.RETRY_AFTER] = f'{retry_after:.3f}'
+        return headers
+
+    def read_head(
+        self,
+        method: str,
+        target: str,
+        headers: HTTPHeaders,
+    ) -> SteeredHead | None:
+        """What decisions need to know; None if a header is malformed."""
+        time_left = None
+        text = headers.get(names.DEADLINE)
+        if text is not None:
+            if not text.strip().isdigit():
+                return None
+            time_left = int(text) / _MILLISECONDS
+        return SteeredHead(
+            self.trace_of(headers),
+            headers.get('Host', ''),
+            method,
+            target,
+            time_left,
+            _affinity(headers),
+        )
+
+    def is_readiness(self, target: str) -> bool:
+        """Whether this asks if the entry is ready."""
+        return urlsplit(target).path == names.READINESS
+
+    def read_look_up(self, target: str) -> AskedEntries | None:
+        """The look-up that a target asks, if it is one."""
+        url = urlsplit(target)
+        if url.path != names.RESOLVE:
+            return None
+        query = parse_qs(url.query)
+        return AskedEntries(
+            query.get('Region', [''])[0], query.get('Zone', [''])[0]
+        )
+
+    def render_entries(self, entries: EntryList) -> bytes:
+        """The document that answers a look-up."""
+        document = {
+            'Addresses': list(entries.addresses),
+            'TtlS': entries.max_age,
+        }
+        return json.dumps(document).encode()
+
+
+class PlatformUpstreams:
+    """Requests to the platform's back ends, and their answers."""
+
+    __slots__ = ()
+
+    def mark_request(
+        self,
+        headers: HTTPHeaders,
+        upstream: str,
+        time_left: float,
+    ) -> None:
+        """Name the upstream that is meant, and the milliseconds it has."""
+        milliseconds = max(1, int(time_left * _MILLISECONDS))
+        headers[names.DEADLINE] = str(milliseconds)
+        headers[names.TARGET] = upstream
+
+    def read_answer(self, status: int, headers: HTTPHeaders) -> UpstreamAnswer:
+        """Read the head of an answer."""
+        encoding = headers.get(names.CONTENT_ENCODING, '').strip().lower()
+        return UpstreamAnswer(
+            headers.get(names.REQUEST_ID, ''),
+            names.NOT_EXECUTED not in headers,
+            status == names.MISDIRECTED,
+            encoding not in _IDENTITY,
+            _load(headers.get(names.LOAD, '')),
+            _idle_time(headers.get(names.KEEP_ALIVE, '')),
+        )
+
+
+def _affinity(headers: HTTPHeaders) -> str:
+    text = headers.get('Cookie')
+    if not text:
+        return ''
+    try:
+        morsel = SimpleCookie(text).get(names.AFFINITY_COOKIE)
+    except CookieError:
+        return ''
+    return morsel.value if morsel else ''
+
+
+def _load(text: str) -> ReportedLoad | None:
+    counts = [part.strip() for part in text.split(',')]
+    if len(counts) != 3 or not all(part.isdigit() for part in counts):
+        return None
+    executing, waiting, slots = (int(part) for part in counts)
+    return ReportedLoad(executing, waiting, slots)
+
+
+def _idle_time(text: str) -> float | None:
+    for part in text.split(','):
+        name, _, seconds = part.strip().partition('=')
+        if name.lower() == 'timeout' and seconds.isdigit():
+            return float(seconds)
+    return None
--- /dev/null
+++ b/worksrail/platform/_settings.py
@@ -0,0 +1,83 @@
+"""The platform's settings file, decoded into the product's settings."""
+
+import json
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from worksrail.core.steering import (
+    EntryAddresses,
+    EntrySettings,
+    SteeringBounds,
+)
+from worksrail.platform import _names as names
+from worksrail.platform._fields import Fields, MalformedDocumentError
+
+
+def settings_path(environment: Mapping[str, str] = os.environ) -> Path:
+    """Where the settings file stands."""
+    path = environment.get(names.SETTINGS_PATH, '')
+    if not path:
+        raise MalformedDocumentError(
+            f'expected the path of the settings file in {names.SETTINGS_PATH}'
+        )
+    return Path(path)
+
+
+def read_settings(path: Path) -> EntrySettings:
+    """Read and decode the settings file.
+
+    Raises ``MalformedDocumentError`` when it cannot be read, as while it is
+    being written; unknown fields are passed over.
+    """
+    try:
+        document = json.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        raise MalformedDocumentError(f'unreadable settings: {error}') from error
+    return decode_settings(document)
+
+
+def decode_settings(document: Any) -> EntrySettings:
+    """Decode the settings file's document."""
+    fields = Fields.from_value(document, 'settings')
+    listen = fields.part('Listen')
+    zones = fields.part('Zones')
+    regions = {zone: zones.text(zone) for zone in zones.table}
+    return EntrySettings(
+        fields.text('NodeName'),
+        fields.text('Zone'),
+        fields.text('Region'),
+        regions,
+        EntryAddresses(
+            listen.text('Front'),
+            listen.text('Ready'),
+            listen.text('Directory'),
+            # The platform calls it control and names it in its seeds; only
+            # entries talk there.
+            listen.text('Control'),
+        ),
+        fields.texts('Seeds'),
+        fields.part('Platform').text('Address'),
+        _bounds(fields.texts('Bounds')),
+    )
+
+
+def _bounds(texts: tuple[str, ...]) -> SteeringBounds:
+    pairs = [text.partition('=') for text in texts]
+    table: dict[str, Any] = {}
+    for name, _, number in pairs:
+        try:
+            table[name] = float(number)
+        except ValueError:
+            table[name] = number
+    bounds = Fields(table, 'settings.Bounds')
+    usual = SteeringBounds()
+    return SteeringBounds(
+        repeat_ratio=bounds.number('RetryBudgetRatio', usual.repeat_ratio),
+        repeat_window=bounds.number('BudgetWindowS', usual.repeat_window),
+        repeat_extra=bounds.number('BudgetExtraRetries', usual.repeat_extra),
+        look_up_age=bounds.number('ttl_max_s', usual.look_up_age),
+        grace_period=bounds.number('GracePeriodS', usual.grace_period),
+        region_shift=bounds.number('MaxRegionShift', usual.region_shift),
+    )
--- /dev/null
+++ b/worksrail/platform/_store.py
@@ -0,0 +1,215 @@
+"""Calls to the platform's store."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from math import inf
+from typing import Any, Final
+from urllib.parse import quote, urlencode
+
+from tornado import httputil
+
+from worksrail.core.steering import RoutingConfiguration, UpstreamRecord
+from worksrail.core.steering.events import StoreKind
+from worksrail.daemon import _clock
+from worksrail.daemon.http._attempt import AttemptEnd, HttpAttempt, Outgoing
+from worksrail.daemon.http._body import BodyStream
+from worksrail.daemon.http._connections import ConnectionPool
+from worksrail.daemon.http._dialect import AnswerUse
+from worksrail.daemon.steered import StoreFault, StoreNews
+from worksrail.platform import _names as names
+from worksrail.platform._fields import Fields, MalformedDocumentError
+from worksrail.platform._objects import decode_configuration, decode_upstream
+
+# Seconds for an answer that need not wait; the store's own time is some
+# milliseconds, or sixty times that when it is slow.
+_TIMEOUT: Final = 2.0
+_MILLISECONDS: Final = 1000
+_OK: Final = 200
+_GONE: Final = 410
+_REFUSALS: Final = frozenset((429, 503))
+
+_KINDS: Final = {
+    StoreKind.CONFIGURATION: names.CONFIGURATION_KIND,
+    StoreKind.UPSTREAMS: names.UPSTREAM_KIND,
+    StoreKind.EVACUATIONS: names.EVACUATION_KIND,
+}
+
+
+@dataclass(slots=True)
+class _Collector:
+    """Keeps the answer to one call."""
+
+    status: int = 0
+    payload: bytearray = field(default_factory=bytearray)
+
+    def judge(self, status: int, headers: httputil.HTTPHeaders) -> AnswerUse:
+        """Every answer is kept."""
+        self.status = status
+        return AnswerUse.PASS_ON
+
+    async def start_answer(
+        self,
+        start: httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """The status is known already."""
+
+    async def write(self, chunk: bytes) -> None:
+        """Keep a part of the body."""
+        self.payload.extend(chunk)
+
+    def end(self) -> None:
+        """The answer is whole."""
+
+
+@dataclass(slots=True)
+class _Builder:
+    """Decodes objects of one kind into news."""
+
+    kind: StoreKind
+    configuration: RoutingConfiguration | None = None
+    records: list[UpstreamRecord] = field(default_factory=list)
+    zones: list[str] = field(default_factory=list)
+    removed: list[str] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
+
+    def add(self, found: Any, *, gone: bool = False) -> None:
+        """Take in an object; one that makes no sense is a fault."""
+        try:
+            self._add(Fields.from_value(found, self.kind.value), gone=gone)
+        except MalformedDocumentError as error:
+            self.faults.append(str(error))
+
+    def news(self, revision: int) -> StoreNews:
+        """Everything that was added."""
+        return StoreNews(
+            revision,
+            self.configuration,
+            tuple(self.records),
+            tuple(self.zones),
+            tuple(self.removed),
+            tuple(self.faults),
+        )
+
+    def _add(self, found: Fields, *, gone: bool) -> None:
+        name = found.part('Metadata').text('Name')
+        if gone:
+            self.removed.append(name)
+        elif self.kind is StoreKind.EVACUATIONS:
+            self.zones.append(name)
+        elif self.kind is StoreKind.UPSTREAMS:
+            spec, status = found.table.get('Spec'), found.table.get('Status')
+            self.records.append(decode_upstream(name, spec, status))
+        elif name == names.CONFIGURATION_NAME:
+            self.configuration = decode_configuration(found.table.get('Spec'))
+
+
+@dataclass(slots=True)
+class PlatformStore:
+    """Reads and watches the platform's objects.
+
+    Every call has a time limit and gives a sentinel instead of raising.
+    """
+
+    address: str
+    """IP number and port."""
+
+    count: Callable[[str], None]
+    """Counts calls by kind."""
+
+    pool: ConnectionPool = field(
+        default_factory=lambda: ConnectionPool(_clock.monotonic)
+    )
+    """Connections to the store."""
+
+    async def read_all(self, kind: StoreKind) -> StoreNews | StoreFault:
+        """Read all objects of a kind, page by page."""
+        builder = _Builder(kind)
+        after = ''
+        while True:
+            page = await self._call(kind, {'after': after}, _TIMEOUT)
+            if isinstance(page, StoreFault):
+                return page
+            try:
+                revision = page.whole('AsOf')
+                entries = page.table['items']
+                for entry in entries:
+                    builder.add(entry)
+                if not page.flag('HasMore'):
+                    return builder.news(revision)
+                after = entries[-1]['Metadata']['Name']
+            except (LookupError, TypeError, MalformedDocumentError):
+                return StoreFault.MALFORMED
+
+    async def watch(
+        self,
+        kind: StoreKind,
+        since: int,
+        seconds: float,
+    ) -> StoreNews | StoreFault:
+        """Wait for changes after a revision, some seconds at most."""
+        query = {
+            'Watch': str(since),
+            'WaitMs': str(int(seconds * _MILLISECONDS)),
+        }
+        answer = await self._call(kind, query, seconds + _TIMEOUT)
+        if isinstance(answer, StoreFault):
+            return answer
+        builder = _Builder(kind)
+        try:
+            for entry in answer.table.get('events') or ():
+                event = Fields.from_value(entry, 'event')
+                builder.add(
+                    event.table.get('Object'), gone=event.flag('Deleted')
+                )
+            return builder.news(answer.whole('AsOf'))
+        except (TypeError, MalformedDocumentError):
+            return StoreFault.MALFORMED
+
+    async def _call(
+        self,
+        kind: StoreKind,
+        query: dict[str, str],
+        timeout: float,
+    ) -> Fields | StoreFault:
+        self.count(kind.value)
+        collector = _Collector()
+        attempt = HttpAttempt(
+            self.pool,
+            _clock.monotonic,
+            self._outgoing(kind, query, timeout),
+            BodyStream.from_bytes(b''),
+            collector,
+        )
+        report = await attempt.run()
+        if report.end is not AttemptEnd.WHOLE:
+            return StoreFault.UNREACHABLE
+        if collector.status == _GONE:
+            return StoreFault.HISTORY_GONE
+        if collector.status != _OK:
+            refused = collector.status in _REFUSALS
+            return StoreFault.REFUSED if refused else StoreFault.MALFORMED
+        try:
+            document = json.loads(bytes(collector.payload))
+            return Fields.from_value(document, 'answer')
+        except ValueError:
+            return StoreFault.MALFORMED
+
+    def _outgoing(
+        self,
+        kind: StoreKind,
+        query: dict[str, str],
+        timeout: float,
+    ) -> Outgoing:
+        given = {name: text for name, text in query.items() if text}
+        target = names.OBJECTS + quote(_KINDS[kind])
+        if given:
+            target = f'{target}?{urlencode(given)}'
+        return Outgoing(
+            self.address,
+            httputil.RequestStartLine('GET', target, 'HTTP/1.1'),
+            httputil.HTTPHeaders({'Host': self.address}),
+            inf,
+            _clock.monotonic() + timeout,
+        )
