Exchange digests, admit by expected wait, learn warmth where it is known

Cause: digests were never delivered (the transport was never taken, and the ports between entries are others than the seeds name); full queues made every answer late; the learned cost of a cold key was taken where peers had warmed it, so requests left their warm upstream too easily. Change: peer port, transport, refusal when the wait exceeds what the target leaves, one upstream a key for all regions, cold samples only where sure.

--- a/worksrail/core/steering/_affinity.py
+++ b/worksrail/core/steering/_affinity.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from math import log
 from typing import Final
 
 import xxhash
@@ -10,23 +11,27 @@
 from worksrail.core.steering._catalog import Catalog, Upstream
 
 _CACHE_LIMIT: Final = 20_000
+_HASHES: Final = 2**64 + 1
 
 
 @dataclass(frozen=True, slots=True)
 class KeyRanks:
     """The order of upstreams for one key."""
 
-    rank: dict[str, int]
-    """Rank of each upstream within its region; zero is the key's own."""
+    everywhere: dict[str, int]
+    """Rank of each upstream among all; zero is the key's own."""
+
+    by_region: dict[str, int]
+    """Rank of each upstream within its region."""
 
 
 @dataclass(slots=True)
 class Affinity:
     """Ranks upstreams for each key by rendezvous hashing.
 
-    Each region has a first upstream for each key, so that a key is warm near
-    all of its callers and spills to an upstream that is warm as well.  An
-    upstream that comes or goes only moves the keys that are its own.
+    All entries get the same order, so that a key is warm at one upstream for
+    the callers of all of them, and spills to the same next one.  An upstream
+    that comes or goes only moves the keys that are its own.
     """
 
     generation: int = -1
@@ -51,23 +56,36 @@
         if known is None:
             if len(self.ranks) >= _CACHE_LIMIT:
                 self.ranks.clear()
-            known = KeyRanks(_rank(catalog.usable(service), key))
+            known = _rank(catalog.usable(service), key)
             self.ranks[service, key] = known
         return known
 
 
-def _rank(upstreams: Iterable[Upstream], key: str) -> dict[str, int]:
+def _rank(upstreams: Iterable[Upstream], key: str) -> KeyRanks:
     weighed = sorted(
-        upstreams, key=lambda upstream: _weight(upstream.name, key)
+        upstreams,
+        key=lambda upstream: rendezvous_score(
+            upstream.name, upstream.record.slots, key
+        ),
+        reverse=True,
     )
     counts: dict[RegionName, int] = {}
-    ranks: dict[str, int] = {}
-    for upstream in reversed(weighed):
+    by_region: dict[str, int] = {}
+    for upstream in weighed:
         position = counts.get(upstream.region, 0)
-        ranks[upstream.name] = position
+        by_region[upstream.name] = position
         counts[upstream.region] = position + 1
-    return ranks
+    everywhere = {
+        upstream.name: rank for rank, upstream in enumerate(weighed)
+    }
+    return KeyRanks(everywhere, by_region)
+
 
+def rendezvous_score(name: str, weight: float, key: str) -> float:
+    """Score of an upstream for a key; the highest owns it.
 
-def _weight(name: str, key: str) -> int:
-    return xxhash.xxh64_intdigest(f'{key}|{name}'.encode())
+    Weighted rendezvous hashing: each upstream owns a share of the keys in
+    proportion to its weight.
+    """
+    drawn = xxhash.xxh64_intdigest(f'{key}|{name}'.encode())
+    return -weight / log((drawn + 1) / _HASHES)
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -15,9 +15,15 @@
 )
 from worksrail.core.steering.state import SteeredRequest, SteeringState
 
-# Seconds that a full upstream is thought worse than an idle one, so that
-# equal choices go where there is more room.
-_FULLNESS: Final = 0.06
+# Share of its slots from which an upstream counts as short of room.
+_ROOMY: Final = 0.5
+# Seconds of others' waiting that a second of work causes at an upstream all
+# of whose slots are in use.
+_CROWDING: Final = 1.0
+# Share of the target latency that an answer should take, and the least share
+# that may be spent waiting for a slot whatever the work takes.
+_ON_TIME: Final = 0.9
+_LEAST_WAIT: Final = 0.15
 # First guess of the way to another region and back, until connections teach
 # better; seconds.
 _FAR_GUESS: Final = 0.05
@@ -62,6 +68,7 @@
     request: SteeredRequest
     now: float
     warm: float
+    usual: float
     loss: float
     ranks: dict[str, int]
     served: frozenset[str]
@@ -82,7 +89,9 @@
         served: frozenset[str] = frozenset()
         if key:
             ranked = state.affinity.ranks_of(state.catalog, service, key)
-            ranks = ranked.rank
+            ranks = ranked.everywhere
+            if request.route.kind is RouteKind.DOWNLOAD:
+                ranks = ranked.by_region
             served = state.warmth.warm_at(service, key, now)
         policy = None
         if isinstance(state.configuration, RoutingConfiguration):
@@ -92,6 +101,7 @@
             request,
             now,
             times.warm.typical,
+            state.usual_time(service, times.warm.typical).typical,
             times.loss if key else 0,
             ranks,
             served,
@@ -105,15 +115,16 @@
         slowness = load.slowness_now(self.now)
         if upstream.cold_until > self.now:
             slowness = max(slowness, _COLD_SLOWNESS)
-        warm = not self.ranks.get(upstream.name, 0)
-        lost = self._lost(upstream.name, warm=warm)
+        lost = self._lost(upstream.name)
         work = (self.warm + lost) * slowness
+        used = load.in_flight / slots
         over = max(0, load.in_flight + 1 - slots)
-        wait = over / slots * self.warm * slowness
-        way = distance(self.state, upstream.region)
-        cost = wait + work + way.typical + self._preference(upstream)
-        cost += _FULLNESS * load.in_flight / slots
-        return Choice(upstream, cost, wait, work + way.typical, lost == 0)
+        wait = over / slots * self.usual * slowness
+        crowding = min(1, max(0, used - _ROOMY) / (1 - _ROOMY))
+        way = distance(self.state, upstream.region).typical
+        cost = wait + work + way + self._preference(upstream)
+        cost += work * crowding * _CROWDING
+        return Choice(upstream, cost, wait, work + way, lost == 0)
 
     def allows(self, upstream: Upstream) -> bool:
         """Whether the upstream may get this request now."""
@@ -126,8 +137,8 @@
             return True
         return self._cold_allows(upstream, self.policy.cold_rate)
 
-    def _lost(self, name: str, *, warm: bool) -> float:
-        if warm:
+    def _lost(self, name: str) -> float:
+        if not self.ranks.get(name, 0):
             return 0
         return self.loss * _SERVED_LOSS if name in self.served else self.loss
 
@@ -167,11 +178,26 @@
     if not choices:
         return ResultCode.NO_SLOT
     best = min(choices, key=_cost)
-    if now + best.wait > request.deadline:
+    if best.wait > patience(request, best, now):
         return ResultCode.QUEUE_FULL
     return best
 
 
+def patience(request: SteeredRequest, choice: Choice, now: float) -> float:
+    """Seconds for which a request may wait for a slot.
+
+    A request that would wait longer is better refused at once: its caller
+    can come back while an answer is still in time, and the slot serves
+    another one in time.  One that has come back already is only refused if
+    it cannot be answered at all.
+    """
+    if request.returned:
+        return request.deadline - now - choice.work
+    target = request.route.target_latency
+    left = request.arrived_at + target * _ON_TIME - now - choice.work
+    return max(target * _LEAST_WAIT, left)
+
+
 def distance(state: SteeringState, region: RegionName) -> LearnedTime:
     """Seconds to a region and back."""
     known = state.distances.get(region)
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -37,7 +37,9 @@
 _LAST_ARRIVALS: Final = 0.58
 # An execution that would have less time than this is not begun; seconds.
 _LEAST_TIME: Final = 0.02
-_SHORTEST_RETRY: Final = 0.05
+# Share of the longest time allowed from which a request is a first attempt.
+_FRESH: Final = 0.99
+_SHORTEST_RETRY: Final = 0.2
 _LONGEST_RETRY: Final = 1.0
 _RETRY_SPREAD: Final = (0.5, 1.5)
 _SERVER_ERROR: Final = 500
@@ -90,6 +92,7 @@
         event.now,
         event.now + allowed,
     )
+    request.returned = _has_returned(state, request)
     state.requests[event.request] = request
     yield from _place(state, request, event.now)
 
@@ -159,6 +162,17 @@
     return route
 
 
+def _has_returned(state: SteeringState, request: SteeredRequest) -> bool:
+    # Callers give a kind of request a fixed time; one that has less of it
+    # left has spent the rest on an earlier attempt.
+    left = request.head.time_left
+    if left is None:
+        return False
+    longest = max(left, state.longest.get(request.route.name, 0))
+    state.longest[request.route.name] = longest
+    return left < longest * _FRESH
+
+
 def _place(
     state: SteeringState,
     request: SteeredRequest,
@@ -185,7 +199,8 @@
     kind = DecisionKind.REQUEST_SENT
     if request.sends:
         kind = DecisionKind.REQUEST_REPEATED
-    else:
+    if not request.counted:
+        request.counted = True
         state.budget(request.service).note_request(now)
     load.own += 1
     request.attempts += 1
@@ -210,6 +225,7 @@
         request.number,
         (
             ('service', request.service),
+            ('key', request.head.key),
             ('cost', round(choice.cost, 4)),
             ('wait', round(choice.wait, 4)),
             ('own', load.own),
@@ -280,10 +296,13 @@
         return
     executed = max(0, taken - distance(state, upstream.region).typical)
     times = state.warmth.of(request.route, request.service)
-    known = request.head.key and name in state.warmth.warm_at(
+    if load.in_flight < upstream.record.slots:
+        state.usual_time(request.service, executed).add(executed)
+    known = name in state.warmth.warm_at(
         request.service, request.head.key, event.now
     )
-    if load.in_flight < upstream.record.slots:
+    if load.in_flight < upstream.record.slots and known == request.warm:
+        # Elsewhere it is not known whether other entries warmed the key.
         average = times.warm if known else times.cold
         average.add(executed)
     if request.head.key:
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -53,6 +53,12 @@
     deadline: float
     """When its upstream must stop, and it gets its final answer."""
 
+    returned: bool = False
+    """The caller seems to have come back after a refusal."""
+
+    counted: bool = False
+    """The request was counted for the budget of repeats."""
+
     attempts: int = 0
     """Attempts begun, those that found no connection included."""
 
@@ -132,6 +138,12 @@
     budgets: dict[ServiceName, RepeatBudget] = field(default_factory=dict)
     """Budgets of repeats by service."""
 
+    usual: dict[ServiceName, LearnedTime] = field(default_factory=dict)
+    """Seconds that an execution takes at a service, over all routes."""
+
+    longest: dict[str, float] = field(default_factory=dict)
+    """Longest time that callers allowed, by route name."""
+
     distances: dict[RegionName, LearnedTime] = field(default_factory=dict)
     """Seconds to a region and back."""
 
@@ -188,6 +200,18 @@
         """Whether a stop was requested."""
         return self.leaving_at < inf
 
+    def usual_time(
+        self,
+        service: ServiceName,
+        guess: float,
+    ) -> LearnedTime:
+        """Seconds that an execution takes at a service."""
+        known = self.usual.get(service)
+        if known is None:
+            known = LearnedTime(guess)
+            self.usual[service] = known
+        return known
+
     def budget(self, service: ServiceName) -> RepeatBudget:
         """Budget of repeats of a service."""
         budget = self.budgets.get(service)
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -1,6 +1,7 @@
 """One entry with discovered upstreams, from its settings to its end."""
 
 import asyncio
+import contextlib
 import itertools
 import json
 import signal
@@ -162,8 +163,10 @@
             task.cancel()
         for server in self.servers:
             server.stop()
-            await server.close_connections()
-        await asyncio.sleep(_LAST_CLOSES)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_LAST_CLOSES):
+                for closing in self.servers:
+                    await closing.close_connections()
         self.digests.close()
 
 
--- a/worksrail/daemon/steered/_digests.py
+++ b/worksrail/daemon/steered/_digests.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, Final, cast
 
 import msgspec
 from logbook import Logger
@@ -40,8 +40,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Remember the socket."""
-        if isinstance(transport, asyncio.DatagramTransport):
-            self.transport = transport
+        # The event loop's own datagram transport is no subclass of the
+        # abstract one.
+        self.transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
         """Make an event of a digest."""
--- a/worksrail/platform/_settings.py
+++ b/worksrail/platform/_settings.py
@@ -44,6 +44,7 @@
     listen = fields.part('Listen')
     zones = fields.part('Zones')
     regions = {zone: zones.text(zone) for zone in zones.table}
+    port = _first_port(fields)
     return EntrySettings(
         fields.text('NodeName'),
         fields.text('Zone'),
@@ -53,16 +54,30 @@
             listen.text('Front'),
             listen.text('Ready'),
             listen.text('Directory'),
-            # The platform calls it control and names it in its seeds; only
-            # entries talk there.
-            listen.text('Control'),
+            f'{fields.text("Ip")}:{port}',
         ),
-        fields.texts('Seeds'),
+        _seeds(fields.texts('Seeds'), port),
         fields.part('Platform').text('Address'),
         _bounds(fields.texts('Bounds')),
     )
 
 
+def _first_port(fields: Fields) -> int:
+    ports = fields.table.get('InternalPortRange')
+    if not isinstance(ports, list) or not ports:
+        raise MalformedDocumentError('expected ports as InternalPortRange')
+    if not isinstance(ports[0], int):
+        raise MalformedDocumentError('expected a port in InternalPortRange')
+    return ports[0]
+
+
+def _seeds(addresses: tuple[str, ...], port: int) -> tuple[str, ...]:
+    # Seeds name another port of the same entries; ports between entries are
+    # the same on all of them.
+    hosts = [address.rpartition(':')[0] for address in addresses]
+    return tuple(f'{host}:{port}' for host in hosts)
+
+
 def _bounds(texts: tuple[str, ...]) -> SteeringBounds:
     pairs = [text.partition('=') for text in texts]
     table: dict[str, Any] = {}
