Put a price on slots that are short, so cold work does not crowd out warm

Cause: under load, requests that spilled to upstreams where their key is cold took several times the slot time, queues filled and the service never got warm. Change: the cost of work grows with the service's use of slots; returned requests wait at most their target; usual time learned per place in the queue.

--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from worksrail.core.identity import RegionName
+from worksrail.core.identity import RegionName, ServiceName
 from worksrail.core.results import ResultCode
 from worksrail.core.steering._catalog import Upstream
 from worksrail.core.steering._load import LearnedTime
@@ -20,10 +20,18 @@
 # Seconds of others' waiting that a second of work causes at an upstream all
 # of whose slots are in use.
 _CROWDING: Final = 1.0
+# Share of a service's slots in use from which slots are short everywhere, and
+# seconds of others' waiting for each second of work when all are in use.  It
+# keeps requests at warm upstreams under load: cold ones use up several times
+# as much, and a service that is full of cold work does not recover.
+_SHORT: Final = 0.4
+_SHORTAGE: Final = 3.0
 # Share of the target latency that an answer should take, and the least share
 # that may be spent waiting for a slot whatever the work takes.
 _ON_TIME: Final = 0.9
 _LEAST_WAIT: Final = 0.15
+# Target latencies that a request which came back after a refusal may wait.
+_RETURNED_WAIT: Final = 1.0
 # First guess of the way to another region and back, until connections teach
 # better; seconds.
 _FAR_GUESS: Final = 0.05
@@ -56,6 +64,9 @@
     work: float
     """Seconds of execution and way."""
 
+    queue: float
+    """Requests ahead of it for each slot, beyond those being executed."""
+
     warm: bool
     """Whether its key should be warm there."""
 
@@ -72,6 +83,7 @@
     loss: float
     ranks: dict[str, int]
     served: frozenset[str]
+    shortage: float
     policy: ServicePolicy | None
 
     @classmethod
@@ -105,6 +117,7 @@
             times.loss if key else 0,
             ranks,
             served,
+            _shortage(state, service),
             policy,
         )
 
@@ -123,8 +136,10 @@
         crowding = min(1, max(0, used - _ROOMY) / (1 - _ROOMY))
         way = distance(self.state, upstream.region).typical
         cost = wait + work + way + self._preference(upstream)
-        cost += work * crowding * _CROWDING
-        return Choice(upstream, cost, wait, work + way, lost == 0)
+        cost += work * (crowding * _CROWDING + self.shortage)
+        return Choice(
+            upstream, cost, wait, work + way, over / slots, lost == 0
+        )
 
     def allows(self, upstream: Upstream) -> bool:
         """Whether the upstream may get this request now."""
@@ -188,12 +203,12 @@
 
     A request that would wait longer is better refused at once: its caller
     can come back while an answer is still in time, and the slot serves
-    another one in time.  One that has come back already is only refused if
-    it cannot be answered at all.
+    another one in time.  One that has come back already may wait longer.
     """
-    if request.returned:
-        return request.deadline - now - choice.work
     target = request.route.target_latency
+    if request.returned:
+        left = request.deadline - now - choice.work
+        return min(left, target * _RETURNED_WAIT)
     left = request.arrived_at + target * _ON_TIME - now - choice.work
     return max(target * _LEAST_WAIT, left)
 
@@ -208,6 +223,16 @@
     return known
 
 
+def _shortage(state: SteeringState, service: ServiceName) -> float:
+    slots = 0
+    in_flight = 0
+    for upstream in state.catalog.usable(service):
+        slots += upstream.record.slots
+        in_flight += state.loads.of(upstream.name).in_flight
+    used = in_flight / slots if slots else 1
+    return _SHORTAGE * min(1, max(0, used - _SHORT) / (1 - _SHORT))
+
+
 def _candidates(scale: _Scale, *, ejected: bool) -> Iterator[Upstream]:
     state = scale.state
     for upstream in state.catalog.usable(scale.request.service):
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -209,6 +209,7 @@
     request.sent_at = now
     request.expected = choice.wait + choice.work
     request.warm = choice.warm
+    request.queue = choice.queue
     if upstream.cold_until > now:
         state.cold.note_sent(upstream.name, now)
     yield SendUpstream(
@@ -296,12 +297,13 @@
         return
     executed = max(0, taken - distance(state, upstream.region).typical)
     times = state.warmth.of(request.route, request.service)
-    if load.in_flight < upstream.record.slots:
-        state.usual_time(request.service, executed).add(executed)
+    state.usual_time(request.service, executed).add(
+        executed / (1 + request.queue)
+    )
     known = name in state.warmth.warm_at(
         request.service, request.head.key, event.now
     )
-    if load.in_flight < upstream.record.slots and known == request.warm:
+    if not request.queue and known == request.warm:
         # Elsewhere it is not known whether other entries warmed the key.
         average = times.warm if known else times.cold
         average.add(executed)
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -77,6 +77,9 @@
     expected: float = 0
     """Seconds which that attempt was expected to take."""
 
+    queue: float = 0
+    """Requests that were ahead of it there, for each slot."""
+
     warm: bool = False
     """Whether its key was expected to be warm there."""
 
