--- /dev/null
+++ b/tests/platform/test_names.py
@@ -0,0 +1,85 @@
+"""All that knows the platform stays in one folder."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+from worksrail.platform import _names
+
+_ROOT = Path(_names.__file__).parents[1]
+_ADAPTER = _ROOT / 'platform'
+_TYPES = ('_objects.py', '_settings.py', '_store.py', '_dialect.py')
+_FIELD = re.compile(r"'([A-Z][A-Za-z]+(?:-[A-Z][A-Za-z]+)*|[a-z]+S?_max_s)'")
+# Ordinary words and headers that HTTP itself has.
+_ORDINARY = frozenset(
+    (
+        'Name',
+        'Host',
+        'Cookie',
+        'Status',
+        'Service',
+        'Zone',
+        'Region',
+        'Version',
+        'Limits',
+        'Watch',
+        'Services',
+        'Content-Type',
+        'Retry-After',
+        'Content-Encoding',
+        'Keep-Alive',
+        'GET',
+        'HTTP',
+    )
+)
+
+
+def _names_of_the_platform() -> set[str]:
+    constants = {
+        text for text in vars(_names).values() if isinstance(text, str)
+    }
+    found = {text for text in constants if re.match(r'[A-Z/]', text)}
+    for name in _TYPES:
+        found.update(_FIELD.findall((_ADAPTER / name).read_text()))
+    return {text for text in found if '/' in text or len(text) > 3} - _ORDINARY
+
+
+def test_the_list_of_names_is_a_real_one() -> None:
+    names = _names_of_the_platform()
+    for known in (
+        'Deadline-Ms',
+        'TrafficSplit',
+        'ColdPerS',
+        'WORKSRAIL_CONFIG',
+    ):
+        assert known in names
+    assert len(names) > 40
+
+
+@pytest.mark.parametrize(
+    'path',
+    [
+        path
+        for path in _ROOT.rglob('*.py')
+        if _ADAPTER not in path.parents and '_pb2' not in path.name
+    ],
+    ids=lambda path: str(path.relative_to(_ROOT)),
+)
+def test_no_other_module_knows_them(path: Path) -> None:
+    text = path.read_text()
+    known = {
+        name
+        for name in _names_of_the_platform()
+        if f"'{name}'" in text or f'"{name}"' in text
+    }
+    assert not known
+
+
+@pytest.mark.parametrize(
+    'path', sorted(_ADAPTER.glob('*.py')), ids=lambda path: path.name
+)
+def test_the_adapter_decides_nothing(path: Path) -> None:
+    text = path.read_text()
+    for word in ('asyncio.sleep', 'call_later', 'random', 'retries', 'backoff'):
+        assert word not in text
--- /dev/null
+++ b/tests/steering/test_choice.py
@@ -0,0 +1,214 @@
+"""Which upstream a request goes to."""
+
+from collections import Counter
+
+import pytest
+
+from tests.steering.world import World, digest, route, upstream
+from worksrail.core.steering import RouteKind, ServiceWeight
+from worksrail.core.steering._affinity import rendezvous_score
+from worksrail.core.steering.events import (
+    AttemptOutcome,
+    DigestReceived,
+    EvacuationsRead,
+    UpstreamsChanged,
+)
+
+_SIX = tuple(upstream(str(name)) for name in range(6))
+
+
+def _answers(world: World, count: int, key: str = '', gap: float = 0.1) -> str:
+    """Upstreams of some requests in turn, each answered before the next."""
+    names = []
+    for _ in range(count):
+        number = world.ask(key=key)
+        names += world.sent(number)
+        world.wait(gap)
+        world.end(number)
+    return ''.join(names)
+
+
+def test_key_stays_at_its_upstream() -> None:
+    world = World((), _SIX)
+    assert len(set(_answers(world, 10, 'k'))) == 1
+
+
+def test_keys_spread_over_upstreams() -> None:
+    world = World((), _SIX)
+    used = {_answers(world, 1, f'k{number}') for number in range(60)}
+    assert len(used) == len(_SIX)
+
+
+def test_all_entries_agree_on_a_key() -> None:
+    first = World((), _SIX)
+    second = World((), tuple(reversed(_SIX)), name='two')
+    for number in range(20):
+        key = f'k{number}'
+        assert _answers(first, 1, key) == _answers(second, 1, key)
+
+
+def test_keys_of_other_upstreams_stay_when_one_goes() -> None:
+    world = World((), _SIX)
+    keys = [f'k{number}' for number in range(40)]
+    before = {key: _answers(world, 1, key) for key in keys}
+    world.run(UpstreamsChanged(world.now, (), ('3',)))
+    after = {key: _answers(world, 1, key) for key in keys}
+    moved = {key for key in keys if before[key] != after[key]}
+    assert moved == {key for key in keys if before[key] == '3'}
+
+
+def test_rendezvous_shares_follow_weights() -> None:
+    weights = {'a': 1.0, 'b': 3.0}
+    owners = Counter(
+        max(
+            weights,
+            key=lambda name: rendezvous_score(name, weights[name], str(key)),
+        )
+        for key in range(4000)
+    )
+    assert 2.6 < owners['b'] / owners['a'] < 3.4
+
+
+def test_load_that_others_tell_counts() -> None:
+    pair = (upstream('1'), upstream('2'))
+    world = World((route(affinity=False),), pair)
+    busy = _answers(world, 1)
+    world.run(DigestReceived(world.now, digest('two', in_flight={busy: 3})))
+    assert _answers(world, 1) != busy
+
+
+def test_load_of_a_silent_entry_is_forgotten() -> None:
+    world = World((), _SIX)
+    world.run(DigestReceived(world.now, digest('two', in_flight={'1': 3})))
+    assert world.state.loads.of('1').in_flight == 3
+    world.wait(1.5)
+    assert world.state.loads.of('1').in_flight == 0
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        UpstreamsChanged(0, (upstream('1', draining=True, sequence=2),), ()),
+        UpstreamsChanged(0, (), ('1',)),
+        EvacuationsRead(0, frozenset({'a1'})),
+    ],
+    ids=['draining', 'gone', 'evacuated'],
+)
+def test_upstream_that_leaves_gets_nothing(change: object) -> None:
+    other = upstream('2', zone='a2')
+    world = World((), (upstream('1'), other))
+    world.run(type(change)(world.now, *_arguments(change)))
+    assert set(_answers(world, 8)) == {'2'}
+
+
+def _arguments(change: object) -> tuple[object, ...]:
+    if isinstance(change, EvacuationsRead):
+        return (change.zones,)
+    assert isinstance(change, UpstreamsChanged)
+    return change.records, change.removed
+
+
+def test_repeat_does_not_go_to_what_left_meanwhile() -> None:
+    trio = tuple(upstream(name) for name in ('1', '2', '3'))
+    world = World((), trio)
+    number = world.ask()
+    (first,) = world.sent(number)
+    left = next(name for name in ('1', '2', '3') if name != first)
+    world.run(
+        UpstreamsChanged(
+            world.now, (upstream(left, draining=True, sequence=2),), ()
+        )
+    )
+    world.end(number, AttemptOutcome.NOT_EXECUTED)
+    assert left not in world.sent(number)
+    assert len(world.sent(number)) == 2
+
+
+def test_misdirected_upstream_gets_nothing_more() -> None:
+    world = World((), (upstream('1'), upstream('2')))
+    number = world.ask()
+    (wrong,) = world.sent(number)
+    world.end(number, AttemptOutcome.OTHER_UPSTREAM)
+    assert wrong not in set(_answers(world, 6))
+
+
+def test_allowed_regions_bind() -> None:
+    abroad = upstream('9', zone='b1')
+    near = upstream('1', slots=1)
+    world = World((route(regions=frozenset({'b'})),), (near, abroad))
+    assert set(_answers(world, 5)) == {'9'}
+
+
+def test_download_prefers_its_region() -> None:
+    world = World(
+        (route(kind=RouteKind.DOWNLOAD),),
+        tuple(
+            upstream(str(number), zone='b1' if number % 2 else 'a1')
+            for number in range(6)
+        ),
+    )
+    used = {_answers(world, 1, f'k{number}') for number in range(30)}
+    assert used <= {'0', '2', '4'}
+
+
+def test_split_keeps_weights_when_a_part_is_short() -> None:
+    parts = (ServiceWeight('orders', 3), ServiceWeight('stock', 1))
+    world = World(
+        (route(parts=parts),),
+        (upstream('1', slots=90), upstream('9', service='stock', slots=90)),
+    )
+    counts = Counter(world.sent(world.ask())[0] for _ in range(80))
+    assert counts == {'1': 60, '9': 20}
+
+
+def test_failing_upstream_is_left_alone_then_tried_again() -> None:
+    world = World((route(max_attempts=1),), (upstream('1'), upstream('2')))
+    bad = world.sent(world.ask(key='k'))[0]
+    world.end(world.requests, AttemptOutcome.BROKE_BEFORE_ANSWER)
+    for _ in range(2):
+        world.ask(key='k')
+        world.end(world.requests, AttemptOutcome.BROKE_BEFORE_ANSWER)
+    assert bad not in _answers(world, 4, 'k', gap=0.2)
+    world.wait(2)
+    assert bad in _answers(world, 4, 'k', gap=0.2)
+
+
+def test_last_upstream_is_used_even_if_it_fails() -> None:
+    world = World((route(max_attempts=1),), (upstream('1'),))
+    for _ in range(6):
+        number = world.ask()
+        assert world.sent(number) == ['1']
+        world.end(number, AttemptOutcome.BROKE_BEFORE_ANSWER)
+
+
+def test_slow_upstream_loses_its_keys_for_a_while() -> None:
+    world = World((), _SIX)
+    own = _answers(world, 1, 'k')
+    for _ in range(6):
+        number = world.ask(key='k')
+        world.wait(1.9)
+        world.end(number)
+    assert own not in _answers(world, 2, 'k')
+
+
+@pytest.mark.parametrize(('others', 'most'), [(0, 15), (2, 6)])
+def test_cold_upstream_gets_its_rate_over_all_entries(
+    others: int, most: int
+) -> None:
+    cold = upstream('1', cold_time=30, slots=99)
+    world = World((), (cold,), cold_rate=14)
+    for name in range(others):
+        world.run(DigestReceived(world.now, digest(f'other{name}')))
+    begin = world.now
+    count = 0
+    while world.now < begin + 1:
+        number = world.ask(time_left=2.0)
+        count += len(world.sent(number))
+        world.now += 0.01
+    assert 1 < count <= most
+
+
+def test_cold_upstream_of_another_region_gets_nothing() -> None:
+    cold = upstream('1', cold_time=30, zone='b1')
+    world = World((), (cold,), cold_rate=14)
+    assert not world.sent(world.ask())
--- /dev/null
+++ b/tests/steering/test_store.py
@@ -0,0 +1,99 @@
+"""What the entry believes of what it reads from the store."""
+
+import pytest
+
+from tests.steering.world import World, configuration, route, upstream
+from worksrail.core.steering import RoutingConfiguration, UpstreamRecord
+from worksrail.core.steering.events import (
+    ConfigurationRead,
+    StoreKind,
+    StoreLost,
+    StoreRegained,
+    UpstreamsChanged,
+    UpstreamsListed,
+)
+
+_ALL = tuple(upstream(name) for name in ('1', '2', '3'))
+
+
+def _usable(world: World) -> set[str]:
+    return {found.name for found in world.state.catalog.usable('orders')}
+
+
+def _lose(world: World) -> None:
+    world.run(StoreLost(world.now, StoreKind.UPSTREAMS, 'no answer'))
+
+
+def _regain(world: World) -> None:
+    world.run(StoreRegained(world.now, StoreKind.UPSTREAMS))
+
+
+@pytest.mark.parametrize(
+    ('versions', 'in_force'),
+    [((2,), 2), ((3, 2), 3), ((2, 2), 2), ((10, 9, 11), 11)],
+)
+def test_highest_version_wins_for_ever(
+    versions: tuple[int, ...], in_force: int
+) -> None:
+    world = World()
+    for version in versions:
+        world.run(
+            ConfigurationRead(
+                world.now, configuration(version, (route(f'v{version}'),))
+            )
+        )
+    current = world.state.configuration
+    assert isinstance(current, RoutingConfiguration)
+    assert current.version == in_force
+    assert set(current.routes['orders.example']) == {f'/v{in_force}/'}
+
+
+def test_entry_that_goes_is_gone_at_once() -> None:
+    world = World((), _ALL)
+    world.run(UpstreamsChanged(world.now, (), ('1',)))
+    assert _usable(world) == {'2', '3'}
+
+
+def test_lapsed_entries_stay_until_the_store_has_been_back() -> None:
+    world = World((), _ALL)
+    _lose(world)
+    world.wait(5)
+    _regain(world)
+    world.run(UpstreamsListed(world.now, (_ALL[0],)))
+    assert _usable(world) == {'1', '2', '3'}
+    world.wait(1)
+    world.run(UpstreamsChanged(world.now, (_ALL[1],), ()))
+    world.wait(1.5)
+    assert _usable(world) == {'1', '2'}
+
+
+def test_draining_counts_though_the_store_was_away() -> None:
+    world = World((), _ALL)
+    _lose(world)
+    _regain(world)
+    drained = upstream('1', draining=True, sequence=2)
+    world.run(UpstreamsListed(world.now, (drained, *_ALL[1:])))
+    assert _usable(world) == {'2', '3'}
+
+
+def test_drained_entry_does_not_come_back_by_an_old_report() -> None:
+    world = World((), _ALL)
+    drained = upstream('1', draining=True, sequence=5)
+    world.run(UpstreamsChanged(world.now, (drained, _ALL[0]), ()))
+    assert '1' not in _usable(world)
+
+
+@pytest.mark.parametrize(
+    ('record', 'cold'),
+    [
+        (upstream('1', sequence=2, cold_time=3), True),
+        (upstream('1', sequence=2), False),
+    ],
+)
+def test_upstream_may_turn_cold_again(
+    record: UpstreamRecord, cold: bool
+) -> None:
+    world = World((), _ALL)
+    world.run(UpstreamsChanged(world.now, (record,), ()))
+    known = world.state.catalog.upstreams['1']
+    assert (known.cold_until > world.now) is cold
--- /dev/null
+++ b/tests/steering/world.py
@@ -0,0 +1,216 @@
+"""A small world for tests of the steering decisions: one entry, no I/O."""
+
+from collections.abc import Iterable
+from typing import Any, TypeVar
+
+from worksrail.core.identity import Incarnation
+from worksrail.core.steering import (
+    CallerLimits,
+    EntryAddresses,
+    EntryDigest,
+    EntrySettings,
+    Route,
+    RouteKind,
+    RoutingConfiguration,
+    ServicePolicy,
+    ServiceWeight,
+    SteeringBounds,
+    SteeringState,
+    UpstreamRecord,
+    reduce,
+)
+from worksrail.core.steering.effects import Effect, SendUpstream
+from worksrail.core.steering.events import (
+    AttemptEnded,
+    AttemptOutcome,
+    ConfigurationRead,
+    EvacuationsRead,
+    RequestArrived,
+    SteeredHead,
+    Ticked,
+    UpstreamsListed,
+)
+
+HOST = 'orders.example'
+REGIONS = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
+_Wanted = TypeVar('_Wanted')
+
+
+def route(name: str = 'read', **changes: Any) -> Route:
+    """A route of one service; its prefix is its name."""
+    fields: dict[str, Any] = {
+        'name': name,
+        'host': HOST,
+        'prefix': f'/{name}/',
+        'kind': RouteKind.IDEMPOTENT,
+        'timeout': 2.0,
+        'target_latency': 0.4,
+        'priority': 1,
+        'parts': (ServiceWeight('orders', 1),),
+        'max_attempts': 2,
+        'affinity': True,
+        'regions': frozenset(),
+    }
+    return Route(**(fields | changes))
+
+
+def configuration(
+    version: int,
+    routes: Iterable[Route],
+    cold_rate: float = 0,
+) -> RoutingConfiguration:
+    """A configuration of the services ``orders`` and ``stock``."""
+    services = [
+        ServicePolicy(name, 100, 3, cold_rate) for name in ('orders', 'stock')
+    ]
+    return RoutingConfiguration.from_routes(
+        version, routes, services, CallerLimits()
+    )
+
+
+def upstream(name: str, **changes: Any) -> UpstreamRecord:
+    """An upstream of the service ``orders`` in zone ``a1``."""
+    fields: dict[str, Any] = {
+        'name': name,
+        'service': 'orders',
+        'address': f'10.0.0.1:{name}',
+        'zone': 'a1',
+        'slots': 3,
+        'draining': False,
+        'sequence': 1,
+        'cold_time': 0,
+    }
+    return UpstreamRecord(**(fields | changes))
+
+
+def settings(
+    name: str = 'one',
+    bounds: SteeringBounds | None = None,
+) -> EntrySettings:
+    """Settings of an entry in zone ``a1``."""
+    return EntrySettings(
+        name,
+        'a1',
+        'a',
+        REGIONS,
+        EntryAddresses('10.9.0.1:1', '10.9.0.1:2', '10.9.0.1:3', '10.9.0.1:4'),
+        ('10.9.0.2:4',),
+        '10.8.0.1:80',
+        bounds or SteeringBounds(repeat_extra=100),
+    )
+
+
+def digest(name: str, number: int = 1, **changes: Any) -> EntryDigest:
+    """What another ready entry of zone ``a1`` tells."""
+    fields: dict[str, Any] = {
+        'who': Incarnation(name, 1),
+        'number': number,
+        'zone': 'a1',
+        'region': 'a',
+        'peer': f'10.9.0.2:{name}',
+        'caller': f'10.9.0.3:{name}',
+        'ready': True,
+        'leaving': False,
+        'version': 1,
+        'in_flight': {},
+        'known': {},
+    }
+    return EntryDigest(**(fields | changes))
+
+
+class World:
+    """One entry, its clock, and all effects so far."""
+
+    def __init__(
+        self,
+        routes: Iterable[Route] = (),
+        upstreams: Iterable[UpstreamRecord] = (),
+        **options: Any,
+    ) -> None:
+        """Configure an entry and let it become ready."""
+        self.now = 100.0
+        cold_rate = options.pop('cold_rate', 0)
+        self.state = SteeringState.from_settings(
+            settings(**options), Incarnation('one', 1), self.now, 7
+        )
+        self.effects: list[Effect] = []
+        self.requests = 0
+        self.run(
+            ConfigurationRead(
+                self.now,
+                configuration(1, tuple(routes) or (route(),), cold_rate),
+            ),
+            UpstreamsListed(self.now, tuple(upstreams)),
+            EvacuationsRead(self.now, frozenset()),
+        )
+        self.wait(0.6)
+
+    def run(self, *events: Any) -> list[Effect]:
+        """Reduce events; gives the effects of these."""
+        fresh: list[Effect] = []
+        for event in events:
+            fresh.extend(reduce(self.state, event))
+        self.effects.extend(fresh)
+        return fresh
+
+    def wait(self, seconds: float) -> list[Effect]:
+        """Let time pass in ticks."""
+        fresh: list[Effect] = []
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(end, self.now + 0.05)
+            fresh.extend(self.run(Ticked(self.now)))
+        return fresh
+
+    def ask(self, name: str = 'read', key: str = '', **head: Any) -> int:
+        """A request arrives; gives its number."""
+        self.requests += 1
+        fields: dict[str, Any] = {
+            'trace': f't{self.requests}',
+            'host': HOST,
+            'method': 'GET',
+            'target': f'/{name}/x?y=1',
+            'time_left': 2.0,
+            'key': key,
+        }
+        self.run(
+            RequestArrived(
+                self.now, self.requests, SteeredHead(**(fields | head))
+            )
+        )
+        return self.requests
+
+    def end(
+        self,
+        number: int,
+        outcome: AttemptOutcome = AttemptOutcome.ANSWERED,
+        **report: Any,
+    ) -> list[Effect]:
+        """The attempt of a request that is under way ends."""
+        request = self.state.requests[number]
+        fields: dict[str, Any] = {'status': 200}
+        return self.run(
+            AttemptEnded(
+                self.now,
+                number,
+                request.attempts,
+                outcome,
+                **(fields | report),
+            )
+        )
+
+    def sent(self, number: int) -> list[str]:
+        """Upstreams that a request was sent to, in order."""
+        return [
+            effect.upstream
+            for effect in of_type(self.effects, SendUpstream)
+            if effect.request == number
+        ]
+
+
+def of_type(
+    effects: Iterable[Effect],
+    wanted: type[_Wanted],
+) -> list[_Wanted]:
+    """Effects of one type."""
+    return [effect for effect in effects if isinstance(effect, wanted)]
--- a/worksrail/client/_client.py
+++ b/worksrail/client/_client.py
@@ -10,7 +10,7 @@
 from enum import Enum, unique
 from typing import Any, Final
 
-from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
+from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from worksrail.core.results import Certainty, ResultCode, code_by_number
 from worksrail.daemon.http._attempt import (
@@ -20,6 +20,7 @@
     Outgoing,
 )
 from worksrail.daemon.http._body import BodyStream
+from worksrail.daemon.http._collected import CollectedAnswer
 from worksrail.daemon.http._connections import ConnectionPool
 
 _HTTP: Final = 'HTTP/1.1'
@@ -90,32 +91,6 @@
     expires: float
 
 
-@dataclass(slots=True)
-class _Collector:
-    """Collects an answer; it counts only once it is whole."""
-
-    status: int = 0
-    headers: HTTPHeaders = field(default_factory=HTTPHeaders)
-    chunks: list[bytes] = field(default_factory=list)
-
-    def wants(self, status: int, headers: HTTPHeaders) -> bool:
-        return True
-
-    async def start_answer(
-        self,
-        start: ResponseStartLine,
-        headers: HTTPHeaders,
-    ) -> None:
-        self.status = start.code
-        self.headers = headers
-
-    async def write(self, chunk: bytes) -> None:
-        self.chunks.append(chunk)
-
-    def end(self) -> None:
-        """Nothing more comes."""
-
-
 @dataclass(slots=True)
 class CallerClient:
     """Sends requests through worksrail as a careful caller does.
@@ -213,7 +188,7 @@
         if body or start.method in {'POST', 'PUT', 'PATCH'}:
             headers['Content-Length'] = str(len(body))
         stream = BodyStream.from_bytes(body)
-        collector = _Collector()
+        collector = CollectedAnswer()
         outgoing = Outgoing(entry, start, headers, deadline, deadline)
         report = await HttpAttempt(
             self.pool, self.clock, outgoing, stream, collector
@@ -224,7 +199,7 @@
         return Answer(
             collector.status,
             collector.headers,
-            b''.join(collector.chunks),
+            collector.body,
             _result(collector.headers),
             trace,
             attempt,
@@ -253,7 +228,7 @@
         if self.settings.client:
             path = f'{path}&client={self.settings.client}'
         stream = BodyStream.from_bytes(b'')
-        collector = _Collector()
+        collector = CollectedAnswer()
         limit = self.clock() + _LOOK_UP_TIME
         outgoing = Outgoing(
             entry,
@@ -267,7 +242,7 @@
         ).run()
         if report.end is not AttemptEnd.WHOLE or collector.status != _OK:
             return None
-        return json.loads(b''.join(collector.chunks))
+        return json.loads(collector.body)
 
     def _entry(self, cached: _Cached, attempt: int, *, safe: bool) -> str:
         if not safe:
--- a/worksrail/core/steering/_affinity.py
+++ b/worksrail/core/steering/_affinity.py
@@ -11,7 +11,8 @@
 from worksrail.core.steering._catalog import Catalog, Upstream
 
 _CACHE_LIMIT: Final = 20_000
-_HASHES: Final = 2**64 + 1
+# Hashes are whole numbers of 64 bits; so many there are.
+_HASHES: Final = float('18446744073709551616')
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,9 +38,7 @@
     generation: int = -1
     """Generation of the catalog that the ranks were made from."""
 
-    ranks: dict[tuple[ServiceName, str], KeyRanks] = field(
-        default_factory=dict
-    )
+    ranks: dict[tuple[ServiceName, str], KeyRanks] = field(default_factory=dict)
     """Ranks by service and key."""
 
     def ranks_of(
@@ -75,9 +74,7 @@
         position = counts.get(upstream.region, 0)
         by_region[upstream.name] = position
         counts[upstream.region] = position + 1
-    everywhere = {
-        upstream.name: rank for rank, upstream in enumerate(weighed)
-    }
+    everywhere = {upstream.name: rank for rank, upstream in enumerate(weighed)}
     return KeyRanks(everywhere, by_region)
 
 
@@ -88,4 +85,4 @@
     proportion to its weight.
     """
     drawn = xxhash.xxh64_intdigest(f'{key}|{name}'.encode())
-    return -weight / log((drawn + 1) / _HASHES)
+    return -weight / log((drawn + 0.5) / _HASHES)
--- a/worksrail/core/steering/_catalog.py
+++ b/worksrail/core/steering/_catalog.py
@@ -9,7 +9,7 @@
 
 # Entries that lapsed while the store was away return within two seconds of
 # its own return, say the operators; the rest is for the answer's way.
-_RETURN_TIME: Final = 2.2
+_RETURN_TIME: Final = 2.1
 
 
 @dataclass(frozen=True, slots=True)
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -97,14 +97,6 @@
         key = request.head.key if request.route.affinity else ''
         service = request.service
         times = state.warmth.of(request.route, service)
-        ranks: dict[str, int] = {}
-        served: frozenset[str] = frozenset()
-        if key:
-            ranked = state.affinity.ranks_of(state.catalog, service, key)
-            ranks = ranked.everywhere
-            if request.route.kind is RouteKind.DOWNLOAD:
-                ranks = ranked.by_region
-            served = state.warmth.warm_at(service, key, now)
         policy = None
         if isinstance(state.configuration, RoutingConfiguration):
             policy = state.configuration.services.get(service)
@@ -115,31 +107,26 @@
             times.warm.typical,
             state.usual_time(service, times.warm.typical).typical,
             times.loss if key else 0,
-            ranks,
-            served,
+            _ranks(state, request) if key else {},
+            state.warmth.warm_at(service, key, now),
             _shortage(state, service),
             policy,
         )
 
     def weigh(self, upstream: Upstream) -> Choice:
         """What it costs to send the request to an upstream."""
-        load = self.state.loads.of(upstream.name)
+        used = self.state.loads.of(upstream.name).in_flight
         slots = max(1, upstream.record.slots)
-        slowness = load.slowness_now(self.now)
-        if upstream.cold_until > self.now:
-            slowness = max(slowness, _COLD_SLOWNESS)
+        slowness = self._slowness(upstream)
         lost = self._lost(upstream.name)
         work = (self.warm + lost) * slowness
-        used = load.in_flight / slots
-        over = max(0, load.in_flight + 1 - slots)
-        wait = over / slots * self.usual * slowness
-        crowding = min(1, max(0, used - _ROOMY) / (1 - _ROOMY))
-        way = distance(self.state, upstream.region).typical
-        cost = wait + work + way + self._preference(upstream)
-        cost += work * (crowding * _CROWDING + self.shortage)
-        return Choice(
-            upstream, cost, wait, work + way, over / slots, lost == 0
-        )
+        queue = max(0, used + 1 - slots) / slots
+        wait = queue * self.usual * slowness
+        own = work + distance(self.state, upstream.region).typical
+        crowding = _excess(used / slots, _ROOMY) * _CROWDING
+        cost = wait + own + self._preference(upstream)
+        cost += work * (crowding + self.shortage)
+        return Choice(upstream, cost, wait, own, queue, lost == 0)
 
     def allows(self, upstream: Upstream) -> bool:
         """Whether the upstream may get this request now."""
@@ -152,6 +139,12 @@
             return True
         return self._cold_allows(upstream, self.policy.cold_rate)
 
+    def _slowness(self, upstream: Upstream) -> float:
+        learned = self.state.loads.of(upstream.name).slowness_now(self.now)
+        if upstream.cold_until > self.now:
+            return max(learned, _COLD_SLOWNESS)
+        return learned
+
     def _lost(self, name: str) -> float:
         if not self.ranks.get(name, 0):
             return 0
@@ -223,6 +216,15 @@
     return known
 
 
+def _ranks(state: SteeringState, request: SteeredRequest) -> dict[str, int]:
+    ranked = state.affinity.ranks_of(
+        state.catalog, request.service, request.head.key
+    )
+    if request.route.kind is RouteKind.DOWNLOAD:
+        return ranked.by_region
+    return ranked.everywhere
+
+
 def _shortage(state: SteeringState, service: ServiceName) -> float:
     slots = 0
     in_flight = 0
@@ -230,7 +232,12 @@
         slots += upstream.record.slots
         in_flight += state.loads.of(upstream.name).in_flight
     used = in_flight / slots if slots else 1
-    return _SHORTAGE * min(1, max(0, used - _SHORT) / (1 - _SHORT))
+    return _SHORTAGE * _excess(used, _SHORT)
+
+
+def _excess(used: float, roomy: float) -> float:
+    """How far a use of slots is between a roomy share and all, 0 to 1."""
+    return min(1, max(0, used - roomy) / (1 - roomy))
 
 
 def _candidates(scale: _Scale, *, ejected: bool) -> Iterator[Upstream]:
--- a/worksrail/core/steering/_fleet.py
+++ b/worksrail/core/steering/_fleet.py
@@ -141,9 +141,7 @@
             if now - at > _REMEMBER:
                 self.addresses.pop(address)
         dead = [
-            name
-            for name, entry in self.entries.items()
-            if not entry.alive(now)
+            name for name, entry in self.entries.items() if not entry.alive(now)
         ]
         return dead, forgotten
 
--- a/worksrail/core/steering/_load.py
+++ b/worksrail/core/steering/_load.py
@@ -115,10 +115,8 @@
         self.told.pop(entry)
 
     def own_in_flight(self) -> dict[str, int]:
-        """This entry's requests in flight, by upstream."""
-        return {
-            name: load.own for name, load in self.loads.items() if load.own
-        }
+        """Requests of this entry in flight, by upstream."""
+        return {name: load.own for name, load in self.loads.items() if load.own}
 
     def keep_only(self, names: set[str]) -> None:
         """Drop upstreams that are gone and have nothing in flight."""
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -137,6 +137,9 @@
         request.maybe_executed = True
     if request.caller_gone or event.outcome is AttemptOutcome.CANCELLED:
         state.requests.pop(request.number)
+        yield Decision(
+            DecisionKind.REQUEST_DROPPED, event.outcome.name, request.number
+        )
         return
     denial = _denial(state, request, event)
     if denial:
@@ -347,9 +350,7 @@
 ) -> Iterator[Effect]:
     code = _FINAL_CODES[event.outcome]
     if event.outcome in _NOT_EXECUTED:
-        yield Decision(
-            DecisionKind.REPEAT_DENIED, denial, request.number
-        )
+        yield Decision(DecisionKind.REPEAT_DENIED, denial, request.number)
         if not request.maybe_executed:
             yield from _refuse(state, request, code, event.now)
             return
@@ -400,6 +401,8 @@
         request.number,
         (
             ('status', event.status),
+            ('route', request.route.name),
+            ('late', int(_is_late(request, event.now))),
             ('after', round(event.now - request.arrived_at, 4)),
             ('execution', round(event.now - request.sent_at, 4)),
             ('expected', round(request.expected, 4)),
@@ -408,6 +411,10 @@
     )
 
 
+def _is_late(request: SteeredRequest, now: float) -> bool:
+    return now - request.arrived_at > request.route.target_latency
+
+
 def _retry_after(state: SteeringState) -> float:
     spread = state.rng.uniform(*_RETRY_SPREAD)
     return round(min(_LONGEST_RETRY, _SHORTEST_RETRY * spread), 3)
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -79,6 +79,7 @@
     REQUEST_REFUSED = 'request refused; it was not executed'
     REQUEST_ANSWERED = 'answer of an upstream passed on'
     REQUEST_FAILED = 'request ended without an answer of an upstream'
+    REQUEST_DROPPED = 'request ended after its caller had left'
     CALLER_GONE = 'caller left before the end of its answer'
     CONFIGURATION_APPLIED = 'configuration in force'
     CONFIGURATION_IGNORED = 'older configuration ignored'
--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -21,7 +21,10 @@
 from worksrail.daemon.http._headers import BodyLength, answer_length
 
 _LOG: Final = Logger('worksrail.http')
-_CONNECT_TIMEOUT: Final = 1.0
+# Seconds in which a connection must be made.  Twice the way to the farthest
+# region fits in several times over; a lost first packet is sent again only
+# after a second, and another upstream is tried sooner than that.
+_CONNECT_TIMEOUT: Final = 0.5
 _FIRST_FINAL: Final = 200
 _ANSWERS_PASSED_OVER: Final = 4
 _MAX_HEADER: Final = 65_536
--- a/worksrail/daemon/http/_callers.py
+++ b/worksrail/daemon/http/_callers.py
@@ -52,7 +52,7 @@
         if isinstance(answer, ResultCode):
             exchange.answer_result(answer)
             return
-        exchange.answer_json(self._document(answer))
+        exchange.answer_document(self._document(answer))
 
     def _document(self, answer: LookUpAnswer) -> bytes:
         ticket = self.requests.signer().sign(answer.ticket)
@@ -72,7 +72,7 @@
         if engine.instance.configuration.topology is None:
             exchange.answer_result(ResultCode.NOT_READY)
         else:
-            exchange.answer_json(b'{"ready": true}\n')
+            exchange.answer_document(b'{"ready": true}\n')
 
 
 @dataclass(slots=True)
--- a/worksrail/daemon/http/_connections.py
+++ b/worksrail/daemon/http/_connections.py
@@ -105,7 +105,7 @@
     # Bytes that nobody asked for belong to no request, and an end means that
     # the other side closes.  They may be in the stream's buffer, for which
     # there is no public name, or still with the kernel.
-    if stream.closed() or stream._read_buffer_size:  # noqa: WPS437, SLF001
+    if stream.closed() or stream._read_buffer_size:
         return False
     try:
         stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
--- a/worksrail/daemon/http/_exchange.py
+++ b/worksrail/daemon/http/_exchange.py
@@ -118,7 +118,7 @@
             with contextlib.suppress(
                 StreamClosedError, httputil.HTTPOutputError
             ):
-                self.connection.finish()
+                self._finish()
 
     # -- numbered results
 
@@ -154,9 +154,13 @@
                 headers,
                 payload,
             )
-            self.connection.finish()
+            self._finish()
 
-    def answer_json(self, document: bytes) -> None:
+    def answer_document(
+        self,
+        document: bytes,
+        content_type: str = 'application/json',
+    ) -> None:
         """Answer with a document of our own."""
         if self.ended or self.gone:
             self.ended = True
@@ -165,7 +169,7 @@
         self.ended = True
         headers = httputil.HTTPHeaders(
             {
-                'Content-Type': 'application/json',
+                'Content-Type': content_type,
                 'Content-Length': str(len(document)),
                 names.RESULT: str(ResultCode.OK.number),
             }
@@ -199,6 +203,13 @@
         if self.closing or not self.body.ended:
             headers['Connection'] = 'close'
 
+    def _finish(self) -> None:
+        if self.closing:
+            # The HTTP library closes by the request's headers only and has
+            # no public name for this.
+            self.connection._disconnect_on_finish = True  # type: ignore
+        self.connection.finish()
+
     async def _written(self, future: asyncio.Future[None]) -> None:
         try:
             await future
--- a/worksrail/daemon/http/_server.py
+++ b/worksrail/daemon/http/_server.py
@@ -164,7 +164,8 @@
     ) -> None:
         """Prepare a server; it listens once sockets are added.
 
-        Servers of one process share the numbers of their arrivals.
+        Servers of one process share the numbers of their arrivals.  The
+        limits may be replaced; connections keep those they began with.
         """
         super().__init__(**options)
         self.handler = handler
@@ -172,12 +173,6 @@
         self.numbers = numbers
         self.dialect = dialect
         self.connections: set[HTTP1ServerConnection] = set()
-        self.parameters = HTTP1ConnectionParameters(
-            header_timeout=limits.header_seconds,
-            body_timeout=limits.body_seconds,
-            max_header_size=_HARD_HEADER_LIMIT,
-            max_body_size=limits.body_bytes,
-        )
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve a connection, unless there are too many."""
@@ -186,8 +181,14 @@
             return
         number_bare_answers(stream)
         stream.set_nodelay(True)
+        parameters = HTTP1ConnectionParameters(
+            header_timeout=self.limits.header_seconds,
+            body_timeout=self.limits.body_seconds,
+            max_header_size=_HARD_HEADER_LIMIT,
+            max_body_size=self.limits.body_bytes,
+        )
         server_connection = HTTP1ServerConnection(
-            stream, self.parameters, address[0]
+            stream, parameters, address[0]
         )
         self.connections.add(server_connection)
         server_connection.start_serving(self)
--- a/worksrail/daemon/steered/__init__.py
+++ b/worksrail/daemon/steered/__init__.py
@@ -3,9 +3,9 @@
 from worksrail.daemon.steered._adapter import (
     Adapter,
     AskedEntries,
+    SteeringStore,
     StoreFault,
     StoreNews,
-    SteeringStore,
     UpstreamAnswer,
     UpstreamDialect,
 )
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -14,7 +14,11 @@
 
 from worksrail.core.identity import Incarnation
 from worksrail.core.results import ResultCode
-from worksrail.core.steering import EntrySettings, SteeringState
+from worksrail.core.steering import (
+    EntrySettings,
+    RoutingConfiguration,
+    SteeringState,
+)
 from worksrail.core.steering.effects import (
     AnswerResult,
     CancelAttempt,
@@ -25,7 +29,7 @@
 )
 from worksrail.core.steering.events import StopRequested, StoreKind
 from worksrail.daemon import _clock
-from worksrail.daemon._logs import install_logs
+from worksrail.daemon._logs import LineSink, install_logs
 from worksrail.daemon.http._connections import ConnectionPool
 from worksrail.daemon.http._server import (
     ExchangeHandler,
@@ -37,7 +41,12 @@
 from worksrail.daemon.steered._digests import DigestPort
 from worksrail.daemon.steered._engine import SteeringEngine
 from worksrail.daemon.steered._following import Follower
-from worksrail.daemon.steered._ports import LookUpHandler, ReadinessHandler
+from worksrail.daemon.steered._metrics import SteeringMetrics
+from worksrail.daemon.steered._ports import (
+    LookUpHandler,
+    MetricsHandler,
+    ReadinessHandler,
+)
 from worksrail.daemon.steered._requests import SteeredRequests
 
 _LOG: Final = Logger('worksrail.daemon')
@@ -45,6 +54,10 @@
 _TICK: Final = 0.05
 # Seconds that closing connections may take at the end.
 _LAST_CLOSES: Final = 0.1
+# Seconds between looks at the settings and summaries of the log.
+_HOUSEKEEPING: Final = 1.0
+# Port of the metrics, on the address of readiness checks.
+_METRICS_PORT: Final = 9464
 _MICROSECONDS: Final = 1_000_000
 
 
@@ -67,11 +80,17 @@
     followers: tuple[Follower, ...]
     """Follow the store."""
 
+    decisions: DecisionLog
+    """Writes decisions."""
+
+    sink: LineSink
+    """Takes log lines."""
+
     stopped: asyncio.Event
     """Set when a graceful stop is complete."""
 
     servers: list[ExchangeServer] = field(default_factory=list)
-    """Servers that listen."""
+    """Servers that listen; the one for callers is the first."""
 
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
     """Work in the background."""
@@ -81,6 +100,7 @@
         cls,
         adapter: Adapter,
         settings: EntrySettings,
+        sink: LineSink,
     ) -> 'SteeredDaemon':
         """Build all parts; nothing listens yet."""
         who = Incarnation(settings.name, time.time_ns() // _MICROSECONDS)
@@ -90,7 +110,9 @@
         engine = SteeringEngine(state)
         requests = SteeredRequests(engine, adapter, ConnectionPool(engine.now))
         digests = DigestPort(engine)
-        store = adapter.open_store(settings.store, _no_count)
+        metrics = SteeringMetrics.create()
+        decisions = DecisionLog(requests.trace_of, metrics)
+        store = adapter.open_store(settings.store, metrics.count_call)
         followers = tuple(Follower(engine, store, kind) for kind in StoreKind)
         stopped = asyncio.Event()
         engine.runners = {
@@ -98,23 +120,30 @@
             AnswerResult: requests.answer_result,
             CancelAttempt: requests.cancel,
             SendDigest: digests.send,
-            Decision: DecisionLog(requests.trace_of).write,
+            Decision: decisions.write,
             ExitProcess: lambda _: stopped.set(),
         }
-        return cls(adapter, engine, requests, digests, followers, stopped)
+        return cls(
+            adapter,
+            engine,
+            requests,
+            digests,
+            followers,
+            decisions,
+            sink,
+            stopped,
+        )
 
     async def run(self) -> None:
         """Serve until a graceful stop is complete."""
         settings = self.engine.state.settings
         await self.digests.open(settings.addresses.peer)
         self._listen(settings)
-        self.tasks = [
-            asyncio.ensure_future(follower.run()) for follower in self.followers
-        ]
-        self.tasks.append(asyncio.ensure_future(self._tick()))
+        work = [follower.run() for follower in self.followers]
+        work += [self._tick(), self._keep_house()]
+        self.tasks = [asyncio.ensure_future(one) for one in work]
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop)
+        loop.add_signal_handler(signal.SIGTERM, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         _LOG.info('started', extra={'incarnation': self.engine.state.who.label})
         await self.stopped.wait()
@@ -131,17 +160,22 @@
         except SettingsFaultError as fault:
             _LOG.warning('settings not reloaded', extra={'problem': str(fault)})
             return
-        self.engine.state.settings = settings
-        _LOG.info('settings reloaded')
+        if settings != self.engine.state.settings:
+            self.engine.state.settings = settings
+            _LOG.info('settings reloaded')
 
     def _listen(self, settings: EntrySettings) -> None:
         dialect = self.adapter.callers
         addresses = settings.addresses
         self._serve(addresses.caller, self.requests)
+        self._serve(addresses.readiness, ReadinessHandler(self.engine, dialect))
+        self._serve(addresses.look_up, LookUpHandler(self.engine, dialect))
+        host = addresses.readiness.partition(':')[0]
+        metrics = self.decisions.metrics
         self._serve(
-            addresses.readiness, ReadinessHandler(self.engine, dialect)
+            f'{host}:{_METRICS_PORT}',
+            MetricsHandler(self.engine, metrics, self.sink),
         )
-        self._serve(addresses.look_up, LookUpHandler(self.engine, dialect))
 
     def _serve(self, address: str, handler: ExchangeHandler) -> None:
         numbers = itertools.count(1)
@@ -157,6 +191,26 @@
             self.engine.tick()
             await asyncio.sleep(_TICK)
 
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(_HOUSEKEEPING)
+            self.decisions.summarise()
+            self.sink.flush()
+            # The settings may change without a signal.
+            self.reload()
+            self._limit_callers()
+
+    def _limit_callers(self) -> None:
+        configuration = self.engine.state.configuration
+        if isinstance(configuration, RoutingConfiguration):
+            limits = configuration.limits
+            self.servers[0].limits = HttpLimits(
+                header_bytes=limits.header_bytes,
+                body_bytes=limits.body_bytes,
+                # The HTTP library knows one time for idleness and headers.
+                header_seconds=max(limits.idle_time, limits.header_time),
+            )
+
     async def _close(self) -> None:
         _LOG.info('stopped')
         for task in self.tasks:
@@ -179,13 +233,13 @@
         document = {'result': code.number, 'problem': str(fault)}
         sys.stderr.write(json.dumps(document) + '\n')
         sys.exit(code.value.exit_code)
-    install_logs(settings.name, 'INFO')
-    asyncio.run(_serve(adapter, settings))
-
-
-async def _serve(adapter: Adapter, settings: EntrySettings) -> None:
-    await SteeredDaemon.from_adapter(adapter, settings).run()
+    sink = install_logs(settings.name, 'INFO')
+    asyncio.run(_serve(adapter, settings, sink))
 
 
-def _no_count(kind: str) -> None:
-    """Count nothing."""
+async def _serve(
+    adapter: Adapter,
+    settings: EntrySettings,
+    sink: LineSink,
+) -> None:
+    await SteeredDaemon.from_adapter(adapter, settings, sink).run()
--- a/worksrail/daemon/steered/_following.py
+++ b/worksrail/daemon/steered/_following.py
@@ -27,9 +27,16 @@
 # Seconds that one watch waits: longer ones cost fewer calls, and a dead
 # connection is noticed by the kernel's probes anyhow.
 _WATCH_TIME: Final = 25.0
-# Seconds between calls that fail, doubled each time up to the longest.
+# Seconds between calls that fail, doubled each time up to the longest.  A
+# call that is turned away is paid for; one that reaches nobody is not, and
+# the return of a path should be noticed soon: what lapsed is kept for a
+# while from then on, and must be dropped before others rely on it.
 _FIRST_PAUSE: Final = 0.1
-_LONGEST_PAUSE: Final = 0.8
+_LONGEST_PAUSES: Final = {
+    StoreFault.UNREACHABLE: 0.1,
+    StoreFault.REFUSED: 0.8,
+    StoreFault.MALFORMED: 0.8,
+}
 _PAUSE_SPREAD: Final = (0.7, 1.3)
 
 
@@ -81,7 +88,7 @@
         self.engine.dispatch(StoreLost(now, self.kind, fault.value))
         spread = random.uniform(*_PAUSE_SPREAD)
         await asyncio.sleep(self.pause * spread)
-        self.pause = min(_LONGEST_PAUSE, self.pause * 2)
+        self.pause = min(_LONGEST_PAUSES[fault], self.pause * 2)
 
     def _take(self, news: StoreNews) -> None:
         listed = self.revision is None
@@ -96,9 +103,7 @@
             )
         if self.kind is StoreKind.CONFIGURATION:
             if news.configuration:
-                self.engine.dispatch(
-                    ConfigurationRead(now, news.configuration)
-                )
+                self.engine.dispatch(ConfigurationRead(now, news.configuration))
         elif self.kind is StoreKind.UPSTREAMS:
             self._take_upstreams(news, now, listed=listed)
         else:
--- /dev/null
+++ b/worksrail/daemon/steered/_metrics.py
@@ -0,0 +1,110 @@
+"""Counters and histograms of an entry, in the format of Prometheus."""
+
+from dataclasses import dataclass
+from functools import partial
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from worksrail.core.steering import RoutingConfiguration, SteeringState
+from worksrail.core.steering.effects import Decision, DecisionKind
+
+
+@dataclass(slots=True)
+class SteeringMetrics:
+    """All metrics of one process."""
+
+    registry: CollectorRegistry
+    """Where they are registered."""
+
+    decisions: Counter
+    """Decisions by kind."""
+
+    results: Counter
+    """Ends of requests by result."""
+
+    latency: Histogram
+    """Seconds from arrival to the end of the answer, by route."""
+
+    store_calls: Counter
+    """Calls to the store by what was asked for."""
+
+    in_flight: Gauge
+    """Requests of this entry in flight at upstreams, by service."""
+
+    upstreams: Gauge
+    """Usable upstreams by service."""
+
+    entries: Gauge
+    """Other entries that are alive."""
+
+    version: Gauge
+    """Version of the configuration in force."""
+
+    store_lost: Gauge
+    """Kinds of objects whose reading fails."""
+
+    lines_dropped: Gauge
+    """Log lines that nobody took."""
+
+    @classmethod
+    def create(cls) -> 'SteeringMetrics':
+        """Register all metrics."""
+        registry = CollectorRegistry()
+        counter = partial(Counter, registry=registry)
+        gauge = partial(Gauge, registry=registry)
+        return cls(
+            registry,
+            counter('worksrail_decisions', 'Decisions', ['kind']),
+            counter('worksrail_results', 'Ends of requests', ['result']),
+            Histogram(
+                'worksrail_request_seconds',
+                'Seconds to the end of the answer',
+                ['route'],
+                registry=registry,
+            ),
+            counter('worksrail_store_calls', 'Calls to the store', ['kind']),
+            gauge('worksrail_in_flight', 'Requests in flight', ['service']),
+            gauge('worksrail_upstreams', 'Usable upstreams', ['service']),
+            gauge('worksrail_entries', 'Other entries alive'),
+            gauge('worksrail_configuration_version', 'Version in force'),
+            gauge('worksrail_store_lost', 'Kinds that cannot be read'),
+            gauge('worksrail_log_lines_dropped', 'Log lines dropped'),
+        )
+
+    def count(self, decision: Decision) -> None:
+        """Count a decision, and the end of a request."""
+        self.decisions.labels(decision.kind.name).inc()
+        if decision.kind is DecisionKind.REQUEST_ANSWERED:
+            inputs = dict(decision.inputs)
+            self.results.labels('OK').inc()
+            self.latency.labels(inputs['route']).observe(float(inputs['after']))
+        elif decision.kind in {
+            DecisionKind.REQUEST_REFUSED,
+            DecisionKind.REQUEST_FAILED,
+        }:
+            self.results.labels(decision.subject).inc()
+
+    def count_call(self, kind: str) -> None:
+        """Count a call to the store."""
+        self.store_calls.labels(kind).inc()
+
+    def render(self, state: SteeringState, now: float, dropped: int) -> bytes:
+        """Bring the gauges up to date and give the text."""
+        configuration = state.configuration
+        if isinstance(configuration, RoutingConfiguration):
+            self.version.set(configuration.version)
+        for service, usable in state.catalog.services.items():
+            self.upstreams.labels(service).set(len(usable))
+            self.in_flight.labels(service).set(
+                sum(state.loads.of(found.name).own for found in usable)
+            )
+        self.entries.set(len(state.fleet.alive(now)))
+        self.store_lost.set(len(state.lost))
+        self.lines_dropped.set(dropped)
+        return generate_latest(self.registry)
--- a/worksrail/daemon/steered/_ports.py
+++ b/worksrail/daemon/steered/_ports.py
@@ -1,12 +1,18 @@
-"""The ports that callers and the platform ask: requests, look-ups, readiness."""
+"""The ports that are asked for readiness, entries and metrics."""
 
 from dataclasses import dataclass
+from typing import Final
 
 from worksrail.core.results import ResultCode
 from worksrail.core.steering import look_up
+from worksrail.daemon._logs import LineSink
 from worksrail.daemon.http._exchange import Exchange
 from worksrail.daemon.steered._adapter import RequestDialect
 from worksrail.daemon.steered._engine import SteeringEngine
+from worksrail.daemon.steered._metrics import SteeringMetrics
+
+METRICS_PATH: Final = '/metrics'
+_METRICS_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 
 
 @dataclass(slots=True)
@@ -22,14 +28,15 @@
     def arrived(self, exchange: Exchange) -> None:
         """Answer."""
         state = self.engine.state
-        if not self.dialect.is_readiness(exchange.start.path):
-            exchange.answer_result(ResultCode.UNKNOWN_ROUTE)
-        elif state.leaving:
+        asked = self.dialect.is_readiness(exchange.start.path)
+        if asked and state.leaving:
             exchange.answer_result(ResultCode.ENTRY_LEAVING)
-        elif state.ready:
-            exchange.answer_json(b'{"ready": true}\n')
-        else:
+        elif asked and state.ready:
+            exchange.answer_document(b'{"ready": true}\n')
+        elif asked:
             exchange.answer_result(ResultCode.NOT_READY)
+        else:
+            exchange.answer_result(ResultCode.UNKNOWN_ROUTE)
 
     def caller_gone(self, exchange: Exchange) -> None:
         """Nothing is under way that could be cut off."""
@@ -56,7 +63,34 @@
         if isinstance(found, ResultCode):
             exchange.answer_result(found)
         else:
-            exchange.answer_json(self.dialect.render_entries(found))
+            exchange.answer_document(self.dialect.render_entries(found))
+
+    def caller_gone(self, exchange: Exchange) -> None:
+        """Nothing is under way that could be cut off."""
+
+
+@dataclass(slots=True)
+class MetricsHandler:
+    """Answers with the metrics."""
+
+    engine: SteeringEngine
+    """Has the state."""
+
+    metrics: SteeringMetrics
+    """Counters and gauges."""
+
+    sink: LineSink
+    """Knows the dropped log lines."""
+
+    def arrived(self, exchange: Exchange) -> None:
+        """Answer."""
+        if exchange.start.path != METRICS_PATH:
+            exchange.answer_result(ResultCode.UNKNOWN_ROUTE)
+            return
+        text = self.metrics.render(
+            self.engine.state, self.engine.now(), self.sink.dropped
+        )
+        exchange.answer_document(text, _METRICS_TYPE)
 
     def caller_gone(self, exchange: Exchange) -> None:
         """Nothing is under way that could be cut off."""
--- a/worksrail/platform/_objects.py
+++ b/worksrail/platform/_objects.py
@@ -51,17 +51,17 @@
 def decode_upstream(name: str, spec: Any, status: Any) -> UpstreamRecord:
     """Decode one entry of the upstreams; its name is the upstream's id."""
     fields = Fields.from_value(spec, f'servers/{name}')
-    info = fields.part('Info')
+    description = fields.part('Info')
     # The state may stand beside the description or in the object's status.
     report = Fields.from_value(
         fields.table.get('Status') or status, f'servers/{name} status'
     )
     return UpstreamRecord(
         name,
-        info.text('Service'),
+        description.text('Service'),
         fields.text('Address'),
-        info.text('Zone'),
-        info.whole('Slots'),
+        description.text('Zone'),
+        description.whole('Slots'),
         report.text('State') == _DRAINING,
         report.whole('Sequence', 0),
         report.number('ColdRemainingS', 0),
--- a/worksrail/platform/_store.py
+++ b/worksrail/platform/_store.py
@@ -14,8 +14,8 @@
 from worksrail.daemon import _clock
 from worksrail.daemon.http._attempt import AttemptEnd, HttpAttempt, Outgoing
 from worksrail.daemon.http._body import BodyStream
+from worksrail.daemon.http._collected import CollectedAnswer
 from worksrail.daemon.http._connections import ConnectionPool
-from worksrail.daemon.http._dialect import AnswerUse
 from worksrail.daemon.steered import StoreFault, StoreNews
 from worksrail.platform import _names as names
 from worksrail.platform._fields import Fields, MalformedDocumentError
@@ -36,38 +36,12 @@
 }
 
 
-@dataclass(slots=True)
-class _Collector:
-    """Keeps the answer to one call."""
-
-    status: int = 0
-    payload: bytearray = field(default_factory=bytearray)
-
-    def judge(self, status: int, headers: httputil.HTTPHeaders) -> AnswerUse:
-        """Every answer is kept."""
-        self.status = status
-        return AnswerUse.PASS_ON
-
-    async def start_answer(
-        self,
-        start: httputil.ResponseStartLine,
-        headers: httputil.HTTPHeaders,
-    ) -> None:
-        """The status is known already."""
-
-    async def write(self, chunk: bytes) -> None:
-        """Keep a part of the body."""
-        self.payload.extend(chunk)
-
-    def end(self) -> None:
-        """The answer is whole."""
-
-
 @dataclass(slots=True)
 class _Builder:
     """Decodes objects of one kind into news."""
 
     kind: StoreKind
+    revision: int = 0
     configuration: RoutingConfiguration | None = None
     records: list[UpstreamRecord] = field(default_factory=list)
     zones: list[str] = field(default_factory=list)
@@ -81,10 +55,29 @@
         except MalformedDocumentError as error:
             self.faults.append(str(error))
 
-    def news(self, revision: int) -> StoreNews:
+    def add_page(self, page: Fields) -> str:
+        """Take in a page; gives the name to go on after, or nothing."""
+        # Later pages may be newer; a watch from the first one's revision
+        # tells whatever they missed.
+        self.revision = self.revision or page.whole('AsOf')
+        entries = page.table['items']
+        for entry in entries:
+            self.add(entry)
+        if not page.flag('HasMore'):
+            return ''
+        return str(entries[-1]['Metadata']['Name'])
+
+    def add_events(self, answer: Fields) -> None:
+        """Take in what a watch told."""
+        self.revision = answer.whole('AsOf')
+        for entry in answer.table.get('events') or ():
+            event = Fields.from_value(entry, 'event')
+            self.add(event.table.get('Object'), gone=event.flag('Deleted'))
+
+    def news(self) -> StoreNews:
         """Everything that was added."""
         return StoreNews(
-            revision,
+            self.revision,
             self.configuration,
             tuple(self.records),
             tuple(self.zones),
@@ -132,15 +125,11 @@
             if isinstance(page, StoreFault):
                 return page
             try:
-                revision = page.whole('AsOf')
-                entries = page.table['items']
-                for entry in entries:
-                    builder.add(entry)
-                if not page.flag('HasMore'):
-                    return builder.news(revision)
-                after = entries[-1]['Metadata']['Name']
+                after = builder.add_page(page)
             except (LookupError, TypeError, MalformedDocumentError):
                 return StoreFault.MALFORMED
+            if not after:
+                return builder.news()
 
     async def watch(
         self,
@@ -158,14 +147,10 @@
             return answer
         builder = _Builder(kind)
         try:
-            for entry in answer.table.get('events') or ():
-                event = Fields.from_value(entry, 'event')
-                builder.add(
-                    event.table.get('Object'), gone=event.flag('Deleted')
-                )
-            return builder.news(answer.whole('AsOf'))
+            builder.add_events(answer)
         except (TypeError, MalformedDocumentError):
             return StoreFault.MALFORMED
+        return builder.news()
 
     async def _call(
         self,
@@ -174,7 +159,7 @@
         timeout: float,
     ) -> Fields | StoreFault:
         self.count(kind.value)
-        collector = _Collector()
+        collector = CollectedAnswer()
         attempt = HttpAttempt(
             self.pool,
             _clock.monotonic,
@@ -191,7 +176,7 @@
             refused = collector.status in _REFUSALS
             return StoreFault.REFUSED if refused else StoreFault.MALFORMED
         try:
-            document = json.loads(bytes(collector.payload))
+            document = json.loads(collector.body)
             return Fields.from_value(document, 'answer')
         except ValueError:
             return StoreFault.MALFORMED
