Refuse what crosses the exit; move requests away from silent upstreams

Change: arrivals after the decision to exit are refused as not executed. An upstream that owes answers for much longer than usual is left alone; what may be repeated is sent once more within attempts and budget. A background task that fails ends the process.

--- a/tests/steering/test_fleet.py
+++ b/tests/steering/test_fleet.py
@@ -5,15 +5,28 @@
 
 import pytest
 
-from tests.steering.world import World, digest, of_type, settings
+from tests.steering.world import (
+    World,
+    digest,
+    of_type,
+    route,
+    settings,
+    upstream,
+)
 from worksrail.core.identity import Incarnation
 from worksrail.core.results import ResultCode
-from worksrail.core.steering import EntryList, SteeringState, look_up
-from worksrail.core.steering.effects import ExitProcess, SendDigest
+from worksrail.core.steering import EntryList, RouteKind, SteeringState, look_up
+from worksrail.core.steering.effects import (
+    AnswerResult,
+    ExitProcess,
+    SendDigest,
+)
 from worksrail.core.steering.events import DigestReceived, StopRequested
 from worksrail.daemon.steered._digests import DigestPort
 from worksrail.daemon.steered._engine import SteeringEngine
 
+_WRITE = route('write', kind=RouteKind.AT_MOST_ONCE)
+
 
 def _named(world: World, region: str = 'a', zone: str = 'a1') -> set[str]:
     found = look_up(world.state, region, zone, world.now)
@@ -71,21 +84,33 @@
 
 
 def test_stop_waits_for_requests_and_for_cached_answers() -> None:
-    world = World((), ())
-    world.state.requests[1] = None  # type: ignore[assignment]
+    world = World((_WRITE,), (upstream('1'),))
+    number = world.ask('write')
     world.run(StopRequested(world.now))
     assert not of_type(world.wait(4), ExitProcess)
-    world.state.requests.clear()
+    world.end(number)
     assert of_type(world.wait(0.1), ExitProcess)
 
 
 def test_stop_ends_within_the_grace_period() -> None:
-    world = World((), ())
-    world.state.requests[1] = None  # type: ignore[assignment]
+    world = World((_WRITE,), (upstream('1'),))
+    world.ask('write')
     world.run(StopRequested(world.now))
     assert of_type(world.wait(5.9), ExitProcess)
 
 
+def test_request_that_crosses_the_exit_is_refused() -> None:
+    # Found by the bench on tally-ja, seed in docs/FINDINGS.md: a request
+    # that came after the decision to exit was sent on and then cut.
+    world = World((), (upstream('1'),))
+    world.run(StopRequested(world.now))
+    assert of_type(world.wait(3.2), ExitProcess)
+    number = world.ask()
+    assert not world.sent(number)
+    (answer,) = of_type(world.effects, AnswerResult)
+    assert answer.code is ResultCode.ENTRY_LEAVING
+
+
 def test_older_digest_changes_nothing() -> None:
     world = World()
     _hear(world, 'two', 5, in_flight={'1': 2})
--- a/tests/steering/test_requests.py
+++ b/tests/steering/test_requests.py
@@ -229,3 +229,44 @@
     world.wait(3.6)
     world.ask()
     assert _codes(world) == [ResultCode.ENTRY_LEAVING]
+
+
+@pytest.mark.parametrize(
+    ('name', 'moved'), [('read', True), ('write', False), ('load', False)]
+)
+def test_silent_upstream_loses_what_may_be_repeated(
+    name: str, moved: bool
+) -> None:
+    # Found in incident inc-4fbf of tally-ja: callers left after waiting for
+    # upstreams without power until their deadlines.
+    world = _world()
+    number = world.ask(name)
+    (silent,) = world.sent(number)
+    cuts = of_type(world.wait(1.4), CancelAttempt)
+    assert bool(cuts) is moved
+    if moved:
+        world.end(number, AttemptOutcome.CANCELLED, status=0)
+        assert len(set(world.sent(number))) == 2
+    others = {world.sent(world.ask(name))[0] for _ in range(6)}
+    assert silent not in others
+
+
+def test_answering_upstream_keeps_its_slow_request() -> None:
+    world = World((_READ,), (upstream('1'), upstream('2')))
+    world.ask(key='k')
+    for _ in range(10):
+        quick = world.ask(key='k')
+        world.wait(0.15)
+        world.end(quick)
+    assert not of_type(world.effects, CancelAttempt)
+
+
+def test_caller_that_waited_in_vain_speaks_against_the_upstream() -> None:
+    world = World((route('read', max_attempts=1),), _UPSTREAMS)
+    (silent,) = world.sent(world.ask(key='k'))
+    for _ in range(3):
+        number = world.ask(key='k')
+        world.state.requests[number].sent_at -= 1.9
+        world.run(CallerGone(world.now, number))
+        world.end(number, AttemptOutcome.CANCELLED, status=0)
+    assert silent not in world.sent(world.ask(key='k'))
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -244,7 +244,10 @@
     state = scale.state
     for upstream in state.catalog.usable(scale.request.service):
         load = state.loads.of(upstream.name)
-        if (load.ejected_until > scale.now) is ejected:
+        out = load.ejected_until > scale.now or load.is_silent(
+            scale.usual, scale.now
+        )
+        if out is ejected:
             if scale.allows(upstream):
                 yield upstream
 
--- a/worksrail/core/steering/_load.py
+++ b/worksrail/core/steering/_load.py
@@ -12,6 +12,10 @@
 _EJECT_AFTER: Final = 3
 _FIRST_EJECTION: Final = 1.0
 _LONGEST_EJECTION: Final = 8.0
+# An upstream that owes answers and gives none for so many usual times, and so
+# many seconds on top, is taken to be silent: its machine may have no power.
+_SILENT_TIMES: Final = 3.0
+_SILENT_SLACK: Final = 0.4
 _FASTEST: Final = 0.25
 _SLOWEST: Final = 30.0
 
@@ -38,11 +42,32 @@
     ejected_until: float = 0
     """Until when it gets nothing."""
 
+    owing_since: float = 0
+    """Since when it owes an answer without having given one."""
+
     @property
     def in_flight(self) -> int:
         """Requests of all entries in flight there."""
         return self.own + self.others
 
+    def note_sent(self, now: float) -> None:
+        """A request of this entry goes there."""
+        if not self.own:
+            self.owing_since = now
+        self.own += 1
+
+    def note_ended(self, now: float) -> None:
+        """A request of this entry has ended there, however."""
+        self.own -= 1
+        self.owing_since = now
+
+    def is_silent(self, usual: float, now: float) -> bool:
+        """Whether it owes answers for much longer than usual."""
+        patience = usual * _SILENT_TIMES * max(1, self.slowness_now(now))
+        return bool(self.own) and (
+            now - self.owing_since > patience + _SILENT_SLACK
+        )
+
     def slowness_now(self, now: float) -> float:
         """The learned slowness, faded by its age."""
         age = now - self.slowness_at
@@ -60,9 +85,14 @@
         self.failures = 0
         self.ejected_until = 0
 
-    def note_failure(self, now: float) -> bool:
-        """No whole answer came; true if this ejects the upstream."""
+    def note_failure(self, now: float, *, silent: bool = False) -> bool:
+        """No whole answer came; true if this ejects the upstream.
+
+        Silence ejects at once: each request sent there waits in vain.
+        """
         self.failures += 1
+        if silent:
+            self.failures = max(self.failures, _EJECT_AFTER)
         if self.failures < _EJECT_AFTER:
             return False
         times = self.failures - _EJECT_AFTER
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -8,6 +8,7 @@
 from worksrail.core.steering._routes import (
     NoRoute,
     Route,
+    RouteKind,
     RoutingConfiguration,
 )
 from worksrail.core.steering.effects import (
@@ -43,6 +44,9 @@
 _LONGEST_RETRY: Final = 1.0
 _RETRY_SPREAD: Final = (0.5, 1.5)
 _SERVER_ERROR: Final = 500
+# Expected times after which an attempt that ends without an answer speaks
+# against its upstream, also if the caller left.
+_SILENCE: Final = 4.0
 
 _NOT_EXECUTED: Final = frozenset(
     (
@@ -52,7 +56,11 @@
     )
 )
 _REPEATABLE: Final = frozenset(
-    (AttemptOutcome.BROKE_BEFORE_ANSWER, AttemptOutcome.SPOILED)
+    (
+        AttemptOutcome.BROKE_BEFORE_ANSWER,
+        AttemptOutcome.SPOILED,
+        AttemptOutcome.CANCELLED,
+    )
 )
 _FINAL_CODES: Final = {
     AttemptOutcome.NOT_CONNECTED: ResultCode.UPSTREAM_UNREACHABLE,
@@ -62,6 +70,7 @@
     AttemptOutcome.BROKE_IN_ANSWER: ResultCode.UPSTREAM_BROKE,
     AttemptOutcome.SPOILED: ResultCode.SPOILED_ANSWER,
     AttemptOutcome.TIMED_OUT: ResultCode.UPSTREAM_TIMEOUT,
+    AttemptOutcome.CANCELLED: ResultCode.UPSTREAM_TIMEOUT,
 }
 
 
@@ -135,12 +144,14 @@
         return
     if event.outcome not in _NOT_EXECUTED:
         request.maybe_executed = True
-    if request.caller_gone or event.outcome is AttemptOutcome.CANCELLED:
+    cut = event.outcome is AttemptOutcome.CANCELLED
+    if request.caller_gone or (cut and not request.moving):
         state.requests.pop(request.number)
         yield Decision(
             DecisionKind.REQUEST_DROPPED, event.outcome.name, request.number
         )
         return
+    request.moving = False
     denial = _denial(state, request, event)
     if denial:
         yield from _finish(state, request, event, denial)
@@ -148,6 +159,45 @@
     yield from _place(state, request, event.now)
 
 
+def move_from_silent(state: SteeringState, now: float) -> Iterator[Effect]:
+    """Cut off what silent upstreams owe, where it may be sent once more.
+
+    Nothing is cut off that could not go elsewhere: a request that must not
+    be repeated waits on, and so does one whose attempts are used up.
+    """
+    silent: set[str] = set()
+    for request in state.requests.values():
+        if not request.upstream or not _may_move(request, now):
+            continue
+        load = state.loads.of(request.upstream)
+        usual = state.usual_time(request.service, request.expected).typical
+        if not load.is_silent(usual, now):
+            continue
+        request.moving = True
+        if request.upstream not in silent:
+            silent.add(request.upstream)
+            yield Decision(
+                DecisionKind.UPSTREAM_SILENT,
+                request.upstream,
+                inputs=(
+                    ('since', round(now - load.owing_since, 3)),
+                    ('own', load.own),
+                ),
+            )
+        yield CancelAttempt(request.number)
+
+
+def _may_move(request: SteeredRequest, now: float) -> bool:
+    if request.moving or request.caller_gone or not request.route.idempotent:
+        return False
+    if request.sends >= request.route.max_attempts:
+        return False
+    # Downloads may be on their way for long.
+    if request.route.kind is RouteKind.DOWNLOAD:
+        return False
+    return now - request.sent_at > _SILENCE * request.expected
+
+
 def _route(
     state: SteeringState,
     event: RequestArrived,
@@ -155,6 +205,9 @@
     configuration = state.configuration
     if not isinstance(configuration, RoutingConfiguration):
         return ResultCode.NOT_READY
+    if state.exited:
+        # Connections are being closed: what still arrives was never begun.
+        return ResultCode.ENTRY_LEAVING
     if state.leaving:
         since = event.now - state.leaving_at
         if since > state.settings.bounds.grace_period * _LAST_ARRIVALS:
@@ -205,7 +258,7 @@
     if not request.counted:
         request.counted = True
         state.budget(request.service).note_request(now)
-    load.own += 1
+    load.note_sent(now)
     request.attempts += 1
     request.sends += 1
     request.upstream = upstream.name
@@ -247,10 +300,11 @@
 ) -> Iterator[Effect]:
     name = request.upstream
     load = state.loads.of(name)
-    load.own -= 1
+    silent = event.now - request.sent_at > _SILENCE * request.expected
+    load.note_ended(event.now)
     _learn_distance(state, name, event.connect_time)
     outcome = event.outcome
-    if outcome is AttemptOutcome.CANCELLED:
+    if outcome is AttemptOutcome.CANCELLED and not silent:
         return
     if outcome is AttemptOutcome.OTHER_UPSTREAM:
         state.catalog.misdirect(name)
@@ -262,7 +316,7 @@
             return
     elif outcome is AttemptOutcome.NOT_EXECUTED:
         return
-    if load.note_failure(event.now):
+    if load.note_failure(event.now, silent=request.moving):
         yield Decision(
             DecisionKind.UPSTREAM_EJECTED,
             name,
--- a/worksrail/core/steering/_on_time.py
+++ b/worksrail/core/steering/_on_time.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from worksrail.core.steering._fleet import EntryDigest
+from worksrail.core.steering._on_requests import move_from_silent
 from worksrail.core.steering._on_store import expire_upstreams
 from worksrail.core.steering._routes import RoutingConfiguration
 from worksrail.core.steering.effects import (
@@ -45,6 +46,7 @@
     yield from _note_deaths(state, event.now)
     yield from expire_upstreams(state, event.now)
     yield from _become_ready(state, event.now)
+    yield from move_from_silent(state, event.now)
     if event.now >= state.next_digest_at:
         yield _digest(state, event.now)
     yield from _exit_when_done(state, event.now)
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -86,6 +86,9 @@
     tried: set[str] = field(default_factory=set)
     """Upstreams that it shall not go to again."""
 
+    moving: bool = False
+    """Its attempt was cut off here because the upstream is silent."""
+
     maybe_executed: bool = False
     """An upstream may have executed it."""
 
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -95,6 +95,9 @@
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
     """Work in the background."""
 
+    failed: bool = False
+    """Work in the background has failed; the process ends for it."""
+
     @classmethod
     def from_adapter(
         cls,
@@ -142,6 +145,8 @@
         work = [follower.run() for follower in self.followers]
         work += [self._tick(), self._keep_house()]
         self.tasks = [asyncio.ensure_future(one) for one in work]
+        for task in self.tasks:
+            task.add_done_callback(self._note_end)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
@@ -164,6 +169,17 @@
             self.engine.state.settings = settings
             _LOG.info('settings reloaded')
 
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        # An entry whose clock or followers stand still would serve on with
+        # what it knew; a new process is better.
+        if not task.cancelled() and task.exception():
+            _LOG.critical(
+                'work in the background failed',
+                exc_info=task.exception(),
+            )
+            self.failed = True
+            self.stopped.set()
+
     def _listen(self, settings: EntrySettings) -> None:
         dialect = self.adapter.callers
         addresses = settings.addresses
@@ -242,4 +258,7 @@
     settings: EntrySettings,
     sink: LineSink,
 ) -> None:
-    await SteeredDaemon.from_adapter(adapter, settings, sink).run()
+    daemon = SteeredDaemon.from_adapter(adapter, settings, sink)
+    await daemon.run()
+    if daemon.failed:
+        sys.exit(1)
