Judge silence by the queue as well

Cause: at full queues the answers of an entry are rare, and upstreams that worked were taken to be silent. Change: patience grows with what is in flight.

--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -245,7 +245,7 @@
     for upstream in state.catalog.usable(scale.request.service):
         load = state.loads.of(upstream.name)
         out = load.ejected_until > scale.now or load.is_silent(
-            scale.usual, scale.now
+            scale.usual, upstream.record.slots, scale.now
         )
         if out is ejected:
             if scale.allows(upstream):
--- a/worksrail/core/steering/_load.py
+++ b/worksrail/core/steering/_load.py
@@ -61,9 +61,14 @@
         self.own -= 1
         self.owing_since = now
 
-    def is_silent(self, usual: float, now: float) -> bool:
-        """Whether it owes answers for much longer than usual."""
-        patience = usual * _SILENT_TIMES * max(1, self.slowness_now(now))
+    def is_silent(self, usual: float, slots: int, now: float) -> bool:
+        """Whether it owes answers for much longer than usual.
+
+        What waits there for a slot makes each answer later.
+        """
+        queued = 1 + self.in_flight / max(1, slots)
+        slow = max(1, self.slowness_now(now))
+        patience = usual * queued * slow * _SILENT_TIMES
         return bool(self.own) and (
             now - self.owing_since > patience + _SILENT_SLACK
         )
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -169,10 +169,9 @@
     for request in state.requests.values():
         if not request.upstream or not _may_move(request, now):
             continue
-        load = state.loads.of(request.upstream)
-        usual = state.usual_time(request.service, request.expected).typical
-        if not load.is_silent(usual, now):
+        if not _is_silent(state, request, now):
             continue
+        load = state.loads.of(request.upstream)
         request.moving = True
         if request.upstream not in silent:
             silent.add(request.upstream)
@@ -187,6 +186,18 @@
         yield CancelAttempt(request.number)
 
 
+def _is_silent(
+    state: SteeringState,
+    request: SteeredRequest,
+    now: float,
+) -> bool:
+    upstream = state.catalog.upstreams.get(request.upstream)
+    slots = upstream.record.slots if upstream else 1
+    usual = state.usual_time(request.service, request.expected).typical
+    load = state.loads.of(request.upstream)
+    return load.is_silent(usual, slots, now)
+
+
 def _may_move(request: SteeredRequest, now: float) -> bool:
     if request.moving or request.caller_gone or not request.route.idempotent:
         return False
