Let keys spill to few upstreams, so that these remember them

Change: the first three of a key's order are its spill; others count 2.5 times the lost warmth, and having served the key once is no reason to go back there.

--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -44,6 +44,11 @@
 # Share of the lost warmth that is counted where this entry has sent the key
 # lately, though it is not the key's own upstream.
 _SERVED_LOSS: Final = 0.15
+# Upstreams of each key, its own included, that it spills to first, and the
+# lost warmth that is counted at others.  An upstream remembers a limited
+# number of keys: when keys spill anywhere, each is soon cold everywhere.
+_SPILL: Final = 3
+_STRANGER_LOSS: Final = 2.5
 # Times slower that a cold upstream is taken to be.
 _COLD_SLOWNESS: Final = 2.0
 
@@ -146,8 +151,11 @@
         return learned
 
     def _lost(self, name: str) -> float:
-        if not self.ranks.get(name, 0):
+        rank = self.ranks.get(name, 0)
+        if not rank:
             return 0
+        if rank >= _SPILL:
+            return self.loss * _STRANGER_LOSS
         return self.loss * _SERVED_LOSS if name in self.served else self.loss
 
     def _preference(self, upstream: Upstream) -> float:
