--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -47,8 +47,8 @@
 # Upstreams of each key, its own included, that it spills to first, and the
 # lost warmth that is counted at others.  An upstream remembers a limited
 # number of keys: when keys spill anywhere, each is soon cold everywhere.
-_SPILL: Final = 3
-_STRANGER_LOSS: Final = 2.5
+_SPILL: Final = 2
+_STRANGER_LOSS: Final = 4.0
 # Times slower that a cold upstream is taken to be.
 _COLD_SLOWNESS: Final = 2.0
 
