--- /dev/null
+++ b/tests/steering/test_following.py
@@ -0,0 +1,144 @@
+"""How one kind of object is followed in the store."""
+
+import asyncio
+import contextlib
+from collections.abc import Sequence
+
+import pytest
+
+from tests.steering.world import configuration, route, settings, upstream
+from worksrail.core.identity import Incarnation
+from worksrail.core.steering import RoutingConfiguration, SteeringState
+from worksrail.core.steering.effects import Decision, DecisionKind
+from worksrail.core.steering.events import StoreKind
+from worksrail.daemon.steered import StoreFault, StoreNews
+from worksrail.daemon.steered._engine import SteeringEngine
+from worksrail.daemon.steered._following import Follower
+
+_Step = StoreNews | StoreFault
+
+
+class ScriptedStore:
+    """Answers calls with what a script says, then ends the test."""
+
+    def __init__(self, steps: Sequence[_Step]) -> None:
+        """Keep the script."""
+        self.steps = list(steps)
+        self.calls: list[int | None] = []
+
+    async def read_all(self, kind: StoreKind) -> _Step:
+        """A complete list."""
+        return self._next(None)
+
+    async def watch(self, kind: StoreKind, since: int, seconds: float) -> _Step:
+        """Changes since a revision."""
+        return self._next(since)
+
+    def _next(self, since: int | None) -> _Step:
+        self.calls.append(since)
+        if not self.steps:
+            raise asyncio.CancelledError
+        return self.steps.pop(0)
+
+
+class Followed:
+    """What following a script has brought about."""
+
+    def __init__(self, kind: StoreKind, *steps: _Step) -> None:
+        """Follow the script to its end."""
+        self.store = ScriptedStore(steps)
+        self.state = SteeringState.from_settings(
+            settings(), Incarnation('one', 1), 0, 1
+        )
+        self.notes: list[Decision] = []
+        self.pauses: list[float] = []
+        engine = SteeringEngine(self.state, {Decision: self.notes.append})
+        follower = Follower(engine, self.store, kind, sleep=self.sleep)
+        with contextlib.suppress(asyncio.CancelledError):
+            asyncio.run(follower.run())
+
+    async def sleep(self, seconds: float) -> None:
+        """Do not wait."""
+        if seconds:
+            self.pauses.append(seconds)
+
+    @property
+    def kinds(self) -> list[DecisionKind]:
+        """Kinds of the decisions about the store."""
+        wanted = {DecisionKind.STORE_LOST, DecisionKind.STORE_REGAINED}
+        return [note.kind for note in self.notes if note.kind in wanted]
+
+
+def test_list_once_then_watch_on() -> None:
+    followed = Followed(
+        StoreKind.UPSTREAMS,
+        StoreNews(5, records=(upstream('1'), upstream('2'))),
+        StoreNews(8, records=(upstream('3'),), removed=('1',)),
+    )
+    assert followed.store.calls == [None, 5, 8]
+    assert set(followed.state.catalog.upstreams) == {'2', '3'}
+
+
+def test_dropped_history_is_listed_anew() -> None:
+    followed = Followed(
+        StoreKind.UPSTREAMS,
+        StoreNews(5, records=(upstream('1'), upstream('2'))),
+        StoreFault.HISTORY_GONE,
+        StoreNews(90, records=(upstream('2'),)),
+    )
+    assert followed.store.calls == [None, 5, None, 90]
+    assert set(followed.state.catalog.upstreams) == {'2'}
+    assert not followed.kinds
+
+
+@pytest.mark.parametrize(
+    ('fault', 'longest'),
+    [
+        (StoreFault.UNREACHABLE, 0.15),
+        (StoreFault.REFUSED, 1.1),
+        (StoreFault.MALFORMED, 1.1),
+    ],
+)
+def test_failures_are_paused_and_told_once(
+    fault: StoreFault, longest: float
+) -> None:
+    followed = Followed(
+        StoreKind.CONFIGURATION,
+        StoreNews(1, configuration(1, (route(),))),
+        *[fault] * 8,
+        StoreNews(1),
+    )
+    assert len(followed.pauses) == 8
+    assert max(followed.pauses) <= longest
+    assert (max(followed.pauses) > 0.5) is (fault is not StoreFault.UNREACHABLE)
+    assert followed.kinds == [
+        DecisionKind.STORE_LOST,
+        DecisionKind.STORE_REGAINED,
+    ]
+
+
+def test_changes_of_upstreams_are_paced() -> None:
+    news = StoreNews(1, records=(upstream('1'),))
+    assert Followed(StoreKind.UPSTREAMS, news, news).pauses == [0.3, 0.3]
+    assert not Followed(StoreKind.CONFIGURATION, news, news).pauses
+
+
+def test_configuration_that_makes_no_sense_keeps_what_is_in_force() -> None:
+    followed = Followed(
+        StoreKind.CONFIGURATION,
+        StoreNews(1, configuration(4, (route(),))),
+        StoreNews(2, None, faults=('expected rows',)),
+    )
+    in_force = followed.state.configuration
+    assert isinstance(in_force, RoutingConfiguration)
+    assert in_force.version == 4
+
+
+def test_evacuations_come_and_go() -> None:
+    followed = Followed(
+        StoreKind.EVACUATIONS,
+        StoreNews(1, zones=('a1', 'a2')),
+        StoreNews(2, removed=('a1',)),
+        StoreNews(3, zones=('b1',)),
+    )
+    assert followed.state.catalog.evacuated == {'a2', 'b1'}
--- a/worksrail/daemon/steered/_following.py
+++ b/worksrail/daemon/steered/_following.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -38,6 +39,14 @@
     StoreFault.MALFORMED: 0.8,
 }
 _PAUSE_SPREAD: Final = (0.7, 1.3)
+# Seconds that pass after changes before the next watch.  Upstreams come and
+# go in numbers; taking several changes with one call costs a fraction, and
+# the bound within which a leaving upstream must be noticed is seconds.
+_PACES: Final = {
+    StoreKind.CONFIGURATION: 0,
+    StoreKind.UPSTREAMS: 0.3,
+    StoreKind.EVACUATIONS: 0,
+}
 
 
 @dataclass(slots=True)
@@ -59,6 +68,9 @@
     pause: float = _FIRST_PAUSE
     """Seconds until the next call after a failure."""
 
+    sleep: Callable[[float], Awaitable[None]] = asyncio.sleep
+    """Waits some seconds; tests put their own in its place."""
+
     zones: set[str] = field(default_factory=set)
     """Zones to be evacuated, as far as read."""
 
@@ -70,6 +82,7 @@
                 await self._fail(news)
             else:
                 self._take(news)
+                await self.sleep(_PACES[self.kind])
 
     async def _next(self) -> StoreNews | StoreFault:
         if self.revision is None:
@@ -87,7 +100,7 @@
         now = self.engine.now()
         self.engine.dispatch(StoreLost(now, self.kind, fault.value))
         spread = random.uniform(*_PAUSE_SPREAD)
-        await asyncio.sleep(self.pause * spread)
+        await self.sleep(self.pause * spread)
         self.pause = min(_LONGEST_PAUSES[fault], self.pause * 2)
 
     def _take(self, news: StoreNews) -> None:
