--- a/worksrail/cli/main.py
+++ b/worksrail/cli/main.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+from pathlib import Path
 from typing import Final
 
 import fire
@@ -9,7 +10,8 @@
 from worksrail.cli._bundles import BundleCommands
 from worksrail.cli._connection import OperatorClient
 from worksrail.cli._keys import KeyCommands
-from worksrail.cli._output import Output
+from worksrail.cli._logs import show_logs
+from worksrail.cli._output import Output, invalid
 from worksrail.cli._views import (
     change_drain,
     show_explanation,
@@ -72,6 +74,20 @@
         filters = {name: text for name, text in wanted.items() if text}
         show_timeline(self._client, self._output, filters, follow=follow)
 
+    def logs(
+        self,
+        *files: str,
+        request: str = '',
+        subject: str = '',
+    ) -> None:
+        """Show what log files say of a request, an upstream or an entry."""
+        missing = [name for name in files if not Path(name).is_file()]
+        if missing or not files:
+            self._output.fail(
+                invalid(f'expected log files, got {", ".join(missing)}')
+            )
+        show_logs(self._output, files, str(request), str(subject))
+
     def drain(
         self,
         target: str,
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -442,12 +442,15 @@
     now: float,
 ) -> Iterator[Effect]:
     state.requests.pop(request.number)
+    kind = DecisionKind.REQUEST_REFUSED
+    retry_after = _retry_after(state)
     if request.maybe_executed:
+        # Only what was never executed may be called refused.
+        kind = DecisionKind.REQUEST_FAILED
         code = ResultCode.UPSTREAM_BROKE
-        if not request.route.idempotent:
-            code = ResultCode.UPSTREAM_TIMEOUT
+        retry_after = 0
     yield Decision(
-        DecisionKind.REQUEST_REFUSED,
+        kind,
         code.name,
         request.number,
         (
@@ -456,7 +459,7 @@
             ('version', _version(state)),
         ),
     )
-    yield AnswerResult(request.number, code, _retry_after(state))
+    yield AnswerResult(request.number, code, retry_after)
 
 
 def _answered(request: SteeredRequest, event: AttemptEnded) -> Decision:
