--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -62,7 +62,10 @@
     [
         path
         for path in _ROOT.rglob('*.py')
-        if _ADAPTER not in path.parents and '_pb2' not in path.name
+        # The stand-in speaks the platform's language: it is the platform.
+        if _ADAPTER not in path.parents
+        and '_pb2' not in path.name
+        and path != _ROOT / 'standins' / 'objects.py'
     ],
     ids=lambda path: str(path.relative_to(_ROOT)),
 )
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,155 @@
+"""The adapter's store client against the stand-in of the store."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+
+from tests.platform.test_decoding import CONFIGURATION
+from worksrail.core.steering.events import StoreKind
+from worksrail.daemon.steered import StoreFault, StoreNews
+from worksrail.platform import PlatformStore
+from worksrail.standins.objects import ObjectStore, StoreMood, application
+
+
+def entry(name: str, state: str = 'ready', sequence: int = 1) -> Any:
+    """Description and status of an upstream's entry."""
+    description = {'Service': 'a', 'Version': 'v1', 'Zone': 'z1', 'Slots': 3}
+    spec = {'Address': f'10.0.0.1:{name}', 'Info': description}
+    return spec, {'State': state, 'Sequence': sequence, 'ColdRemainingS': 0}
+
+
+def _run(use: Callable[[ObjectStore, PlatformStore], Awaitable[Any]]) -> Any:
+    async def run() -> Any:
+        store = ObjectStore(page=3)
+        server = HTTPServer(application(store))
+        socket, port = bind_unused_port()
+        server.add_socket(socket)
+        calls: list[str] = []
+        client = PlatformStore(f'127.0.0.1:{port}', calls.append)
+        try:
+            async with asyncio.timeout(30):
+                return await use(store, client)
+        finally:
+            client.pool.close()
+            server.stop()
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize('count', [0, 1, 3, 4, 7])
+def test_list_of_all_pages(count: int) -> None:
+    async def use(store: ObjectStore, client: PlatformStore) -> Any:
+        for number in range(count):
+            store.put('servers', str(number), *entry(str(number)))
+        return await client.read_all(StoreKind.UPSTREAMS), store.revision
+
+    news, revision = _run(use)
+    assert isinstance(news, StoreNews)
+    assert [record.name for record in news.records] == [
+        str(number) for number in range(count)
+    ]
+    assert news.revision == revision
+
+
+def test_watch_tells_changes_and_goes_on() -> None:
+    async def use(store: ObjectStore, client: PlatformStore) -> Any:
+        store.put('servers', '1', *entry('1'))
+        listed = await client.read_all(StoreKind.UPSTREAMS)
+        assert isinstance(listed, StoreNews)
+        watch = asyncio.ensure_future(
+            client.watch(StoreKind.UPSTREAMS, listed.revision, 20)
+        )
+        await asyncio.sleep(0.05)
+        store.put('servers', '1', *entry('1', 'draining', 2))
+        first = await watch
+        assert isinstance(first, StoreNews)
+        store.remove('servers', '1')
+        second = await client.watch(StoreKind.UPSTREAMS, first.revision, 20)
+        return first, second
+
+    first, second = _run(use)
+    assert [record.draining for record in first.records] == [True]
+    assert second.removed == ('1',)
+
+
+def test_watch_without_change_ends() -> None:
+    async def use(store: ObjectStore, client: PlatformStore) -> Any:
+        return await client.watch(StoreKind.EVACUATIONS, 0, 0.05)
+
+    assert _run(use) == StoreNews(0)
+
+
+def test_dropped_history_is_told() -> None:
+    async def use(store: ObjectStore, client: PlatformStore) -> Any:
+        store.put('evacuations', 'z1', {})
+        store.drop_history()
+        return await client.watch(StoreKind.EVACUATIONS, 0, 20)
+
+    assert _run(use) is StoreFault.HISTORY_GONE
+
+
+@pytest.mark.parametrize(
+    ('mood', 'fault'),
+    [
+        (StoreMood.BUSY, StoreFault.REFUSED),
+        (StoreMood.LIMITED, StoreFault.REFUSED),
+        (StoreMood.LOSING, StoreFault.UNREACHABLE),
+        (StoreMood.SILENT, StoreFault.UNREACHABLE),
+    ],
+)
+def test_store_that_does_not_serve(mood: StoreMood, fault: StoreFault) -> None:
+    async def use(store: ObjectStore, client: PlatformStore) -> Any:
+        store.mood = mood
+        return await client.read_all(StoreKind.CONFIGURATION)
+
+    assert _run(use) is fault
+
+
+def test_store_that_is_not_there() -> None:
+    async def use(store: ObjectStore, client: PlatformStore) -> Any:
+        client.address = '127.0.0.1:1'
+        return await client.read_all(StoreKind.CONFIGURATION)
+
+    assert _run(use) is StoreFault.UNREACHABLE
+
+
+@pytest.mark.parametrize(
+    ('kind', 'name', 'spec'),
+    [
+        ('config', 'main', CONFIGURATION | {'Version': 'new'}),
+        ('config', 'main', None),
+        ('servers', 'i-1', {'Address': 'x'}),
+    ],
+)
+def test_object_that_makes_no_sense_is_a_fault(
+    kind: str, name: str, spec: Any
+) -> None:
+    kinds = {
+        'config': StoreKind.CONFIGURATION,
+        'servers': StoreKind.UPSTREAMS,
+    }
+
+    async def use(store: ObjectStore, client: PlatformStore) -> Any:
+        store.put(kind, name, spec)
+        return await client.read_all(kinds[kind])
+
+    news = _run(use)
+    assert isinstance(news, StoreNews)
+    assert len(news.faults) == 1
+    assert not news.records
+    assert news.configuration is None
+
+
+def test_configuration_is_read() -> None:
+    async def use(store: ObjectStore, client: PlatformStore) -> Any:
+        store.put('config', 'other', {})
+        store.put('config', 'main', CONFIGURATION)
+        return await client.read_all(StoreKind.CONFIGURATION)
+
+    news = _run(use)
+    assert news.configuration.version == 7
+    assert not news.faults
--- /dev/null
+++ b/tests/processes/test_platform.py
@@ -0,0 +1,270 @@
+"""Real entries on the users' platform, against stand-ins, on loopback."""
+
+import asyncio
+import json
+import signal
+import sys
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import closing
+from pathlib import Path
+from typing import Any
+
+import pytest
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+
+from tests.platform.test_decoding import CONFIGURATION, SETTINGS
+from tests.platform.upstream import RawUpstream, Reply, answer
+from worksrail.standins.objects import ObjectStore, StoreMood, application
+
+pytestmark = pytest.mark.xdist_group('processes')
+
+_REQUEST = (
+    'GET /r/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {trace}\r\n'
+    'Deadline-Ms: 4000\r\n\r\n'
+)
+_PATIENCE = 30.0
+
+
+def _ports() -> Iterator[int]:
+    while True:
+        sock, port = bind_unused_port(address='127.0.0.1')
+        sock.close()
+        yield port
+
+
+class Platform:
+    """A store, an upstream, and entries as processes."""
+
+    def __init__(self, folder: Path) -> None:
+        """Prepare; nothing runs yet."""
+        self.folder = folder
+        self.store = ObjectStore()
+        self.upstream = RawUpstream(lambda _, trace: Reply(answer(trace)))
+        self.server = HTTPServer(application(self.store))
+        self.entries: dict[str, asyncio.subprocess.Process] = {}
+        numbers = _ports()
+        self.ports = [next(numbers) for _ in range(4)]
+        self.inner = next(numbers)
+
+    async def open(self) -> None:
+        """Start the stand-ins and write the first configuration."""
+        sock, self.port = bind_unused_port()
+        self.server.add_socket(sock)
+        await self.upstream.open()
+        routes = json.loads(json.dumps(CONFIGURATION))
+        routes['Routes']['Rows'][1][10] = []
+        self.store.put('config', 'main', routes)
+        for service in ('a', 'b'):
+            info = {'Service': service, 'Zone': 'z1', 'Slots': 3}
+            self.store.put(
+                'servers',
+                f'i-{service}',
+                {'Address': self.upstream.address, 'Info': info},
+                {'State': 'ready', 'Sequence': 1},
+            )
+
+    async def start(self, host: str) -> None:
+        """Start an entry at an address of the loopback range."""
+        settings = json.loads(json.dumps(SETTINGS))
+        names = ('Front', 'Ready', 'Control', 'Directory')
+        settings.update(
+            {
+                'NodeName': f'front-{host}',
+                'Ip': host,
+                'InternalPortRange': [self.inner, self.inner],
+                'Seeds': ['127.0.0.2:1', '127.0.0.3:1'],
+                'Platform': {'Address': f'127.0.0.1:{self.port}'},
+                'Listen': {
+                    name: f'{host}:{port}'
+                    for name, port in zip(names, self.ports, strict=True)
+                },
+            }
+        )
+        path = self.folder / f'{host}.json'
+        path.write_text(json.dumps(settings))
+        log = (self.folder / f'{host}.log').open('ab')
+        with closing(log):
+            self.entries[host] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'worksrail.platform',
+                env={'WORKSRAIL_CONFIG': str(path), 'PATH': ''},
+                cwd=Path(__file__).parents[2],
+                stdout=log,
+                stderr=log,
+            )
+
+    async def ask(self, host: str, port: int, text: str) -> tuple[int, str]:
+        """Status and body of an entry's answer; 0 without one."""
+        try:
+            async with asyncio.timeout(5):
+                reader, writer = await asyncio.open_connection(host, port)
+                writer.write(text.encode())
+                head = await reader.readuntil(b'\r\n\r\n')
+                length = head.lower().partition(b'content-length: ')[2]
+                body = await reader.readexactly(int(length.split()[0]))
+                writer.close()
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            return 0, ''
+        return int(head.split()[1]), body.decode()
+
+    async def request(self, host: str, trace: str) -> int:
+        """Status of a request of a caller."""
+        text = _REQUEST.format(trace=trace)
+        return (await self.ask(host, self.ports[0], text))[0]
+
+    async def get(self, host: str, port: int, path: str) -> tuple[int, str]:
+        """Answer to a question."""
+        return await self.ask(
+            host, port, f'GET {path} HTTP/1.1\r\nHost: x\r\n\r\n'
+        )
+
+    async def named(self, host: str) -> list[str]:
+        """Entries that a look-up names."""
+        path = '/-/resolve?Name=h.example&Region=r1&Zone=z1'
+        status, body = await self.get(host, self.ports[3], path)
+        return json.loads(body)['Addresses'] if status == 200 else []
+
+    async def until(self, holds: Callable[[], Awaitable[Any]]) -> None:
+        """Wait until something holds."""
+        async with asyncio.timeout(_PATIENCE):
+            while not await holds():
+                await asyncio.sleep(0.1)
+
+    async def close(self) -> None:
+        """End everything."""
+        for process in self.entries.values():
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        self.server.stop()
+
+    def log(self, host: str) -> str:
+        """What an entry has written."""
+        return (self.folder / f'{host}.log').read_text()
+
+
+def _play(
+    folder: Path,
+    use: Callable[[Platform], Awaitable[None]],
+) -> Platform:
+    async def run() -> Platform:
+        platform = Platform(folder)
+        await platform.open()
+        try:
+            for host in ('127.0.0.2', '127.0.0.3'):
+                await platform.start(host)
+            await platform.until(lambda: _both_named(platform))
+            await use(platform)
+        finally:
+            await platform.close()
+        return platform
+
+    return asyncio.run(run())
+
+
+async def _both_named(platform: Platform) -> bool:
+    for host in ('127.0.0.2', '127.0.0.3'):
+        if len(await platform.named(host)) != 2:
+            return False
+    return True
+
+
+def test_calm_day(tmp_path: Path) -> None:
+    async def use(platform: Platform) -> None:
+        for number in range(10):
+            for host in platform.entries:
+                assert await platform.request(host, f't{number}{host}') == 200
+        status, text = await platform.get('127.0.0.2', 9464, '/metrics')
+        assert status == 200
+        assert 'worksrail_results_total{result="OK"} 10.0' in text
+
+    _play(tmp_path, use)
+
+
+def test_everything_comes_back_after_all_entries_were_killed(
+    tmp_path: Path,
+) -> None:
+    async def use(platform: Platform) -> None:
+        for process in platform.entries.values():
+            process.kill()
+            await process.wait()
+        for host in tuple(platform.entries):
+            await platform.start(host)
+        await platform.until(lambda: _both_named(platform))
+        for host in platform.entries:
+            assert await platform.request(host, f'again-{host}') == 200
+
+    _play(tmp_path, use)
+
+
+def test_requests_go_on_while_the_store_is_silent(tmp_path: Path) -> None:
+    async def use(platform: Platform) -> None:
+        platform.store.mood = StoreMood.SILENT
+        platform.store.drop_history()
+        for host in platform.entries:
+            assert await platform.request(host, f'dark-{host}') == 200
+
+    _play(tmp_path, use)
+
+
+def test_stop_is_told_and_graceful(tmp_path: Path) -> None:
+    async def use(platform: Platform) -> None:
+        leaving = platform.entries['127.0.0.2']
+        leaving.send_signal(signal.SIGTERM)
+        await platform.until(lambda: _only_other(platform))
+        status, _ = await platform.get(
+            '127.0.0.2', platform.ports[1], '/-/readiness'
+        )
+        assert status == 503
+        assert await platform.request('127.0.0.2', 'late') == 200
+        async with asyncio.timeout(_PATIENCE):
+            assert await leaving.wait() == 0
+
+    platform = _play(tmp_path, use)
+    written = platform.log('127.0.0.2')
+    for event in ('started', 'ready', 'leaving', 'stopped'):
+        assert f'"message":"{event}"' in written
+
+
+async def _only_other(platform: Platform) -> bool:
+    named = await platform.named('127.0.0.3')
+    return len(named) == 1 and named[0].startswith('127.0.0.3')
+
+
+def test_settings_read_again_or_turned_down(tmp_path: Path) -> None:
+    async def use(platform: Platform) -> None:
+        path = tmp_path / '127.0.0.2.json'
+        settings = json.loads(path.read_text())
+        path.write_text('{"cut')
+        await platform.until(lambda: _written(platform, 'not reloaded'))
+        settings['Bounds'] = ['ttl_max_s=1']
+        path.write_text(json.dumps(settings))
+        platform.entries['127.0.0.2'].send_signal(signal.SIGHUP)
+        await platform.until(lambda: _written(platform, 'settings reloaded'))
+        assert await platform.request('127.0.0.2', 'after') == 200
+
+    _play(tmp_path, use)
+
+
+async def _written(platform: Platform, text: str) -> bool:
+    return text in platform.log('127.0.0.2')
+
+
+def test_unusable_settings_end_with_a_number(tmp_path: Path) -> None:
+    async def run() -> tuple[int | None, bytes]:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'worksrail.platform',
+            env={'WORKSRAIL_CONFIG': str(tmp_path / 'none'), 'PATH': ''},
+            cwd=Path(__file__).parents[2],
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, errors = await process.communicate()
+        return process.returncode, errors
+
+    code, errors = asyncio.run(run())
+    assert code == 2
+    assert json.loads(errors)['result'] == 6001
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -187,11 +187,12 @@
         self._serve(addresses.readiness, ReadinessHandler(self.engine, dialect))
         self._serve(addresses.look_up, LookUpHandler(self.engine, dialect))
         host = addresses.readiness.partition(':')[0]
-        metrics = self.decisions.metrics
-        self._serve(
-            f'{host}:{_METRICS_PORT}',
-            MetricsHandler(self.engine, metrics, self.sink),
-        )
+        metrics = MetricsHandler(self.engine, self.decisions.metrics, self.sink)
+        try:
+            self._serve(f'{host}:{_METRICS_PORT}', metrics)
+        except OSError as error:
+            # Requests are served without metrics as well.
+            _LOG.warning('no metrics', extra={'problem': str(error)})
 
     def _serve(self, address: str, handler: ExchangeHandler) -> None:
         numbers = itertools.count(1)
