Load the public names when they are used

Cause: importing the package loaded bundles with pydantic and YAML, which an entry on the platform never needs.

--- a/worksrail/__init__.py
+++ b/worksrail/__init__.py
@@ -1,21 +1,45 @@
 """Worksrail: a global traffic steering system.
 
 The coordination parts below can be embedded alone, with a transport of
-one's own: pure state, events in, effects out.
+one's own: pure state, events in, effects out.  Each is loaded when it is first
+used, so that a process does not hold in memory what it never needs.
 """
 
-from worksrail.core.configuration import Configuration, HeadVerdict
-from worksrail.core.identity import Endpoints, Incarnation, Place
-from worksrail.core.membership import Membership
-from worksrail.core.permits import (
-    Lending,
-    NoPermit,
-    PermitLedger,
-    PoolSpec,
-)
-from worksrail.core.requests import KeyMemory, Ticket, TicketSigner
-from worksrail.core.results import Certainty, ResultCode
-from worksrail.core.settings import CoreSettings
+from importlib import import_module
+from typing import TYPE_CHECKING, Any, Final
+
+if TYPE_CHECKING:
+    from worksrail.core.configuration import Configuration, HeadVerdict
+    from worksrail.core.identity import Endpoints, Incarnation, Place
+    from worksrail.core.membership import Membership
+    from worksrail.core.permits import (
+        Lending,
+        NoPermit,
+        PermitLedger,
+        PoolSpec,
+    )
+    from worksrail.core.requests import KeyMemory, Ticket, TicketSigner
+    from worksrail.core.results import Certainty, ResultCode
+    from worksrail.core.settings import CoreSettings
+
+_HOMES: Final = {
+    'Certainty': 'worksrail.core.results',
+    'Configuration': 'worksrail.core.configuration',
+    'CoreSettings': 'worksrail.core.settings',
+    'Endpoints': 'worksrail.core.identity',
+    'HeadVerdict': 'worksrail.core.configuration',
+    'Incarnation': 'worksrail.core.identity',
+    'KeyMemory': 'worksrail.core.requests',
+    'Lending': 'worksrail.core.permits',
+    'Membership': 'worksrail.core.membership',
+    'NoPermit': 'worksrail.core.permits',
+    'PermitLedger': 'worksrail.core.permits',
+    'Place': 'worksrail.core.identity',
+    'PoolSpec': 'worksrail.core.permits',
+    'ResultCode': 'worksrail.core.results',
+    'Ticket': 'worksrail.core.requests',
+    'TicketSigner': 'worksrail.core.requests',
+}
 
 __all__ = (
     'Certainty',
@@ -35,3 +59,11 @@
     'Ticket',
     'TicketSigner',
 )
+
+
+def __getattr__(name: str) -> Any:
+    """Load a public name from the module that defines it."""
+    home = _HOMES.get(name)
+    if home is None:
+        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
+    return getattr(import_module(home), name)
