Do not take a rejected answer without length for whole

Cause: the whole test run failed in test_misbehaving_upstreams[no length]: the HTTP library ends a read whose head was refused as if it had ended well, and an answer that ends with its connection was then called whole. A caller would have waited for it until its deadline. Change: only an answer that was read to its connection's end can be whole so.

--- a/tests/platform/test_upstream_faults.py
+++ b/tests/platform/test_upstream_faults.py
@@ -196,6 +196,11 @@
         502,
     ),
     'without id': (lambda trace: Reply(answer('')), 200, 502),
+    'without id or length': (
+        lambda trace: Reply(b'HTTP/1.1 200 OK\r\n\r\nabc', close=True),
+        200,
+        502,
+    ),
     'not executed': (
         lambda trace: Reply(
             b'HTTP/1.1 503 No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -118,6 +118,7 @@
     takes_unframed: bool
     use: AnswerUse = AnswerUse.HOLD_BACK
     until_close: bool = False
+    read_to_close: bool = False
 
     async def headers_received(  # type: ignore[override]
         self,
@@ -149,7 +150,9 @@
 
     def finish(self) -> None:
         """The answer is whole, unless its connection was reset."""
-        if not self.until_close:
+        if self.until_close:
+            self.read_to_close = True
+        else:
             self.complete()
 
     def complete(self) -> None:
@@ -265,7 +268,7 @@
                 self.outgoing.takes_unframed,
             )
             await connection.read_response(reader)
-            if reader.until_close and stream.error is None:
+            if reader.read_to_close and stream.error is None:
                 reader.complete()
             if reader.use is not AnswerUse.PASS_OVER or stream.closed():
                 return
