--- a/tests/steering/test_choice.py
+++ b/tests/steering/test_choice.py
@@ -212,3 +212,30 @@
     cold = upstream('1', cold_time=30, zone='b1')
     world = World((), (cold,), cold_rate=14)
     assert not world.sent(world.ask())
+
+
+def test_key_spills_to_one_other_upstream() -> None:
+    # Found on scale-1 of tally-ja: keys that spilled anywhere made all
+    # upstreams forget their own.
+    world = World((), _SIX)
+    used = set()
+    for _ in range(8):
+        used.update(world.sent(world.ask(key='k')))
+    assert len(used) == 2
+
+
+def test_full_service_keeps_keys_at_their_upstream() -> None:
+    # Cold work takes several times the slot time: while slots are short
+    # everywhere, waiting a little at the warm upstream serves more.
+    world = World((), _SIX)
+    own = _answers(world, 1, 'k')
+    free = {str(name): 0 for name in range(6)}
+    world.run(
+        DigestReceived(world.now, digest('two', in_flight=free | {own: 6}))
+    )
+    assert world.sent(world.ask(key='k')) != [own]
+    short = {str(name): 2 for name in range(6)}
+    world.run(
+        DigestReceived(world.now, digest('two', 2, in_flight=short | {own: 6}))
+    )
+    assert world.sent(world.ask(key='k')) == [own]
--- /dev/null
+++ b/worksrail/core/steering/_learning.py
@@ -0,0 +1,93 @@
+"""What the end of an attempt teaches: distance, speed, warmth, faults."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from worksrail.core.steering._choosing import distance
+from worksrail.core.steering.effects import Decision, DecisionKind, Effect
+from worksrail.core.steering.events import AttemptEnded, AttemptOutcome
+from worksrail.core.steering.state import SteeredRequest, SteeringState
+
+_SERVER_ERROR: Final = 500
+# An expected time below this says nothing of an upstream's speed; seconds.
+_LEAST_EXPECTED: Final = 0.02
+# Expected times after which an attempt that ends without an answer speaks
+# against its upstream, also if the caller left.
+SILENCE: Final = 4.0
+
+
+def learn(
+    state: SteeringState,
+    request: SteeredRequest,
+    event: AttemptEnded,
+) -> Iterator[Effect]:
+    name = request.upstream
+    load = state.loads.of(name)
+    silent = event.now - request.sent_at > SILENCE * request.expected
+    load.note_ended(event.now)
+    _learn_distance(state, name, event.connect_time)
+    outcome = event.outcome
+    if outcome is AttemptOutcome.CANCELLED and not silent:
+        return
+    if outcome is AttemptOutcome.OTHER_UPSTREAM:
+        state.catalog.misdirect(name)
+        yield Decision(DecisionKind.UPSTREAM_MISDIRECTED, name, event.request)
+    elif outcome is AttemptOutcome.ANSWERED:
+        _learn_times(state, request, event)
+        if event.status < _SERVER_ERROR:
+            load.note_success()
+            return
+    elif outcome is AttemptOutcome.NOT_EXECUTED:
+        return
+    if load.note_failure(event.now, silent=request.moving):
+        yield Decision(
+            DecisionKind.UPSTREAM_EJECTED,
+            name,
+            event.request,
+            (
+                ('failures', load.failures),
+                ('seconds', round(load.ejected_until - event.now, 3)),
+            ),
+        )
+
+
+def _learn_distance(
+    state: SteeringState,
+    name: str,
+    connect_time: float,
+) -> None:
+    upstream = state.catalog.upstreams.get(name)
+    if connect_time and upstream:
+        distance(state, upstream.region).add(connect_time)
+
+
+def _learn_times(
+    state: SteeringState,
+    request: SteeredRequest,
+    event: AttemptEnded,
+) -> None:
+    if event.status >= _SERVER_ERROR:
+        return
+    name = request.upstream
+    load = state.loads.of(name)
+    taken = event.now - request.sent_at
+    load.note_speed(taken / max(request.expected, _LEAST_EXPECTED), event.now)
+    upstream = state.catalog.upstreams.get(name)
+    if upstream is None:
+        return
+    executed = max(0, taken - distance(state, upstream.region).typical)
+    times = state.warmth.of(request.route, request.service)
+    state.usual_time(request.service, executed).add(
+        executed / (1 + request.queue)
+    )
+    known = name in state.warmth.warm_at(
+        request.service, request.head.key, event.now
+    )
+    if not request.queue and known == request.warm:
+        # Elsewhere it is not known whether other entries warmed the key.
+        average = times.warm if known else times.cold
+        average.add(executed)
+    if request.head.key:
+        state.warmth.note_served(
+            request.service, request.head.key, name, event.now
+        )
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -4,11 +4,11 @@
 from typing import Final
 
 from worksrail.core.results import ResultCode
-from worksrail.core.steering._choosing import Choice, choose, distance
+from worksrail.core.steering._choosing import Choice, choose
+from worksrail.core.steering._learning import learn
 from worksrail.core.steering._routes import (
     NoRoute,
     Route,
-    RouteKind,
     RoutingConfiguration,
 )
 from worksrail.core.steering.effects import (
@@ -43,10 +43,6 @@
 _SHORTEST_RETRY: Final = 0.2
 _LONGEST_RETRY: Final = 1.0
 _RETRY_SPREAD: Final = (0.5, 1.5)
-_SERVER_ERROR: Final = 500
-# Expected times after which an attempt that ends without an answer speaks
-# against its upstream, also if the caller left.
-_SILENCE: Final = 4.0
 
 _NOT_EXECUTED: Final = frozenset(
     (
@@ -135,7 +131,7 @@
     request = state.requests.get(event.request)
     if request is None or event.attempt != request.attempts:
         return
-    yield from _learn(state, request, event)
+    yield from learn(state, request, event)
     request.last_upstream = request.upstream
     request.upstream = ''
     if event.outcome is AttemptOutcome.ANSWERED:
@@ -159,56 +155,6 @@
     yield from _place(state, request, event.now)
 
 
-def move_from_silent(state: SteeringState, now: float) -> Iterator[Effect]:
-    """Cut off what silent upstreams owe, where it may be sent once more.
-
-    Nothing is cut off that could not go elsewhere: a request that must not
-    be repeated waits on, and so does one whose attempts are used up.
-    """
-    silent: set[str] = set()
-    for request in state.requests.values():
-        if not request.upstream or not _may_move(request, now):
-            continue
-        if not _is_silent(state, request, now):
-            continue
-        load = state.loads.of(request.upstream)
-        request.moving = True
-        if request.upstream not in silent:
-            silent.add(request.upstream)
-            yield Decision(
-                DecisionKind.UPSTREAM_SILENT,
-                request.upstream,
-                inputs=(
-                    ('since', round(now - load.owing_since, 3)),
-                    ('own', load.own),
-                ),
-            )
-        yield CancelAttempt(request.number)
-
-
-def _is_silent(
-    state: SteeringState,
-    request: SteeredRequest,
-    now: float,
-) -> bool:
-    upstream = state.catalog.upstreams.get(request.upstream)
-    slots = upstream.record.slots if upstream else 1
-    usual = state.usual_time(request.service, request.expected).typical
-    load = state.loads.of(request.upstream)
-    return load.is_silent(usual, slots, now)
-
-
-def _may_move(request: SteeredRequest, now: float) -> bool:
-    if request.moving or request.caller_gone or not request.route.idempotent:
-        return False
-    if request.sends >= request.route.max_attempts:
-        return False
-    # Downloads may be on their way for long.
-    if request.route.kind is RouteKind.DOWNLOAD:
-        return False
-    return now - request.sent_at > _SILENCE * request.expected
-
-
 def _route(
     state: SteeringState,
     event: RequestArrived,
@@ -304,83 +250,6 @@
     )
 
 
-def _learn(
-    state: SteeringState,
-    request: SteeredRequest,
-    event: AttemptEnded,
-) -> Iterator[Effect]:
-    name = request.upstream
-    load = state.loads.of(name)
-    silent = event.now - request.sent_at > _SILENCE * request.expected
-    load.note_ended(event.now)
-    _learn_distance(state, name, event.connect_time)
-    outcome = event.outcome
-    if outcome is AttemptOutcome.CANCELLED and not silent:
-        return
-    if outcome is AttemptOutcome.OTHER_UPSTREAM:
-        state.catalog.misdirect(name)
-        yield Decision(DecisionKind.UPSTREAM_MISDIRECTED, name, event.request)
-    elif outcome is AttemptOutcome.ANSWERED:
-        _learn_times(state, request, event)
-        if event.status < _SERVER_ERROR:
-            load.note_success()
-            return
-    elif outcome is AttemptOutcome.NOT_EXECUTED:
-        return
-    if load.note_failure(event.now, silent=request.moving):
-        yield Decision(
-            DecisionKind.UPSTREAM_EJECTED,
-            name,
-            event.request,
-            (
-                ('failures', load.failures),
-                ('seconds', round(load.ejected_until - event.now, 3)),
-            ),
-        )
-
-
-def _learn_distance(
-    state: SteeringState,
-    name: str,
-    connect_time: float,
-) -> None:
-    upstream = state.catalog.upstreams.get(name)
-    if connect_time and upstream:
-        distance(state, upstream.region).add(connect_time)
-
-
-def _learn_times(
-    state: SteeringState,
-    request: SteeredRequest,
-    event: AttemptEnded,
-) -> None:
-    if event.status >= _SERVER_ERROR:
-        return
-    name = request.upstream
-    load = state.loads.of(name)
-    taken = event.now - request.sent_at
-    load.note_speed(taken / max(request.expected, _LEAST_TIME), event.now)
-    upstream = state.catalog.upstreams.get(name)
-    if upstream is None:
-        return
-    executed = max(0, taken - distance(state, upstream.region).typical)
-    times = state.warmth.of(request.route, request.service)
-    state.usual_time(request.service, executed).add(
-        executed / (1 + request.queue)
-    )
-    known = name in state.warmth.warm_at(
-        request.service, request.head.key, event.now
-    )
-    if not request.queue and known == request.warm:
-        # Elsewhere it is not known whether other entries warmed the key.
-        average = times.warm if known else times.cold
-        average.add(executed)
-    if request.head.key:
-        state.warmth.note_served(
-            request.service, request.head.key, name, event.now
-        )
-
-
 def _denial(
     state: SteeringState,
     request: SteeredRequest,
--- a/worksrail/core/steering/_on_time.py
+++ b/worksrail/core/steering/_on_time.py
@@ -4,9 +4,9 @@
 from typing import Final
 
 from worksrail.core.steering._fleet import EntryDigest
-from worksrail.core.steering._on_requests import move_from_silent
 from worksrail.core.steering._on_store import expire_upstreams
 from worksrail.core.steering._routes import RoutingConfiguration
+from worksrail.core.steering._silence import move_from_silent
 from worksrail.core.steering.effects import (
     Decision,
     DecisionKind,
