--- a/tests/steering/test_requests.py
+++ b/tests/steering/test_requests.py
@@ -237,8 +237,8 @@
 def test_silent_upstream_loses_what_may_be_repeated(
     name: str, moved: bool
 ) -> None:
-    # Found in incident inc-4fbf of tally-ja: callers left after waiting for
-    # upstreams without power until their deadlines.
+    # Looking into incident inc-4fbf of tally-ja showed that nothing counted
+    # against an upstream that says nothing.
     world = _world()
     number = world.ask(name)
     (silent,) = world.sent(number)
