--- a/tests/steering/test_fleet.py
+++ b/tests/steering/test_fleet.py
@@ -15,7 +15,13 @@
 )
 from worksrail.core.identity import Incarnation
 from worksrail.core.results import ResultCode
-from worksrail.core.steering import EntryList, RouteKind, SteeringState, look_up
+from worksrail.core.steering import (
+    EntryDigest,
+    EntryList,
+    RouteKind,
+    SteeringState,
+    look_up,
+)
 from worksrail.core.steering.effects import (
     AnswerResult,
     ExitProcess,
@@ -72,7 +78,8 @@
     _hear(world, 'two')
     effects = world.run(StopRequested(world.now))
     (sent,) = of_type(effects, SendDigest)
-    assert sent.digest.leaving
+    assert isinstance(sent.digest, EntryDigest)
+    assert sent.digest.sender.leaving
     assert _named(world) == {'10.9.0.3:two'}
 
 
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -6,8 +6,10 @@
 from worksrail.core.identity import Incarnation
 from worksrail.core.steering import (
     CallerLimits,
+    Contact,
     EntryAddresses,
     EntryDigest,
+    EntryLimits,
     EntrySettings,
     Route,
     RouteKind,
@@ -17,6 +19,7 @@
     SteeringBounds,
     SteeringState,
     UpstreamRecord,
+    ZoneDigest,
     reduce,
 )
 from worksrail.core.steering.effects import Effect, SendUpstream
@@ -34,6 +37,7 @@
 HOST = 'orders.example'
 REGIONS = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
 _Wanted = TypeVar('_Wanted')
+_BOUNDS = SteeringBounds(repeat_extra=100, cold_factor=1.5, cold_extra=5)
 
 
 def route(name: str = 'read', **changes: Any) -> Route:
@@ -96,26 +100,47 @@
         EntryAddresses('10.9.0.1:1', '10.9.0.1:2', '10.9.0.1:3', '10.9.0.1:4'),
         ('10.9.0.2:4',),
         '10.8.0.1:80',
-        bounds or SteeringBounds(repeat_extra=100),
+        bounds or _BOUNDS,
     )
 
 
-def digest(name: str, number: int = 1, **changes: Any) -> EntryDigest:
-    """What another ready entry of zone ``a1`` tells."""
+def contact(name: str, **changes: Any) -> Contact:
+    """Another ready entry of zone ``a1``."""
     fields: dict[str, Any] = {
         'who': Incarnation(name, 1),
-        'number': number,
         'zone': 'a1',
         'region': 'a',
         'peer': f'10.9.0.2:{name}',
         'caller': f'10.9.0.3:{name}',
         'ready': True,
         'leaving': False,
-        'version': 1,
-        'in_flight': {},
-        'known': {},
+        'capacity': EntryLimits().cores * 300,
+        'rate': 0,
     }
-    return EntryDigest(**(fields | changes))
+    return Contact(**(fields | changes))
+
+
+def digest(
+    name: str,
+    number: int = 1,
+    in_flight: dict[str, int] | None = None,
+    **changes: Any,
+) -> EntryDigest:
+    """What another ready entry of zone ``a1`` tells."""
+    return EntryDigest(contact(name, **changes), number, in_flight or {}, ())
+
+
+def zone_digest(
+    speaker: str,
+    members: Iterable[Contact],
+    number: int = 1,
+    in_flight: dict[str, int] | None = None,
+) -> ZoneDigest:
+    """What the speaker of a zone tells of its members."""
+    named = tuple(members)
+    return ZoneDigest(
+        Incarnation(speaker, 1), named[0].zone, number, named, in_flight or {}
+    )
 
 
 class World:
--- a/worksrail/core/steering/__init__.py
+++ b/worksrail/core/steering/__init__.py
@@ -1,8 +1,13 @@
 """Steering with discovered upstreams: routes, choice, repeats, recovery."""
 
 from worksrail.core.steering._catalog import Catalog, UpstreamRecord
+from worksrail.core.steering._digests import (
+    Contact,
+    Digest,
+    EntryDigest,
+    ZoneDigest,
+)
 from worksrail.core.steering._directory import EntryList, look_up
-from worksrail.core.steering._fleet import EntryDigest
 from worksrail.core.steering._reducer import reduce
 from worksrail.core.steering._routes import (
     CallerLimits,
@@ -15,6 +20,7 @@
 )
 from worksrail.core.steering._settings import (
     EntryAddresses,
+    EntryLimits,
     EntrySettings,
     SteeringBounds,
 )
@@ -27,8 +33,11 @@
 __all__ = (
     'CallerLimits',
     'Catalog',
+    'Contact',
+    'Digest',
     'EntryAddresses',
     'EntryDigest',
+    'EntryLimits',
     'EntryList',
     'EntrySettings',
     'NoRoute',
@@ -42,6 +51,7 @@
     'SteeringBounds',
     'SteeringState',
     'UpstreamRecord',
+    'ZoneDigest',
     'look_up',
     'reduce',
 )
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -7,6 +7,7 @@
 from worksrail.core.identity import RegionName, ServiceName
 from worksrail.core.results import ResultCode
 from worksrail.core.steering._catalog import Upstream
+from worksrail.core.steering._cold import sharers_of
 from worksrail.core.steering._load import LearnedTime
 from worksrail.core.steering._routes import (
     RouteKind,
@@ -170,8 +171,17 @@
         region = self.state.settings.region
         if upstream.region != region:
             return False
-        sharers = self.state.fleet.sharers(region)
-        return self.state.cold.allows(upstream.name, rate, sharers, self.now)
+        state = self.state
+        own = state.settings.name
+        sharers = sharers_of(
+            upstream.name,
+            [own, *state.fleet.sharers(region)],
+            rate,
+            state.settings.bounds,
+        )
+        if own not in sharers:
+            return False
+        return state.cold.allows(upstream.name, rate, len(sharers), self.now)
 
 
 def choose(
--- a/worksrail/core/steering/_cold.py
+++ b/worksrail/core/steering/_cold.py
@@ -3,14 +3,17 @@
 from dataclasses import dataclass, field
 from math import ceil
 
+from worksrail.core.membership import rendezvous_weight
+from worksrail.core.steering._settings import SteeringBounds
+
 
 @dataclass(slots=True)
 class ColdLimits:
     """Spaces this entry's requests to each cold upstream.
 
     A cold upstream tolerates a number of requests a second from all entries
-    together.  Only entries of its own region use it, and each spaces its
-    requests by the number of those entries over that rate: in any second
+    together.  Only some entries of its own region use it, and each spaces
+    its requests by the number of those entries over that rate: in any second
     they send at most the rate and one request each.
     """
 
@@ -40,6 +43,28 @@
             self.last_sent.pop(name)
 
 
+def sharers_of(
+    name: str,
+    entries: list[str],
+    rate: float,
+    bounds: SteeringBounds,
+) -> list[str]:
+    """The entries that may use a cold upstream.
+
+    As many as the requests allowed beyond its rate, halved: entries may
+    disagree for a while on who the others are.
+    """
+    beyond = rate * (bounds.cold_factor - 1) + bounds.cold_extra
+    most = max(1, int(beyond / 2))
+    if len(entries) <= most:
+        return entries
+    return sorted(
+        entries,
+        key=lambda entry: rendezvous_weight(f'cold|{name}', entry),
+        reverse=True,
+    )[:most]
+
+
 def most_in_a_second(rate: float, sharers: int) -> int:
     """Most requests that a cold upstream gets in one second.
 
--- /dev/null
+++ b/worksrail/core/steering/_digests.py
@@ -0,0 +1,84 @@
+"""What entries tell each other: of themselves, and of their zones."""
+
+import msgspec
+
+from worksrail.core.identity import Incarnation, RegionName, ZoneName
+
+
+class Contact(msgspec.Struct, frozen=True, array_like=True):
+    """Who an entry is, where it is reached, and what it takes."""
+
+    who: Incarnation
+    """Name and incarnation."""
+
+    zone: ZoneName
+    """Availability zone it runs in."""
+
+    region: RegionName
+    """Region of the zone."""
+
+    peer: str
+    """Address for digests."""
+
+    caller: str
+    """Address for requests."""
+
+    ready: bool
+    """Whether it takes requests."""
+
+    leaving: bool
+    """Whether it is stopping."""
+
+    capacity: float
+    """Requests a second that its processor and link can pass on."""
+
+    rate: float
+    """Requests a second that came to it lately."""
+
+    @property
+    def name(self) -> str:
+        """Name of the entry."""
+        return self.who.name
+
+    @property
+    def takes_requests(self) -> bool:
+        """Whether callers may be sent there."""
+        return self.ready and not self.leaving
+
+
+class EntryDigest(msgspec.Struct, frozen=True, array_like=True, tag='entry'):
+    """What an entry tells its own zone some times a second."""
+
+    sender: Contact
+    """The entry itself."""
+
+    number: int
+    """Grows with each digest of the incarnation."""
+
+    in_flight: dict[str, int]
+    """Its requests in flight, by upstream."""
+
+    known: tuple[str, ...]
+    """Peer addresses of other entries, for those that know few."""
+
+
+class ZoneDigest(msgspec.Struct, frozen=True, array_like=True, tag='zone'):
+    """What the speaker of a zone tells the other zones' entries."""
+
+    speaker: Incarnation
+    """The entry that speaks for its zone."""
+
+    zone: ZoneName
+    """The zone."""
+
+    number: int
+    """Grows with each digest of the speaker."""
+
+    members: tuple[Contact, ...]
+    """Entries of the zone that live, the speaker included."""
+
+    in_flight: dict[str, int]
+    """Requests of all its members in flight, by upstream."""
+
+
+Digest = EntryDigest | ZoneDigest
--- a/worksrail/core/steering/_fleet.py
+++ b/worksrail/core/steering/_fleet.py
@@ -1,75 +1,77 @@
-"""The other entries: who lives, who is ready, what they have in flight."""
+"""The other entries: who lives, who is ready, who speaks for a zone.
 
+Entries of one zone tell each other directly.  One of them, the speaker, tells
+the speakers of the other zones what its zone has in flight; these pass it on
+within theirs.  What crosses zones so grows with the zones, not with the
+square of the entries.  Two entries may both take themselves for the speaker:
+their digests replace each other, which is harmless.
+"""
+
+import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
-import msgspec
-
-from worksrail.core.identity import Incarnation, RegionName, ZoneName
+from worksrail.core.identity import RegionName, ZoneName
+from worksrail.core.membership import rendezvous
+from worksrail.core.steering._digests import Contact, EntryDigest, ZoneDigest
 
-# Seconds without a digest after which an entry counts as dead: five digests
-# of 200 ms, so that single lost datagrams do not matter.
+# Seconds without a digest after which an entry of the own zone counts as
+# dead: five digests of 200 ms, so that single lost datagrams do not matter.
 _DEAD_AFTER: Final = 1.1
-# A dead entry is told of us for this long, so that it finds the others again
-# when it returns at the same address while the store is away.
+# The same for entries of other zones, which one speaker tells of: when it
+# dies, its zone needs the time above until another one speaks.
+_FAR_DEAD_AFTER: Final = 1.6
+# Seconds for which a dead entry is told of us, so that it finds the others
+# again when it returns at the same address while the store is away.
 _REMEMBER: Final = 120.0
+# Silent addresses that a digest of discovery goes to, drawn anew each time.
+_DRAWN: Final = 3
+# Seconds for which an address that was just learned, and has not answered, is
+# written to with every digest; and how many such addresses at once.
+_GREETING: Final = 3.0
+_GREETED: Final = 8
 
 
-class EntryDigest(msgspec.Struct, frozen=True, array_like=True):
-    """What an entry tells the others some times a second."""
-
-    who: Incarnation
-    """Name and incarnation of the sender."""
-
-    number: int
-    """Grows with each digest of the incarnation."""
-
-    zone: ZoneName
-    """Availability zone of the sender."""
-
-    region: RegionName
-    """Region of the sender."""
-
-    peer: str
-    """Address for digests."""
+@dataclass(slots=True)
+class Entry:
+    """Another entry, as this one knows it."""
 
-    caller: str
-    """Address for requests."""
+    contact: Contact
+    """What it told last."""
 
-    ready: bool
-    """Whether it takes requests."""
+    heard_at: float
+    """When that came."""
 
-    leaving: bool
-    """Whether it is stopping."""
+    number: int = 0
+    """Number of its last digest; zero if only its speaker told of it."""
 
-    version: int
-    """Version of the configuration in force there; zero: none."""
+    near: bool = True
+    """It is of the own zone and tells of itself."""
 
-    in_flight: dict[str, int]
-    """Its requests in flight, by upstream."""
+    def alive(self, now: float) -> bool:
+        """Whether it was heard lately."""
+        limit = _DEAD_AFTER if self.near else _FAR_DEAD_AFTER
+        return now - self.heard_at < limit
 
-    known: dict[str, str]
-    """Peer addresses of the entries it knows, by name."""
+    def takes_requests(self, now: float) -> bool:
+        """Whether callers may be sent there."""
+        return self.contact.takes_requests and self.alive(now)
 
 
 @dataclass(slots=True)
-class Entry:
-    """Another entry, as this one knows it."""
+class FarZone:
+    """Another zone, as its speaker told last."""
 
-    digest: EntryDigest
-    """Its last digest."""
+    digest: ZoneDigest
+    """The last digest."""
 
     heard_at: float
     """When that came."""
 
     def alive(self, now: float) -> bool:
         """Whether it was heard lately."""
-        return now - self.heard_at < _DEAD_AFTER
-
-    def takes_requests(self, now: float) -> bool:
-        """Whether callers may be sent there."""
-        digest = self.digest
-        return digest.ready and not digest.leaving and self.alive(now)
+        return now - self.heard_at < _FAR_DEAD_AFTER
 
 
 @dataclass(slots=True)
@@ -79,27 +81,56 @@
     name: str
     """Name of this entry."""
 
+    zone: ZoneName
+    """Zone of this entry."""
+
     peer: str
     """Address of this entry for digests."""
 
     entries: dict[str, Entry] = field(default_factory=dict)
-    """Entries that were heard, by name."""
+    """Entries that were heard of, by name."""
+
+    near: set[str] = field(default_factory=set)
+    """Those of the own zone."""
+
+    zones: dict[ZoneName, FarZone] = field(default_factory=dict)
+    """The other zones."""
 
     addresses: dict[str, float] = field(default_factory=dict)
     """Peer addresses to write to, with the time they were learned."""
 
     def take(self, digest: EntryDigest, now: float) -> bool:
         """Take in a digest; false if it is an older one, or our own."""
-        name = digest.who.name
-        if name == self.name:
+        sender = digest.sender
+        if sender.name == self.name:
             return False
-        known = self.entries.get(name)
-        if known and known.alive(now) and not _follows(digest, known.digest):
+        known = self.entries.get(sender.name)
+        if known and known.alive(now) and not _follows(digest, known):
             return False
-        self.entries[name] = Entry(digest, now)
-        self.learn(digest.peer, now)
-        for address in digest.known.values():
-            self.addresses.setdefault(address, now)
+        near = sender.zone == self.zone
+        self.entries[sender.name] = Entry(sender, now, digest.number, near)
+        if near:
+            self.near.add(sender.name)
+        self.learn(sender.peer, now)
+        for address in digest.known:
+            if address != self.peer:
+                self.addresses.setdefault(address, now)
+        return True
+
+    def take_zone(self, digest: ZoneDigest, now: float) -> bool:
+        """Take in what a speaker tells; false if it is an older digest."""
+        known = self.zones.get(digest.zone)
+        if digest.zone == self.zone:
+            return False
+        if known and known.digest.speaker == digest.speaker:
+            if digest.number <= known.digest.number:
+                return False
+        self.zones[digest.zone] = FarZone(digest, now)
+        for contact in digest.members:
+            self.entries[contact.name] = Entry(contact, now, near=False)
+            self.learn(contact.peer, now)
+        if known:
+            self._bury(known.digest, digest, now)
         return True
 
     def learn(self, address: str, now: float) -> None:
@@ -111,25 +142,70 @@
         """Entries that were heard lately."""
         return [entry for entry in self.entries.values() if entry.alive(now)]
 
-    def sharers(self, region: RegionName) -> int:
-        """Entries of a region, this one and recently dead ones included."""
-        return 1 + sum(
-            entry.digest.region == region for entry in self.entries.values()
+    def mates(self, now: float) -> list[Contact]:
+        """Other entries of the own zone that live."""
+        mates = [self.entries[name] for name in self.near]
+        return [entry.contact for entry in mates if entry.alive(now)]
+
+    def sharers(self, region: RegionName) -> list[str]:
+        """Entries of a region, recently dead ones included."""
+        return [
+            name
+            for name, entry in self.entries.items()
+            if entry.contact.region == region
+        ]
+
+    def is_speaker(self, now: float, *, leaving: bool) -> bool:
+        """Whether this entry speaks for its zone."""
+        mates = self.mates(now)
+        staying = [mate.name for mate in mates if not mate.leaving]
+        if not leaving:
+            staying.append(self.name)
+        candidates = staying or [self.name, *(mate.name for mate in mates)]
+        return _speaker(self.zone, candidates) == self.name
+
+    def speakers(self, now: float) -> list[str]:
+        """Addresses of the speakers of the other zones."""
+        by_zone: dict[ZoneName, dict[str, str]] = {}
+        leaving: dict[ZoneName, dict[str, str]] = {}
+        for entry in self.alive(now):
+            contact = entry.contact
+            if contact.zone != self.zone:
+                members = leaving if contact.leaving else by_zone
+                members.setdefault(contact.zone, {})[contact.name] = (
+                    contact.peer
+                )
+        return [
+            members[_speaker(zone, members)]
+            for zone, members in (leaving | by_zone).items()
+        ]
+
+    def newcomers(self, now: float, rng: random.Random) -> list[str]:
+        """Some addresses that were learned lately and not heard yet."""
+        heard = {entry.contact.peer for entry in self.entries.values()}
+        fresh = sorted(
+            address
+            for address, at in self.addresses.items()
+            if address not in heard and now - at < _GREETING
         )
+        return _draw(fresh, _GREETED, rng)
 
-    def receivers(self, now: float, *, everyone: bool) -> list[str]:
-        """Addresses that a digest goes to.
+    def distant(self, now: float, rng: random.Random) -> list[str]:
+        """A few silent addresses, and one of another zone, for discovery.
 
-        Silent addresses are written to as well, only not every time.
+        Silent are seeds that have not answered, and entries that may return.
         """
-        near = {entry.digest.peer for entry in self.alive(now)}
-        if everyone:
-            near.update(self.addresses)
-        near.discard(self.peer)
-        return sorted(near)
+        heard = {entry.contact.peer for entry in self.alive(now)}
+        silent = sorted(self.addresses.keys() - heard)
+        far = sorted(
+            entry.contact.peer
+            for entry in self.alive(now)
+            if entry.contact.zone != self.zone
+        )
+        return _draw(silent, _DRAWN, rng) + _draw(far, 1, rng)
 
     def expire(self, now: float) -> tuple[list[str], list[str]]:
-        """Names of entries that just died, and of forgotten ones."""
+        """Names of entries that are dead, and of forgotten ones."""
         forgotten = [
             name
             for name, entry in self.entries.items()
@@ -137,6 +213,7 @@
         ]
         for name in forgotten:
             self.entries.pop(name)
+            self.near.discard(name)
         for address, at in tuple(self.addresses.items()):
             if now - at > _REMEMBER:
                 self.addresses.pop(address)
@@ -145,10 +222,36 @@
         ]
         return dead, forgotten
 
+    def silent_zones(self, now: float) -> list[ZoneName]:
+        """Zones that nothing is heard of any more; they are forgotten."""
+        silent = [
+            zone for zone, far in self.zones.items() if not far.alive(now)
+        ]
+        for zone in silent:
+            self.zones.pop(zone)
+        return silent
+
+    def _bury(self, before: ZoneDigest, after: ZoneDigest, now: float) -> None:
+        # A speaker names all that live; who is named no more is dead.
+        named = {contact.name for contact in after.members}
+        for contact in before.members:
+            entry = self.entries.get(contact.name)
+            if entry and contact.name not in named:
+                entry.heard_at = min(entry.heard_at, now - _FAR_DEAD_AFTER)
+
+
+def _speaker(zone: ZoneName, names: Iterable[str]) -> str:
+    return rendezvous(f'speaker|{zone}', names)
+
+
+def _draw(addresses: list[str], most: int, rng: random.Random) -> list[str]:
+    return rng.sample(addresses, min(most, len(addresses)))
+
 
-def _follows(digest: EntryDigest, known: EntryDigest) -> bool:
+def _follows(digest: EntryDigest, known: Entry) -> bool:
     # Incarnations are numbered by the wall clock, which may have been set
     # back between two lives; a live entry only is protected by its number.
-    if digest.who.number == known.who.number:
+    who = digest.sender.who
+    if who.number == known.contact.who.number:
         return digest.number > known.number
-    return digest.who.number > known.who.number
+    return who.number > known.contact.who.number
--- a/worksrail/core/steering/_load.py
+++ b/worksrail/core/steering/_load.py
@@ -1,6 +1,9 @@
 """What is known of each upstream's load, speed and faults."""
 
+from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
+from math import exp
 from typing import Final
 
 # How much one answer moves the learned figures.
@@ -16,6 +19,8 @@
 # many seconds on top, is taken to be silent: its machine may have no power.
 _SILENT_TIMES: Final = 3.0
 _SILENT_SLACK: Final = 0.4
+# Seconds over which the rate of arrivals is averaged.
+_RATE_TIME: Final = 2.0
 _FASTEST: Final = 0.25
 _SLOWEST: Final = 30.0
 
@@ -106,6 +111,26 @@
         return True
 
 
+@dataclass(slots=True)
+class RateMeter:
+    """A moving average of how many things happen in a second."""
+
+    smoothed: float = 0
+    """Things a second, as of ``noted_at``."""
+
+    noted_at: float = 0
+    """When the last thing happened."""
+
+    def note(self, now: float) -> None:
+        """One more thing happens."""
+        self.smoothed = self.rate(now) + 1 / _RATE_TIME
+        self.noted_at = now
+
+    def rate(self, now: float) -> float:
+        """Things a second."""
+        return self.smoothed * exp((self.noted_at - now) / _RATE_TIME)
+
+
 @dataclass(slots=True)
 class LearnedTime:
     """A moving average of times, in seconds."""
@@ -126,7 +151,8 @@
     """Loads."""
 
     told: dict[str, dict[str, int]] = field(default_factory=dict)
-    """In flight by upstream, as each other entry told last."""
+    """In flight by upstream, as each entry of the zone and each other zone
+    told last."""
 
     def of(self, name: str) -> UpstreamLoad:
         """Load of one upstream."""
@@ -136,18 +162,25 @@
             self.loads[name] = load
         return load
 
-    def take(self, entry: str, in_flight: dict[str, int]) -> None:
-        """Take in what another entry tells; replaces what it told before."""
-        for name, count in self.told.get(entry, {}).items():
+    def take(self, teller: str, in_flight: dict[str, int]) -> None:
+        """Take in what another one tells; replaces what it told before."""
+        for name, count in self.told.get(teller, {}).items():
             self.of(name).others -= count
         for name, count in in_flight.items():
             self.of(name).others += count
-        self.told[entry] = in_flight
-
-    def forget_entry(self, entry: str) -> None:
-        """Another entry is gone, and its requests with it."""
-        self.take(entry, {})
-        self.told.pop(entry)
+        self.told[teller] = in_flight
+
+    def forget(self, teller: str) -> None:
+        """Another one is gone, and its requests with it."""
+        self.take(teller, {})
+        self.told.pop(teller)
+
+    def sum_of(self, tellers: Iterable[str]) -> dict[str, int]:
+        """Requests of this entry and of some others, by upstream."""
+        total = Counter(self.own_in_flight())
+        for teller in tellers:
+            total.update(self.told.get(teller, {}))
+        return dict(total)
 
     def own_in_flight(self) -> dict[str, int]:
         """Requests of this entry in flight, by upstream."""
--- /dev/null
+++ b/worksrail/core/steering/_on_digests.py
@@ -0,0 +1,167 @@
+"""What entries tell each other, sent and received."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from worksrail.core.steering._digests import (
+    Contact,
+    Digest,
+    EntryDigest,
+    ZoneDigest,
+)
+from worksrail.core.steering.effects import (
+    Decision,
+    DecisionKind,
+    Effect,
+    SendDigest,
+)
+from worksrail.core.steering.events import DigestReceived
+from worksrail.core.steering.state import SteeringState
+
+# Seconds between two digests: fresher ones brought no more in trials.
+_DIGEST_INTERVAL: Final = 0.2
+# Every so many digests, a few addresses that are silent or far are written
+# to as well, so that entries find each other.
+_DISCOVERY: Final = 5
+# Addresses of other entries that one digest carries: so many of the own zone,
+# and so many of all.
+_KNOWN_LIMIT: Final = 8
+# Upstreams that a digest of one entry carries, and that of a zone.
+_IN_FLIGHT_LIMIT: Final = 60
+_ZONE_IN_FLIGHT_LIMIT: Final = 600
+
+
+def on_digest(
+    state: SteeringState,
+    event: DigestReceived,
+) -> Iterator[Effect]:
+    """Take in what another entry, or the speaker of a zone, tells."""
+    digest = event.digest
+    if isinstance(digest, EntryDigest):
+        yield from _take_entry(state, digest, event.now)
+    else:
+        yield from _take_zone(state, digest, event.now)
+
+
+def tell(state: SteeringState, now: float) -> Iterator[SendDigest]:
+    """Tell the own zone, and the other zones if this entry speaks."""
+    state.digests += 1
+    state.next_digest_at = now + _DIGEST_INTERVAL
+    fleet = state.fleet
+    mates = fleet.mates(now)
+    receivers = {contact.peer for contact in mates}
+    receivers.update(state.greeted, fleet.newcomers(now, state.rng))
+    state.greeted.clear()
+    if state.digests % _DISCOVERY == 1:
+        receivers.update(fleet.distant(now, state.rng))
+    yield SendDigest(tuple(sorted(receivers)), _digest_of(state, now))
+    if fleet.is_speaker(now, leaving=state.leaving):
+        speakers = fleet.speakers(now)
+        if speakers:
+            yield SendDigest(tuple(speakers), _zone_digest(state, mates, now))
+
+
+def own_contact(state: SteeringState, now: float) -> Contact:
+    """What others shall know of this entry."""
+    settings = state.settings
+    return Contact(
+        state.who,
+        settings.zone,
+        settings.region,
+        settings.addresses.peer,
+        settings.addresses.caller,
+        state.ready,
+        state.leaving,
+        settings.capacity,
+        round(state.arrivals.rate(now), 1),
+    )
+
+
+def _take_entry(
+    state: SteeringState,
+    digest: EntryDigest,
+    now: float,
+) -> Iterator[Effect]:
+    name = digest.sender.name
+    fresh = name in state.dead or name not in state.fleet.entries
+    if not state.fleet.take(digest, now):
+        return
+    if digest.sender.zone == state.settings.zone:
+        state.loads.take(name, digest.in_flight)
+    if fresh:
+        state.greeted.add(digest.sender.peer)
+        yield from _seen(state, digest.sender)
+
+
+def _take_zone(
+    state: SteeringState,
+    digest: ZoneDigest,
+    now: float,
+) -> Iterator[Effect]:
+    known = set(state.fleet.entries) - state.dead
+    if not state.fleet.take_zone(digest, now):
+        return
+    state.loads.take(_label(digest.zone), digest.in_flight)
+    for contact in digest.members:
+        if contact.name not in known:
+            yield from _seen(state, contact)
+    if state.fleet.is_speaker(now, leaving=state.leaving):
+        mates = [contact.peer for contact in state.fleet.mates(now)]
+        if mates:
+            yield SendDigest(tuple(sorted(mates)), digest)
+
+
+def forget_silent_zones(state: SteeringState, now: float) -> None:
+    """Drop the loads of zones that nothing is heard of."""
+    for zone in state.fleet.silent_zones(now):
+        state.loads.forget(_label(zone))
+
+
+def _seen(state: SteeringState, contact: Contact) -> Iterator[Decision]:
+    state.dead.discard(contact.name)
+    yield Decision(
+        DecisionKind.ENTRY_SEEN,
+        contact.name,
+        inputs=(('incarnation', contact.who.number),),
+    )
+
+
+def _label(zone: str) -> str:
+    # Zones and entries tell of loads side by side; names must not meet.
+    return f'zone {zone}'
+
+
+def _digest_of(state: SteeringState, now: float) -> Digest:
+    mates = [mate.peer for mate in state.fleet.mates(now)]
+    alive = [entry.contact.peer for entry in state.fleet.alive(now)]
+    known = state.rng.sample(mates, min(_KNOWN_LIMIT, len(mates)))
+    known += state.rng.sample(alive, min(_KNOWN_LIMIT, len(alive)))
+    return EntryDigest(
+        own_contact(state, now),
+        state.digests,
+        _busiest(state.loads.own_in_flight(), _IN_FLIGHT_LIMIT),
+        tuple(sorted(set(known))),
+    )
+
+
+def _zone_digest(
+    state: SteeringState,
+    mates: list[Contact],
+    now: float,
+) -> Digest:
+    names = [contact.name for contact in mates]
+    return ZoneDigest(
+        state.who,
+        state.settings.zone,
+        state.digests,
+        (own_contact(state, now), *mates),
+        _busiest(state.loads.sum_of(names), _ZONE_IN_FLIGHT_LIMIT),
+    )
+
+
+def _busiest(in_flight: dict[str, int], limit: int) -> dict[str, int]:
+    # A digest has to fit into a datagram.
+    if len(in_flight) <= limit:
+        return in_flight
+    ordered = sorted(in_flight, key=lambda name: in_flight[name], reverse=True)
+    return {name: in_flight[name] for name in ordered[:limit]}
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -75,6 +75,7 @@
     event: RequestArrived,
 ) -> Iterator[Effect]:
     """Match a request to its route and place it, or refuse it."""
+    state.arrivals.note(event.now)
     route = _route(state, event)
     if isinstance(route, ResultCode):
         retry_after = _retry_after(state) if _comes_back(route) else 0
--- a/worksrail/core/steering/_reducer.py
+++ b/worksrail/core/steering/_reducer.py
@@ -7,7 +7,12 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
-from worksrail.core.steering import _on_requests, _on_store, _on_time
+from worksrail.core.steering import (
+    _on_digests,
+    _on_requests,
+    _on_store,
+    _on_time,
+)
 from worksrail.core.steering.effects import Effect
 from worksrail.core.steering.events import (
     AttemptEnded,
@@ -30,7 +35,7 @@
 
 _HANDLERS: Final[dict[type, _Handler]] = {
     Ticked: _on_time.on_tick,
-    DigestReceived: _on_time.on_digest,
+    DigestReceived: _on_digests.on_digest,
     StopRequested: _on_time.on_stop,
     ConfigurationRead: _on_store.on_configuration,
     UpstreamsListed: _on_store.on_listed,
--- a/worksrail/core/steering/_settings.py
+++ b/worksrail/core/steering/_settings.py
@@ -1,9 +1,16 @@
 """Settings of an entry that finds its upstreams by discovery."""
 
 from dataclasses import dataclass, field
+from typing import Final
 
 from worksrail.core.identity import RegionName, ZoneName
 
+# Requests a second that one core passes on, and what one of them takes of a
+# link; rough figures of days on the users' platform, used to compare
+# instances with each other.
+_REQUESTS_PER_CORE: Final = 300
+_MEGABITS_PER_REQUEST: Final = 0.1
+
 
 @dataclass(frozen=True, slots=True)
 class SteeringBounds:
@@ -27,6 +34,12 @@
     region_shift: float = 1
     """Share of a region's requests that may change region at once."""
 
+    cold_factor: float = 1
+    """What a cold upstream may get, as a multiple of its rate."""
+
+    cold_extra: float = 1
+    """Requests that a cold upstream may get in a second besides."""
+
 
 @dataclass(frozen=True, slots=True)
 class EntryAddresses:
@@ -45,6 +58,17 @@
     """Messages of other entries."""
 
 
+@dataclass(frozen=True, slots=True)
+class EntryLimits:
+    """What the instance has, as far as it bounds what it can carry."""
+
+    cores: float = 1
+    """Processor time a second, in seconds of a core."""
+
+    link_mbps: float = 1000
+    """Bandwidth of its link, Mbit/s."""
+
+
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
     """Everything an entry learns from its settings."""
@@ -72,3 +96,12 @@
 
     bounds: SteeringBounds = field(default_factory=SteeringBounds)
     """Operators' bounds."""
+
+    limits: EntryLimits = field(default_factory=EntryLimits)
+    """What the instance has."""
+
+    @property
+    def capacity(self) -> float:
+        """Requests a second that the processor and the link can pass on."""
+        by_cores = self.limits.cores * _REQUESTS_PER_CORE
+        return min(by_cores, self.limits.link_mbps / _MEGABITS_PER_REQUEST)
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -4,7 +4,7 @@
 from enum import Enum, unique
 
 from worksrail.core.results import ResultCode
-from worksrail.core.steering._fleet import EntryDigest
+from worksrail.core.steering._digests import Digest
 from worksrail.core.steering.events import RequestNumber
 
 
@@ -55,12 +55,12 @@
 
 @dataclass(frozen=True, slots=True)
 class SendDigest:
-    """Tell other entries of this one; each datagram may be lost."""
+    """Tell other entries something; each datagram may be lost."""
 
     receivers: tuple[str, ...]
     """Peer addresses."""
 
-    digest: EntryDigest
+    digest: Digest
     """What to tell."""
 
 
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -8,7 +8,7 @@
 
 from worksrail.core.identity import ZoneName
 from worksrail.core.steering._catalog import UpstreamRecord
-from worksrail.core.steering._fleet import EntryDigest
+from worksrail.core.steering._digests import Digest
 from worksrail.core.steering._routes import RoutingConfiguration
 
 RequestNumber = int
@@ -162,7 +162,7 @@
     now: float
     """Monotonic time in seconds."""
 
-    digest: EntryDigest
+    digest: Digest
     """What it told."""
 
 
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -11,7 +11,11 @@
 from worksrail.core.steering._catalog import Catalog
 from worksrail.core.steering._cold import ColdLimits
 from worksrail.core.steering._fleet import Fleet
-from worksrail.core.steering._load import LearnedTime, LoadTable
+from worksrail.core.steering._load import (
+    LearnedTime,
+    LoadTable,
+    RateMeter,
+)
 from worksrail.core.steering._repeats import RepeatBudget
 from worksrail.core.steering._routes import Route, RoutingConfiguration
 from worksrail.core.steering._settings import EntrySettings
@@ -174,6 +178,12 @@
     exited: bool = False
     """The stop is complete."""
 
+    arrivals: RateMeter = field(default_factory=RateMeter)
+    """Requests that come to this entry."""
+
+    greeted: set[str] = field(default_factory=set)
+    """Peer addresses of entries that were just seen; they are answered."""
+
     digests: int = 0
     """Digests sent."""
 
@@ -189,7 +199,7 @@
         seed: int,
     ) -> 'SteeringState':
         """Begin an incarnation that knows its settings only."""
-        fleet = Fleet(who.name, settings.addresses.peer)
+        fleet = Fleet(who.name, settings.zone, settings.addresses.peer)
         _learn_all(fleet, settings.seeds, now)
         return cls(
             settings,
--- a/worksrail/daemon/steered/_digests.py
+++ b/worksrail/daemon/steered/_digests.py
@@ -7,7 +7,7 @@
 import msgspec
 from logbook import Logger
 
-from worksrail.core.steering import EntryDigest
+from worksrail.core.steering import Digest
 from worksrail.core.steering.effects import SendDigest
 from worksrail.core.steering.events import DigestReceived
 from worksrail.daemon.steered._engine import SteeringEngine
@@ -69,4 +69,4 @@
             self.transport.sendto(payload, (host, int(port)))
 
 
-_DECODER: Final = msgspec.msgpack.Decoder(EntryDigest)
+_DECODER: Final = msgspec.msgpack.Decoder(Digest)
--- a/worksrail/platform/_settings.py
+++ b/worksrail/platform/_settings.py
@@ -8,6 +8,7 @@
 
 from worksrail.core.steering import (
     EntryAddresses,
+    EntryLimits,
     EntrySettings,
     SteeringBounds,
 )
@@ -59,6 +60,7 @@
         _seeds(fields.texts('Seeds'), port),
         fields.part('Platform').text('Address'),
         _bounds(fields.texts('Bounds')),
+        _limits(fields),
     )
 
 
@@ -78,6 +80,19 @@
     return tuple(f'{host}:{port}' for host in hosts)
 
 
+def _limits(fields: Fields) -> EntryLimits:
+    if 'Limits' not in fields.table:
+        return EntryLimits()
+    limits = fields.part('Limits')
+    usual = EntryLimits()
+    # The share is of one core, and cores say how much faster it is.
+    share = limits.number('CpuShare', usual.cores)
+    return EntryLimits(
+        share * limits.number('Cores', 1),
+        limits.number('LinkMbps', usual.link_mbps),
+    )
+
+
 def _bounds(texts: tuple[str, ...]) -> SteeringBounds:
     pairs = [text.partition('=') for text in texts]
     table: dict[str, Any] = {}
@@ -95,4 +110,6 @@
         look_up_age=bounds.number('ttl_max_s', usual.look_up_age),
         grace_period=bounds.number('GracePeriodS', usual.grace_period),
         region_shift=bounds.number('MaxRegionShift', usual.region_shift),
+        cold_factor=bounds.number('ColdLoadFactor', usual.cold_factor),
+        cold_extra=bounds.number('ColdSlack', usual.cold_extra),
     )
