Let two entries of a zone read the store; the others learn from them

Cause: each of 80 entries held three watches; every change of an upstream woke all of them.

Change: two entries of each zone, first in the rendezvous order of its duties, watch the store. Digests carry the revision up to which each kind of object is known; who is behind asks one that is ahead over HTTP on the peer address, and gets what changed since its revision. A watcher waits 0.4 s for its own watch first; only the speaker asks other zones. A fresh entry listens 0.3 s, and reads itself after 2 s if it still lacks something. What another entry tells of removals carries how long the store is back there.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,8 +9,9 @@
 from tornado.testing import bind_unused_port
 
 from tests.platform.test_decoding import CONFIGURATION
-from worksrail.core.steering.events import StoreKind
-from worksrail.daemon.steered import StoreFault, StoreNews
+from worksrail.core.steering import StoreNews
+from worksrail.core.steering.kinds import StoreKind
+from worksrail.daemon.steered import StoreFault
 from worksrail.platform import PlatformStore
 from worksrail.standins.objects import ObjectStore, StoreMood, application
 
--- a/tests/steering/fleet_world.py
+++ b/tests/steering/fleet_world.py
@@ -14,13 +14,17 @@
     SteeringState,
     UpstreamRecord,
     look_up,
+    news_since,
     reduce,
 )
-from worksrail.core.steering.effects import SendDigest
+from worksrail.core.steering.effects import FetchNews, SendDigest
 from worksrail.core.steering.events import (
     ConfigurationRead,
     DigestReceived,
     EvacuationsRead,
+    Event,
+    NewsFetched,
+    NewsMissed,
     Ticked,
     UpstreamsListed,
 )
@@ -37,11 +41,15 @@
         regions: dict[str, str],
         loss: float = 0,
         limits: dict[str, EntryLimits] | None = None,
+        *,
+        told: bool = True,
     ) -> None:
         """Start a number of entries in each zone."""
         self.now = 50.0
         self.regions = regions
         self.loss = loss
+        self.told = told
+        self.fetched: list[tuple[str, FetchNews]] = []
         self.limits = limits or {}
         self.rng = random.Random(3)
         self.states: dict[str, SteeringState] = {}
@@ -74,13 +82,27 @@
             given, Incarnation(name, self.lives[name]), self.now, len(name)
         )
         self.states[name] = state
-        records: tuple[UpstreamRecord, ...] = ()
+        if self.told:
+            self.tell_store(name, 1)
+
+    def tell_store(
+        self,
+        name: str,
+        revision: int,
+        records: tuple[UpstreamRecord, ...] = (),
+    ) -> None:
+        """An entry reads everything in the store as of a revision."""
+        version = configuration(revision, (route(),))
         for event in (
-            ConfigurationRead(self.now, configuration(1, (route(),))),
-            UpstreamsListed(self.now, records),
-            EvacuationsRead(self.now, frozenset()),
+            ConfigurationRead(self.now, version, revision),
+            UpstreamsListed(self.now, records, revision),
+            EvacuationsRead(self.now, frozenset(), revision),
         ):
-            reduce(state, event)
+            reduce(self.states[name], event)
+
+    def watchers(self) -> set[str]:
+        """Entries that read the store."""
+        return {name for name, state in self.states.items() if state.watching}
 
     def stop(self, name: str) -> None:
         """Kill an entry."""
@@ -96,6 +118,7 @@
                 name = receiver.partition(':')[0]
                 if name in self.states:
                     self._run(name, DigestReceived(self.now, digest))
+            self._answer_fetches()
             for name in tuple(self.states):
                 self._run(name, Ticked(self.now))
 
@@ -113,8 +136,20 @@
         """Requests in flight at an upstream, as an entry believes."""
         return self.states[name].loads.of(upstream).in_flight
 
-    def _run(self, name: str, event: DigestReceived | Ticked) -> None:
+    def _answer_fetches(self) -> None:
+        asked, self.fetched = self.fetched, []
+        for name, fetch in asked:
+            teller = self.states.get(fetch.peer.partition(':')[0])
+            event: Event = NewsMissed(self.now, fetch.kind, fetch.peer)
+            if teller:
+                news = news_since(teller, fetch.kind, fetch.since, self.now)
+                event = NewsFetched(self.now, fetch.kind, fetch.peer, news)
+            if name in self.states:
+                self._run(name, event)
+
+    def _run(self, name: str, event: Event) -> None:
         effects = reduce(self.states[name], event)
+        self.fetched += [(name, one) for one in of_type(effects, FetchNews)]
         for effect in of_type(effects, SendDigest):
             for receiver in effect.receivers:
                 places = (name.partition('-')[0], receiver.partition('-')[0])
--- a/tests/steering/test_following.py
+++ b/tests/steering/test_following.py
@@ -8,10 +8,14 @@
 
 from tests.steering.world import configuration, route, settings, upstream
 from worksrail.core.identity import Incarnation
-from worksrail.core.steering import RoutingConfiguration, SteeringState
+from worksrail.core.steering import (
+    RoutingConfiguration,
+    SteeringState,
+    StoreNews,
+)
 from worksrail.core.steering.effects import Decision, DecisionKind
-from worksrail.core.steering.events import StoreKind
-from worksrail.daemon.steered import StoreFault, StoreNews
+from worksrail.core.steering.kinds import StoreKind
+from worksrail.daemon.steered import StoreFault
 from worksrail.daemon.steered._engine import SteeringEngine
 from worksrail.daemon.steered._following import Follower
 
@@ -53,7 +57,11 @@
         self.notes: list[Decision] = []
         self.pauses: list[float] = []
         engine = SteeringEngine(self.state, {Decision: self.notes.append})
-        follower = Follower(engine, self.store, kind, sleep=self.sleep)
+        turn = asyncio.Event()
+        turn.set()
+        follower = Follower(
+            engine, self.store, kind, sleep=self.sleep, turn=turn
+        )
         with contextlib.suppress(asyncio.CancelledError):
             asyncio.run(follower.run())
 
--- /dev/null
+++ b/tests/steering/test_peer_news.py
@@ -0,0 +1,158 @@
+"""News of the store between entries, over real sockets."""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+import pytest
+from tornado.httpclient import AsyncHTTPClient
+from tornado.testing import bind_unused_port
+
+from tests.steering.world import World, upstream
+from worksrail.core.steering import (
+    RoutingConfiguration,
+    SteeringState,
+    StoreNews,
+)
+from worksrail.core.steering.effects import FetchNews
+from worksrail.core.steering.events import (
+    Event,
+    NewsFetched,
+    NewsMissed,
+)
+from worksrail.core.steering.kinds import StoreKind
+from worksrail.daemon.http._connections import ConnectionPool
+from worksrail.daemon.http._exchange import Exchange
+from worksrail.daemon.http._server import (
+    ExchangeHandler,
+    ExchangeServer,
+    HttpLimits,
+)
+from worksrail.daemon.steered._engine import SteeringEngine
+from worksrail.daemon.steered._peers import NewsClient, NewsHandler
+
+
+class RecordingEngine(SteeringEngine):
+    """Keeps the events instead of reducing them."""
+
+    def __init__(self, state: SteeringState) -> None:
+        """Begin without events."""
+        super().__init__(state)
+        self.events: list[Event] = []
+
+    def dispatch(self, event: Event) -> None:
+        """Keep an event."""
+        self.events.append(event)
+
+
+class Garbage:
+    """Answers with something that is no news."""
+
+    def arrived(self, exchange: Exchange) -> None:
+        """Answer."""
+        exchange.answer_document(b'\xc1')
+
+    def caller_gone(self, exchange: Exchange) -> None:
+        """Nothing is under way."""
+
+
+def _serve(
+    handler: ExchangeHandler,
+    use: Callable[[str], Awaitable[Any]],
+) -> Any:
+    async def run() -> Any:
+        server = ExchangeServer(handler, HttpLimits(), itertools.count(1))
+        socket, port = bind_unused_port(address='127.0.0.1')
+        server.add_socket(socket)
+        try:
+            async with asyncio.timeout(30):
+                return await use(f'127.0.0.1:{port}')
+        finally:
+            server.stop()
+
+    return asyncio.run(run())
+
+
+def _teller() -> NewsHandler:
+    world = World((), (upstream('1'), upstream('2')))
+    return NewsHandler(SteeringEngine(world.state))
+
+
+def _fetch(handler: ExchangeHandler, kind: StoreKind) -> Event:
+    async def use(peer: str) -> Event:
+        engine = RecordingEngine(World().state)
+        client = NewsClient(engine, ConnectionPool(engine.now))
+        client.fetch(FetchNews(kind, peer, 0))
+        await asyncio.gather(*client.tasks)
+        client.pool.close()
+        return engine.events[0]
+
+    event: Event = _serve(handler, use)
+    return event
+
+
+@pytest.mark.parametrize('kind', StoreKind)
+def test_news_cross_real_sockets(kind: StoreKind) -> None:
+    event = _fetch(_teller(), kind)
+    assert isinstance(event, NewsFetched)
+    assert event.kind is kind
+    assert event.news.revision == 1
+    names = {record.name for record in event.news.records}
+    assert names == ({'1', '2'} if kind is StoreKind.UPSTREAMS else set())
+    configured = isinstance(event.news.configuration, RoutingConfiguration)
+    assert configured is (kind is StoreKind.CONFIGURATION)
+
+
+def test_configuration_is_the_same_after_its_way() -> None:
+    handler = _teller()
+    event = _fetch(handler, StoreKind.CONFIGURATION)
+    assert isinstance(event, NewsFetched)
+    assert event.news.configuration == handler.engine.state.configuration
+
+
+def test_what_makes_no_sense_is_missed() -> None:
+    assert isinstance(_fetch(Garbage(), StoreKind.UPSTREAMS), NewsMissed)
+
+
+def test_entry_that_does_not_answer_is_missed() -> None:
+    async def run() -> Event:
+        engine = RecordingEngine(World().state)
+        client = NewsClient(engine, ConnectionPool(engine.now))
+        client.fetch(FetchNews(StoreKind.UPSTREAMS, '127.0.0.1:1', 0))
+        await asyncio.gather(*client.tasks)
+        return engine.events[0]
+
+    assert isinstance(asyncio.run(run()), NewsMissed)
+
+
+@pytest.mark.parametrize(
+    ('target', 'status', 'result'),
+    [
+        ('/news?kind=upstreams&since=x', 400, 2001),
+        ('/news?kind=weather&since=1', 400, 2001),
+        ('/news', 400, 2001),
+        ('/other', 404, 2011),
+    ],
+)
+def test_bad_questions_get_numbered_results(
+    target: str, status: int, result: int
+) -> None:
+    async def use(peer: str) -> Any:
+        return await AsyncHTTPClient().fetch(
+            f'http://{peer}{target}', raise_error=False
+        )
+
+    response = _serve(_teller(), use)
+    assert response.code == status
+    assert msgspec.json.decode(response.body)['result'] == result
+
+
+def test_news_are_what_the_reducer_hands_out() -> None:
+    async def use(peer: str) -> Any:
+        url = f'http://{peer}/news?kind=evacuations&since=0'
+        return (await AsyncHTTPClient().fetch(url)).body
+
+    told = msgspec.msgpack.decode(_serve(_teller(), use), type=StoreNews)
+    assert told == StoreNews(1, complete=True)
--- a/tests/steering/test_store.py
+++ b/tests/steering/test_store.py
@@ -6,12 +6,12 @@
 from worksrail.core.steering import RoutingConfiguration, UpstreamRecord
 from worksrail.core.steering.events import (
     ConfigurationRead,
-    StoreKind,
     StoreLost,
     StoreRegained,
     UpstreamsChanged,
     UpstreamsListed,
 )
+from worksrail.core.steering.kinds import StoreKind
 
 _ALL = tuple(upstream(name) for name in ('1', '2', '3'))
 
--- /dev/null
+++ b/tests/steering/test_watching.py
@@ -0,0 +1,205 @@
+"""Who reads the store, and how the others learn of changes."""
+
+from collections.abc import Sequence
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.steering.fleet_world import FleetWorld
+from tests.steering.world import World, contact, of_type, upstream
+from worksrail.core.steering import (
+    Catalog,
+    EntryDigest,
+    RoutingConfiguration,
+    StoreNews,
+)
+from worksrail.core.steering._news import Mirror
+from worksrail.core.steering.effects import FetchNews, FollowStore
+from worksrail.core.steering.events import (
+    DigestReceived,
+    NewsFetched,
+    NewsMissed,
+)
+from worksrail.core.steering.kinds import StoreKind
+
+_REGIONS = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
+_SIZES = [
+    ({'a1': 1}, 1),
+    ({'a1': 2, 'a2': 1, 'b1': 2}, 5),
+    ({'a1': 9, 'a2': 9, 'b1': 9}, 6),
+]
+
+
+def _versions(world: FleetWorld) -> set[int]:
+    versions = set()
+    for state in world.states.values():
+        found = state.configuration
+        known = isinstance(found, RoutingConfiguration)
+        versions.add(found.version if known else 0)
+    return versions
+
+
+@pytest.mark.parametrize(('zones', 'watchers'), _SIZES)
+def test_calls_to_the_store_grow_with_the_zones(
+    zones: dict[str, int], watchers: int
+) -> None:
+    world = FleetWorld(zones, _REGIONS)
+    world.wait(5)
+    assert len(world.watchers()) == watchers
+
+
+@pytest.mark.parametrize('loss', [0, 0.1])
+def test_change_that_one_entry_reads_is_in_force_everywhere(
+    loss: float,
+) -> None:
+    # All other watchers are turned away by the store.
+    world = FleetWorld({'a1': 9, 'a2': 9, 'b1': 9}, _REGIONS, loss)
+    world.wait(5)
+    reader = min(world.watchers())
+    world.tell_store(reader, 7, (upstream('u'),))
+    world.wait(1.8)
+    assert _versions(world) == {7}
+    for state in world.states.values():
+        assert set(state.catalog.upstreams) == {'u'}
+
+
+def test_watchers_that_read_themselves_are_asked_by_their_zone_only() -> None:
+    world = FleetWorld({'a1': 5, 'b1': 5}, _REGIONS)
+    world.wait(5)
+    for name in world.watchers():
+        world.tell_store(name, 7)
+    world.wait(0.6)
+    assert _versions(world) == {7}
+
+
+def test_watcher_that_dies_is_replaced() -> None:
+    world = FleetWorld({'a1': 5}, _REGIONS)
+    world.wait(5)
+    for name in world.watchers():
+        world.stop(name)
+    world.wait(1.5)
+    assert len(world.watchers()) == 2
+
+
+def test_fresh_entry_learns_from_others() -> None:
+    world = FleetWorld({'a1': 5}, _REGIONS)
+    world.wait(5)
+    (name, *_) = set(world.states) - world.watchers()
+    world.stop(name)
+    world.told = False
+    world.start(name)
+    world.wait(1.5)
+    assert _versions(world) == {1}
+    assert world.states[name].ready
+    assert not world.states[name].watching
+
+
+def test_entry_without_others_reads_the_store_soon() -> None:
+    world = FleetWorld({'a1': 1}, _REGIONS, told=False)
+    world.wait(0.4)
+    assert world.watchers() == {'a1-0'}
+
+
+def test_entries_that_know_nothing_all_read_at_last() -> None:
+    world = FleetWorld({'a1': 5}, _REGIONS, told=False)
+    world.wait(1.9)
+    assert len(world.watchers()) == 2
+    world.wait(0.3)
+    assert len(world.watchers()) == 5
+
+
+def _hear_of_more(world: World, number: int) -> list[FetchNews]:
+    told = EntryDigest(contact('two', revisions=(9, 9, 9)), number, {}, ())
+    world.run(DigestReceived(world.now, told))
+    return of_type(world.wait(0.05), FetchNews)
+
+
+def test_watcher_waits_for_its_own_watch_first() -> None:
+    world = World()
+    assert world.state.watching
+    asked = [_hear_of_more(world, number) for number in range(1, 15)]
+    first = next(at for at, fetches in enumerate(asked) if fetches)
+    assert 7 <= first <= 9
+    assert {one.kind for one in asked[first]} == set(StoreKind)
+
+
+def test_failed_fetch_is_made_again() -> None:
+    world = World()
+    for number in range(1, 15):
+        _hear_of_more(world, number)
+    asked = of_type(world.effects, FetchNews)
+    assert [one.kind for one in asked] == list(StoreKind)
+    world.run(NewsMissed(world.now, asked[0].kind, asked[0].peer))
+    again = _hear_of_more(world, 15)
+    assert [one.kind for one in again] == [asked[0].kind]
+
+
+@pytest.mark.parametrize(
+    ('store_back', 'kept'),
+    [(None, False), (0.5, True), (30.0, False)],
+)
+def test_removal_told_by_another_entry_minds_the_return_of_the_store(
+    store_back: float | None, kept: bool
+) -> None:
+    world = World((), (upstream('1'), upstream('2')))
+    news = StoreNews(5, removed=('1',), store_back=store_back)
+    world.run(NewsFetched(world.now, StoreKind.UPSTREAMS, 'p', news))
+    assert ('1' in world.state.catalog.upstreams) is kept
+    world.wait(2.2)
+    assert set(world.state.catalog.upstreams) == {'2'}
+
+
+def test_entry_that_is_turned_away_takes_removals_from_others() -> None:
+    world = World((), (upstream('1'), upstream('2')))
+    world.state.catalog.store_lost()
+    news = StoreNews(5, removed=('1',))
+    world.run(NewsFetched(world.now, StoreKind.UPSTREAMS, 'p', news))
+    assert set(world.state.catalog.upstreams) == {'2'}
+
+
+def test_older_configuration_of_another_entry_is_ignored() -> None:
+    world = World()
+    before = world.state.configuration
+    news = StoreNews(5, complete=True)
+    world.run(NewsFetched(world.now, StoreKind.CONFIGURATION, 'p', news))
+    assert world.state.configuration is before
+
+
+_CHANGES = st.lists(
+    st.tuples(st.integers(0, 5), st.booleans()), min_size=1, max_size=30
+)
+
+
+@given(_CHANGES, st.integers(0, 30), st.integers(0, 30))
+def test_news_since_any_revision_lead_to_the_same_upstreams(
+    changes: Sequence[tuple[int, bool]], listed_at: int, since: int
+) -> None:
+    """Against the naive version: hand over everything each time."""
+    teller, mirror = Catalog({'a1': 'a'}), Mirror()
+    follower = Catalog({'a1': 'a'})
+    since = min(since, len(changes))
+    for revision, (number, present) in enumerate(changes, 1):
+        name = f'u{number}'
+        changed = (upstream(name, sequence=revision),) if present else ()
+        removed = () if present else (name,)
+        teller.change(changed, removed, 0)
+        mirror.note_changes((name,), revision)
+        if revision <= since:
+            follower.change(changed, removed, 0)
+        if revision == listed_at:
+            mirror.note_list(revision)
+    news = mirror.upstreams_since(teller, since)
+    if news.complete:
+        follower.replace(news.records, 0)
+    else:
+        follower.change(news.records, news.removed, 0)
+    assert set(follower.upstreams) == set(teller.upstreams)
+    for name, found in teller.upstreams.items():
+        assert follower.upstreams[name].record == found.record
+
+
+def test_only_changes_of_the_duty_are_effects() -> None:
+    world = World()
+    begun = of_type(world.effects, FollowStore)
+    assert begun == [FollowStore(True)]
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -116,6 +116,7 @@
         'leaving': False,
         'capacity': EntryLimits().cores * 300,
         'rate': 0,
+        'revisions': (1, 1, 1),
     }
     return Contact(**(fields | changes))
 
@@ -164,9 +165,10 @@
             ConfigurationRead(
                 self.now,
                 configuration(1, tuple(routes) or (route(),), cold_rate),
+                1,
             ),
-            UpstreamsListed(self.now, tuple(upstreams)),
-            EvacuationsRead(self.now, frozenset()),
+            UpstreamsListed(self.now, tuple(upstreams), 1),
+            EvacuationsRead(self.now, frozenset(), 1),
         )
         self.wait(0.6)
 
--- a/worksrail/core/steering/__init__.py
+++ b/worksrail/core/steering/__init__.py
@@ -8,6 +8,7 @@
     ZoneDigest,
 )
 from worksrail.core.steering._directory import EntryList, look_up
+from worksrail.core.steering._news import StoreNews
 from worksrail.core.steering._reducer import reduce
 from worksrail.core.steering._routes import (
     CallerLimits,
@@ -24,6 +25,7 @@
     EntrySettings,
     SteeringBounds,
 )
+from worksrail.core.steering._watching import news_since
 from worksrail.core.steering.state import (
     NotConfigured,
     SteeredRequest,
@@ -50,8 +52,10 @@
     'SteeredRequest',
     'SteeringBounds',
     'SteeringState',
+    'StoreNews',
     'UpstreamRecord',
     'ZoneDigest',
     'look_up',
+    'news_since',
     'reduce',
 )
--- a/worksrail/core/steering/_catalog.py
+++ b/worksrail/core/steering/_catalog.py
@@ -106,6 +106,16 @@
             self.away = False
             self.returned_at = now
 
+    def told_of_store(self, back: float | None, now: float) -> None:
+        """Another entry can reach the store, since some seconds."""
+        self.away = False
+        if back is not None:
+            self.returned_at = max(self.returned_at, now - back)
+
+    def store_back(self, now: float) -> float | None:
+        """Seconds since the store came back; None if it was not away."""
+        return now - self.returned_at if self.returned_at > -inf else None
+
     def replace(self, records: Iterable[UpstreamRecord], now: float) -> None:
         """Take in a complete list."""
         listed = set()
--- a/worksrail/core/steering/_digests.py
+++ b/worksrail/core/steering/_digests.py
@@ -1,8 +1,13 @@
 """What entries tell each other: of themselves, and of their zones."""
 
+from typing import Final
+
 import msgspec
 
 from worksrail.core.identity import Incarnation, RegionName, ZoneName
+from worksrail.core.steering.kinds import StoreKind
+
+_KINDS: Final = tuple(StoreKind)
 
 
 class Contact(msgspec.Struct, frozen=True, array_like=True):
@@ -35,6 +40,10 @@
     rate: float
     """Requests a second that came to it lately."""
 
+    revisions: tuple[int, ...]
+    """Revision of the store up to which it knows each kind of object, in
+    the order of :class:`StoreKind`."""
+
     @property
     def name(self) -> str:
         """Name of the entry."""
@@ -45,6 +54,10 @@
         """Whether callers may be sent there."""
         return self.ready and not self.leaving
 
+    def revision(self, kind: StoreKind) -> int:
+        """Revision of the store up to which it knows a kind."""
+        return self.revisions[_KINDS.index(kind)]
+
 
 class EntryDigest(msgspec.Struct, frozen=True, array_like=True, tag='entry'):
     """What an entry tells its own zone some times a second."""
--- a/worksrail/core/steering/_fleet.py
+++ b/worksrail/core/steering/_fleet.py
@@ -13,7 +13,7 @@
 from typing import Final
 
 from worksrail.core.identity import RegionName, ZoneName
-from worksrail.core.membership import rendezvous
+from worksrail.core.membership import rendezvous_weight
 from worksrail.core.steering._digests import Contact, EntryDigest, ZoneDigest
 
 # Seconds without a digest after which an entry of the own zone counts as
@@ -155,6 +155,23 @@
             if entry.contact.region == region
         ]
 
+    def far(self, now: float) -> list[Contact]:
+        """Entries of other zones that live."""
+        return [
+            entry.contact
+            for entry in self.alive(now)
+            if entry.contact.zone != self.zone
+        ]
+
+    def rank_in_zone(self, now: float) -> int:
+        """Place of this entry in the order of its zone's duties, from zero.
+
+        The first one is the speaker.
+        """
+        names = [mate.name for mate in self.mates(now) if not mate.leaving]
+        own = _duty_weight(self.zone, self.name)
+        return sum(_duty_weight(self.zone, name) > own for name in names)
+
     def is_speaker(self, now: float, *, leaving: bool) -> bool:
         """Whether this entry speaks for its zone."""
         mates = self.mates(now)
@@ -197,11 +214,7 @@
         """
         heard = {entry.contact.peer for entry in self.alive(now)}
         silent = sorted(self.addresses.keys() - heard)
-        far = sorted(
-            entry.contact.peer
-            for entry in self.alive(now)
-            if entry.contact.zone != self.zone
-        )
+        far = sorted(contact.peer for contact in self.far(now))
         return _draw(silent, _DRAWN, rng) + _draw(far, 1, rng)
 
     def expire(self, now: float) -> tuple[list[str], list[str]]:
@@ -241,7 +254,11 @@
 
 
 def _speaker(zone: ZoneName, names: Iterable[str]) -> str:
-    return rendezvous(f'speaker|{zone}', names)
+    return max(names, key=lambda name: _duty_weight(zone, name))
+
+
+def _duty_weight(zone: ZoneName, name: str) -> tuple[int, str]:
+    return rendezvous_weight(f'speaker|{zone}', name), name
 
 
 def _draw(addresses: list[str], most: int, rng: random.Random) -> list[str]:
--- /dev/null
+++ b/worksrail/core/steering/_news.py
@@ -0,0 +1,101 @@
+"""News of the store, and how far each entry has followed it.
+
+Few entries of a zone read the store; the others learn from them.  Each entry
+tells up to which revision it knows each kind of object, and hands on what
+has changed since a revision.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+from worksrail.core.identity import ZoneName
+from worksrail.core.steering._catalog import Catalog, UpstreamRecord
+from worksrail.core.steering._routes import RoutingConfiguration
+from worksrail.core.steering.kinds import StoreKind
+
+# Changes of upstreams that are remembered; one who is further behind gets
+# the complete list.
+_CHANGES_KEPT: Final = 2000
+
+
+@dataclass(frozen=True, slots=True)
+class StoreNews:
+    """What is new of one kind of object, decoded."""
+
+    revision: int
+    """Revision of the store that it reflects; go on from here."""
+
+    configuration: RoutingConfiguration | None = None
+    """A version of the configuration, if there is one."""
+
+    records: tuple[UpstreamRecord, ...] = ()
+    """Upstreams, in the order of their changes."""
+
+    zones: tuple[ZoneName, ...] = ()
+    """Zones to be evacuated."""
+
+    removed: tuple[str, ...] = ()
+    """Names of objects that were removed."""
+
+    faults: tuple[str, ...] = ()
+    """Objects that could not be decoded, and what was expected."""
+
+    complete: bool = False
+    """Whether it tells everything instead of what has changed."""
+
+    store_back: float | None = None
+    """Seconds since the store came back to the entry that tells; None if it
+    has not been away."""
+
+
+@dataclass(slots=True)
+class Mirror:
+    """How far this entry knows the store, and what changed when."""
+
+    revisions: dict[StoreKind, int] = field(
+        default_factory=lambda: dict.fromkeys(StoreKind, 0)
+    )
+    """Revision up to which each kind is known; zero: not at all."""
+
+    changed: dict[str, int] = field(default_factory=dict)
+    """Revision at which each upstream changed last, or was removed."""
+
+    floor: int = 0
+    """Revision from which ``changed`` is complete."""
+
+    def note(self, kind: StoreKind, revision: int) -> None:
+        """A kind is known up to a revision."""
+        self.revisions[kind] = max(self.revisions[kind], revision)
+
+    def note_list(self, revision: int) -> None:
+        """All upstreams are known as of a revision."""
+        self.changed.clear()
+        self.floor = revision
+        self.note(StoreKind.UPSTREAMS, revision)
+
+    def note_changes(self, names: Iterable[str], revision: int) -> None:
+        """Some upstreams have changed up to a revision."""
+        for name in names:
+            self.changed.pop(name, None)
+            self.changed[name] = revision
+        while len(self.changed) > _CHANGES_KEPT:
+            oldest = next(iter(self.changed))
+            self.floor = max(self.floor, self.changed.pop(oldest))
+        self.note(StoreKind.UPSTREAMS, revision)
+
+    def upstreams_since(self, catalog: Catalog, since: int) -> StoreNews:
+        """What has changed of upstreams since a revision."""
+        known = catalog.upstreams
+        revision = self.revisions[StoreKind.UPSTREAMS]
+        if since <= 0 or since < self.floor:
+            records = tuple(upstream.record for upstream in known.values())
+            return StoreNews(revision, records=records, complete=True)
+        changed = [name for name, at in self.changed.items() if at > since]
+        return StoreNews(
+            revision,
+            records=tuple(
+                known[name].record for name in changed if name in known
+            ),
+            removed=tuple(name for name in changed if name not in known),
+        )
--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -74,6 +74,7 @@
         state.leaving,
         settings.capacity,
         round(state.arrivals.rate(now), 1),
+        tuple(state.mirror.revisions.values()),
     )
 
 
--- a/worksrail/core/steering/_on_store.py
+++ b/worksrail/core/steering/_on_store.py
@@ -8,12 +8,12 @@
 from worksrail.core.steering.events import (
     ConfigurationRead,
     EvacuationsRead,
-    StoreKind,
     StoreLost,
     StoreRegained,
     UpstreamsChanged,
     UpstreamsListed,
 )
+from worksrail.core.steering.kinds import StoreKind
 from worksrail.core.steering.state import SteeringState
 
 
@@ -23,6 +23,7 @@
 ) -> Iterator[Effect]:
     """Bring a higher version into force; a lower one never."""
     state.seen.add(StoreKind.CONFIGURATION)
+    state.mirror.note(StoreKind.CONFIGURATION, event.revision)
     version = event.configuration.version
     current = state.configuration
     if isinstance(current, RoutingConfiguration):
@@ -45,6 +46,7 @@
 ) -> Iterator[Effect]:
     """Take in the complete list of upstreams."""
     state.seen.add(StoreKind.UPSTREAMS)
+    state.mirror.note_list(event.revision)
     before = _beliefs(state, event.now)
     state.catalog.replace(event.records, event.now)
     yield from _differences(state, before, event.now)
@@ -55,6 +57,8 @@
     event: UpstreamsChanged,
 ) -> Iterator[Effect]:
     """Take in changes of upstreams."""
+    changed = [record.name for record in event.records]
+    state.mirror.note_changes((*changed, *event.removed), event.revision)
     before = _beliefs(state, event.now)
     state.catalog.change(event.records, event.removed, event.now)
     yield from _differences(state, before, event.now)
@@ -66,6 +70,7 @@
 ) -> Iterator[Effect]:
     """Take in the zones that are to be left alone."""
     state.seen.add(StoreKind.EVACUATIONS)
+    state.mirror.note(StoreKind.EVACUATIONS, event.revision)
     if event.zones != state.catalog.evacuated:
         state.catalog.evacuate(event.zones)
         zones = ','.join(sorted(event.zones))
--- a/worksrail/core/steering/_on_time.py
+++ b/worksrail/core/steering/_on_time.py
@@ -7,6 +7,7 @@
 from worksrail.core.steering._on_store import expire_upstreams
 from worksrail.core.steering._routes import RoutingConfiguration
 from worksrail.core.steering._silence import move_from_silent
+from worksrail.core.steering._watching import keep_up
 from worksrail.core.steering.effects import (
     Decision,
     DecisionKind,
@@ -15,9 +16,9 @@
 )
 from worksrail.core.steering.events import (
     StopRequested,
-    StoreKind,
     Ticked,
 )
+from worksrail.core.steering.kinds import StoreKind
 from worksrail.core.steering.state import SteeringState
 
 # Seconds for which a fresh entry waits for digests of the others.
@@ -37,6 +38,7 @@
     yield from expire_upstreams(state, event.now)
     yield from _become_ready(state, event.now)
     yield from move_from_silent(state, event.now)
+    yield from keep_up(state, event.now)
     if event.now >= state.next_digest_at:
         yield from tell(state, event.now)
     yield from _exit_when_done(state, event.now)
--- a/worksrail/core/steering/_reducer.py
+++ b/worksrail/core/steering/_reducer.py
@@ -12,6 +12,7 @@
     _on_requests,
     _on_store,
     _on_time,
+    _watching,
 )
 from worksrail.core.steering.effects import Effect
 from worksrail.core.steering.events import (
@@ -21,6 +22,8 @@
     DigestReceived,
     EvacuationsRead,
     Event,
+    NewsFetched,
+    NewsMissed,
     RequestArrived,
     StopRequested,
     StoreLost,
@@ -35,6 +38,8 @@
 
 _HANDLERS: Final[dict[type, _Handler]] = {
     Ticked: _on_time.on_tick,
+    NewsFetched: _watching.on_fetched,
+    NewsMissed: _watching.on_missed,
     DigestReceived: _on_digests.on_digest,
     StopRequested: _on_time.on_stop,
     ConfigurationRead: _on_store.on_configuration,
--- /dev/null
+++ b/worksrail/core/steering/_watching.py
@@ -0,0 +1,188 @@
+"""Who reads the store, and who learns from other entries instead.
+
+Two entries of each zone watch the store.  Digests say how far each entry
+knows it; one that is behind asks another entry for what it lacks.  So calls
+to the store grow with the zones, and an entry that the store turns away
+still learns of every change.
+"""
+
+from collections.abc import Iterator
+from typing import Final
+
+from worksrail.core.steering import _on_store
+from worksrail.core.steering._digests import Contact
+from worksrail.core.steering._news import StoreNews
+from worksrail.core.steering._routes import RoutingConfiguration
+from worksrail.core.steering.effects import (
+    Decision,
+    DecisionKind,
+    Effect,
+    FetchNews,
+    FollowStore,
+)
+from worksrail.core.steering.events import (
+    ConfigurationRead,
+    EvacuationsRead,
+    NewsFetched,
+    NewsMissed,
+    UpstreamsChanged,
+    UpstreamsListed,
+)
+from worksrail.core.steering.kinds import StoreKind
+from worksrail.core.steering.state import SteeringState
+
+# Entries of each zone that watch the store: when one dies or is cut off, the
+# other one still tells the zone.
+_WATCHERS: Final = 2
+# Seconds for which a fresh entry listens for others before it reads the
+# store itself, and after which it reads in any case if it lacks anything.
+_LISTENING: Final = 0.3
+_PATIENCE: Final = 2.0
+# Seconds for which an entry that watches may be behind others before it asks
+# them: usually its own watch tells it sooner.
+_WATCHER_LAG: Final = 0.4
+
+
+def keep_up(state: SteeringState, now: float) -> Iterator[Effect]:
+    """Watch the store if it is this entry's duty; catch up with others."""
+    watching = _shall_watch(state, now)
+    if watching != state.watching:
+        state.watching = watching
+        if not watching:
+            # Others tell from now on; what the store does is their matter.
+            state.lost.clear()
+        yield Decision(DecisionKind.WATCH, 'begun' if watching else 'ended')
+        yield FollowStore(watching)
+    for kind in StoreKind:
+        yield from _catch_up(state, kind, now)
+    revisions = tuple(state.mirror.revisions.values())
+    if revisions != state.told_revisions:
+        # Others wait for news: they are told at once.
+        state.told_revisions = revisions
+        state.next_digest_at = now
+
+
+def on_fetched(state: SteeringState, event: NewsFetched) -> Iterator[Effect]:
+    """Take in what another entry told of the store."""
+    state.fetching.discard(event.kind)
+    news = event.news
+    if event.kind is StoreKind.UPSTREAMS:
+        state.catalog.told_of_store(news.store_back, event.now)
+    yield Decision(
+        DecisionKind.NEWS_FETCHED,
+        event.kind.value,
+        inputs=(('from', event.peer), ('revision', news.revision)),
+    )
+    yield from _apply(state, event.kind, news, event.now)
+
+
+def on_missed(state: SteeringState, event: NewsMissed) -> Iterator[Effect]:
+    """Another entry did not tell; the next attempt may ask another one."""
+    state.fetching.discard(event.kind)
+    yield Decision(
+        DecisionKind.NEWS_MISSED,
+        event.kind.value,
+        inputs=(('from', event.peer),),
+    )
+
+
+def news_since(
+    state: SteeringState,
+    kind: StoreKind,
+    since: int,
+    now: float,
+) -> StoreNews:
+    """What this entry knows of a kind beyond a revision."""
+    mirror = state.mirror
+    revision = mirror.revisions[kind]
+    if kind is StoreKind.UPSTREAMS:
+        news = mirror.upstreams_since(state.catalog, since)
+        return StoreNews(
+            news.revision,
+            records=news.records,
+            removed=news.removed,
+            complete=news.complete,
+            store_back=state.catalog.store_back(now),
+        )
+    if kind is StoreKind.EVACUATIONS:
+        zones = tuple(sorted(state.catalog.evacuated))
+        return StoreNews(revision, zones=zones, complete=True)
+    configuration = state.configuration
+    if isinstance(configuration, RoutingConfiguration):
+        return StoreNews(revision, configuration, complete=True)
+    return StoreNews(0)
+
+
+def _shall_watch(state: SteeringState, now: float) -> bool:
+    if state.leaving:
+        return state.watching
+    age = now - state.started_at
+    if age < _LISTENING:
+        return False
+    if age > _PATIENCE and not all(state.mirror.revisions.values()):
+        return True
+    rank = state.fleet.rank_in_zone(now)
+    return rank < _WATCHERS
+
+
+def _catch_up(
+    state: SteeringState,
+    kind: StoreKind,
+    now: float,
+) -> Iterator[Effect]:
+    sources = _sources(state, kind, now)
+    if not sources:
+        state.behind_since.pop(kind, None)
+        return
+    behind = now - state.behind_since.setdefault(kind, now)
+    patience = _WATCHER_LAG if state.watching else 0
+    if behind >= patience and kind not in state.fetching:
+        state.fetching.add(kind)
+        source = state.rng.choice(sources)
+        yield FetchNews(kind, source.peer, state.mirror.revisions[kind])
+
+
+def _sources(
+    state: SteeringState,
+    kind: StoreKind,
+    now: float,
+) -> list[Contact]:
+    known = state.mirror.revisions[kind]
+    mates = [
+        mate for mate in state.fleet.mates(now) if mate.revision(kind) > known
+    ]
+    # Only the speaker asks other zones, for all of its own.
+    if mates or not state.fleet.is_speaker(now, leaving=state.leaving):
+        return mates
+    return [
+        contact
+        for contact in state.fleet.far(now)
+        if contact.revision(kind) > known
+    ]
+
+
+def _apply(
+    state: SteeringState,
+    kind: StoreKind,
+    news: StoreNews,
+    now: float,
+) -> Iterator[Effect]:
+    revision = news.revision
+    if kind is StoreKind.EVACUATIONS:
+        zones = frozenset(news.zones)
+        yield from _on_store.on_evacuations(
+            state, EvacuationsRead(now, zones, revision)
+        )
+    elif kind is StoreKind.CONFIGURATION:
+        if news.configuration:
+            yield from _on_store.on_configuration(
+                state, ConfigurationRead(now, news.configuration, revision)
+            )
+    elif news.complete:
+        yield from _on_store.on_listed(
+            state, UpstreamsListed(now, news.records, revision)
+        )
+    else:
+        yield from _on_store.on_changed(
+            state, UpstreamsChanged(now, news.records, news.removed, revision)
+        )
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -6,6 +6,7 @@
 from worksrail.core.results import ResultCode
 from worksrail.core.steering._digests import Digest
 from worksrail.core.steering.events import RequestNumber
+from worksrail.core.steering.kinds import StoreKind
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +65,28 @@
     """What to tell."""
 
 
+@dataclass(frozen=True, slots=True)
+class FollowStore:
+    """Begin or cease to read the store."""
+
+    active: bool
+    """Whether to read it."""
+
+
+@dataclass(frozen=True, slots=True)
+class FetchNews:
+    """Ask another entry what is new in the store."""
+
+    kind: StoreKind
+    """What to ask for."""
+
+    peer: str
+    """Its peer address."""
+
+    since: int
+    """Revision up to which the kind is known here."""
+
+
 @dataclass(frozen=True, slots=True)
 class ExitProcess:
     """The graceful stop is complete."""
@@ -93,6 +116,9 @@
     ZONES_EVACUATED = 'zones to be evacuated'
     STORE_LOST = 'store lost'
     STORE_REGAINED = 'store regained'
+    WATCH = 'reading the store begun or ended'
+    NEWS_FETCHED = 'news of the store from another entry'
+    NEWS_MISSED = 'no news of the store from another entry'
     ENTRY_SEEN = 'other entry seen'
     ENTRY_LOST = 'other entry lost'
     READY = 'ready for requests'
@@ -123,6 +149,8 @@
     | AnswerResult
     | CancelAttempt
     | SendDigest
+    | FollowStore
+    | FetchNews
     | ExitProcess
     | Decision
 )
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -9,7 +9,9 @@
 from worksrail.core.identity import ZoneName
 from worksrail.core.steering._catalog import UpstreamRecord
 from worksrail.core.steering._digests import Digest
+from worksrail.core.steering._news import StoreNews
 from worksrail.core.steering._routes import RoutingConfiguration
+from worksrail.core.steering.kinds import StoreKind
 
 RequestNumber = int
 
@@ -29,15 +31,6 @@
     CANCELLED = 'it was cut off from here'
 
 
-@unique
-class StoreKind(Enum):
-    """What an entry follows in the store."""
-
-    CONFIGURATION = 'configuration'
-    UPSTREAMS = 'upstreams'
-    EVACUATIONS = 'evacuations'
-
-
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
     """Load that an upstream reported with an answer."""
@@ -93,6 +86,9 @@
     configuration: RoutingConfiguration
     """The version."""
 
+    revision: int = 0
+    """Revision of the store up to which the kind is known with it."""
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamsListed:
@@ -104,6 +100,9 @@
     records: tuple[UpstreamRecord, ...]
     """All upstreams."""
 
+    revision: int = 0
+    """Revision of the store up to which the kind is known with it."""
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamsChanged:
@@ -118,6 +117,9 @@
     removed: tuple[str, ...]
     """Identifiers of upstreams that are listed no more."""
 
+    revision: int = 0
+    """Revision of the store up to which the kind is known with it."""
+
 
 @dataclass(frozen=True, slots=True)
 class EvacuationsRead:
@@ -129,6 +131,9 @@
     zones: frozenset[ZoneName]
     """All of them."""
 
+    revision: int = 0
+    """Revision of the store up to which the kind is known with it."""
+
 
 @dataclass(frozen=True, slots=True)
 class StoreLost:
@@ -155,6 +160,37 @@
     """What was asked for."""
 
 
+@dataclass(frozen=True, slots=True)
+class NewsFetched:
+    """Another entry told what is new in the store."""
+
+    now: float
+    """Monotonic time in seconds."""
+
+    kind: StoreKind
+    """What it told of."""
+
+    peer: str
+    """Peer address of that entry."""
+
+    news: StoreNews
+    """What it told."""
+
+
+@dataclass(frozen=True, slots=True)
+class NewsMissed:
+    """Another entry did not tell what is new in the store."""
+
+    now: float
+    """Monotonic time in seconds."""
+
+    kind: StoreKind
+    """What it was asked for."""
+
+    peer: str
+    """Peer address of that entry."""
+
+
 @dataclass(frozen=True, slots=True)
 class DigestReceived:
     """Another entry told of itself."""
@@ -236,6 +272,8 @@
     | EvacuationsRead
     | StoreLost
     | StoreRegained
+    | NewsFetched
+    | NewsMissed
     | DigestReceived
     | RequestArrived
     | CallerGone
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -16,6 +16,7 @@
     LoadTable,
     RateMeter,
 )
+from worksrail.core.steering._news import Mirror
 from worksrail.core.steering._repeats import RepeatBudget
 from worksrail.core.steering._routes import Route, RoutingConfiguration
 from worksrail.core.steering._settings import EntrySettings
@@ -24,8 +25,8 @@
 from worksrail.core.steering.events import (
     RequestNumber,
     SteeredHead,
-    StoreKind,
 )
+from worksrail.core.steering.kinds import StoreKind
 
 
 @unique
@@ -160,6 +161,21 @@
     requests: dict[RequestNumber, SteeredRequest] = field(default_factory=dict)
     """Requests under way."""
 
+    mirror: Mirror = field(default_factory=Mirror)
+    """How far the store is known."""
+
+    watching: bool = False
+    """This entry reads the store itself."""
+
+    fetching: set[StoreKind] = field(default_factory=set)
+    """Kinds that another entry is being asked for."""
+
+    behind_since: dict[StoreKind, float] = field(default_factory=dict)
+    """Since when another entry knows more of a kind."""
+
+    told_revisions: tuple[int, ...] = ()
+    """Revisions by kind that the last digest told."""
+
     lost: set[StoreKind] = field(default_factory=set)
     """Kinds whose reading from the store fails."""
 
--- a/worksrail/daemon/steered/__init__.py
+++ b/worksrail/daemon/steered/__init__.py
@@ -5,7 +5,6 @@
     AskedEntries,
     SteeringStore,
     StoreFault,
-    StoreNews,
     UpstreamAnswer,
     UpstreamDialect,
 )
@@ -16,7 +15,6 @@
     'AskedEntries',
     'SteeringStore',
     'StoreFault',
-    'StoreNews',
     'UpstreamAnswer',
     'UpstreamDialect',
     'serve',
--- a/worksrail/daemon/steered/_adapter.py
+++ b/worksrail/daemon/steered/_adapter.py
@@ -14,14 +14,13 @@
 from worksrail.core.steering import (
     EntryList,
     EntrySettings,
-    RoutingConfiguration,
-    UpstreamRecord,
+    StoreNews,
 )
 from worksrail.core.steering.events import (
     ReportedLoad,
     SteeredHead,
-    StoreKind,
 )
+from worksrail.core.steering.kinds import StoreKind
 from worksrail.daemon.http._dialect import CallerDialect
 
 
@@ -35,29 +34,6 @@
     MALFORMED = 'the answer makes no sense'
 
 
-@dataclass(frozen=True, slots=True)
-class StoreNews:
-    """What a call to the store brought, decoded."""
-
-    revision: int
-    """Revision of the store that it reflects; watch on from here."""
-
-    configuration: RoutingConfiguration | None = None
-    """A version of the configuration, if there is one."""
-
-    records: tuple[UpstreamRecord, ...] = ()
-    """Upstreams, in the order of their changes."""
-
-    zones: tuple[ZoneName, ...] = ()
-    """Zones to be evacuated."""
-
-    removed: tuple[str, ...] = ()
-    """Names of objects that were removed, as a watch tells."""
-
-    faults: tuple[str, ...] = ()
-    """Objects that could not be decoded, and what was expected."""
-
-
 class SteeringStore(Protocol):
     """The platform's store, as far as entries read it."""
 
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -24,10 +24,13 @@
     CancelAttempt,
     Decision,
     ExitProcess,
+    FetchNews,
+    FollowStore,
     SendDigest,
     SendUpstream,
 )
-from worksrail.core.steering.events import StopRequested, StoreKind
+from worksrail.core.steering.events import StopRequested
+from worksrail.core.steering.kinds import StoreKind
 from worksrail.daemon import _clock
 from worksrail.daemon._logs import LineSink, install_logs
 from worksrail.daemon.http._connections import ConnectionPool
@@ -39,9 +42,10 @@
 from worksrail.daemon.steered._adapter import Adapter, SettingsFaultError
 from worksrail.daemon.steered._decisions import DecisionLog
 from worksrail.daemon.steered._digests import DigestPort
-from worksrail.daemon.steered._engine import SteeringEngine
+from worksrail.daemon.steered._engine import Runner, SteeringEngine
 from worksrail.daemon.steered._following import Follower
 from worksrail.daemon.steered._metrics import SteeringMetrics
+from worksrail.daemon.steered._peers import NewsClient, NewsHandler
 from worksrail.daemon.steered._ports import (
     LookUpHandler,
     MetricsHandler,
@@ -80,6 +84,9 @@
     followers: tuple[Follower, ...]
     """Follow the store."""
 
+    turn: asyncio.Event
+    """Set while it is this entry's duty to read the store."""
+
     decisions: DecisionLog
     """Writes decisions."""
 
@@ -112,30 +119,45 @@
         )
         engine = SteeringEngine(state)
         requests = SteeredRequests(engine, adapter, ConnectionPool(engine.now))
-        digests = DigestPort(engine)
         metrics = SteeringMetrics.create()
-        decisions = DecisionLog(requests.trace_of, metrics)
         store = adapter.open_store(settings.store, metrics.count_call)
-        followers = tuple(Follower(engine, store, kind) for kind in StoreKind)
-        stopped = asyncio.Event()
-        engine.runners = {
-            SendUpstream: requests.send_upstream,
-            AnswerResult: requests.answer_result,
-            CancelAttempt: requests.cancel,
-            SendDigest: digests.send,
-            Decision: decisions.write,
-            ExitProcess: lambda _: stopped.set(),
-        }
-        return cls(
+        turn = asyncio.Event()
+        daemon = cls(
             adapter,
             engine,
             requests,
-            digests,
-            followers,
-            decisions,
+            DigestPort(engine),
+            tuple(
+                Follower(engine, store, kind, turn=turn) for kind in StoreKind
+            ),
+            turn,
+            DecisionLog(requests.trace_of, metrics),
             sink,
-            stopped,
+            asyncio.Event(),
         )
+        engine.runners = daemon.make_runners()
+        return daemon
+
+    def make_runners(self) -> dict[type, Runner]:
+        """Who runs which effect."""
+        news = NewsClient(self.engine, ConnectionPool(self.engine.now))
+        return {
+            SendUpstream: self.requests.send_upstream,
+            AnswerResult: self.requests.answer_result,
+            CancelAttempt: self.requests.cancel,
+            SendDigest: self.digests.send,
+            FollowStore: self.follow,
+            FetchNews: news.fetch,
+            Decision: self.decisions.write,
+            ExitProcess: lambda _: self.stopped.set(),
+        }
+
+    def follow(self, effect: FollowStore) -> None:
+        """Begin or cease to read the store."""
+        if effect.active:
+            self.turn.set()
+        else:
+            self.turn.clear()
 
     async def run(self) -> None:
         """Serve until a graceful stop is complete."""
@@ -185,6 +207,7 @@
         addresses = settings.addresses
         self._serve(addresses.caller, self.requests)
         self._serve(addresses.readiness, ReadinessHandler(self.engine, dialect))
+        self._serve(addresses.peer, NewsHandler(self.engine))
         self._serve(addresses.look_up, LookUpHandler(self.engine, dialect))
         host = addresses.readiness.partition(':')[0]
         metrics = MetricsHandler(self.engine, self.decisions.metrics, self.sink)
--- a/worksrail/daemon/steered/_following.py
+++ b/worksrail/daemon/steered/_following.py
@@ -8,19 +8,19 @@
 
 from logbook import Logger
 
+from worksrail.core.steering import StoreNews
 from worksrail.core.steering.events import (
     ConfigurationRead,
     EvacuationsRead,
-    StoreKind,
     StoreLost,
     StoreRegained,
     UpstreamsChanged,
     UpstreamsListed,
 )
+from worksrail.core.steering.kinds import StoreKind
 from worksrail.daemon.steered._adapter import (
     SteeringStore,
     StoreFault,
-    StoreNews,
 )
 from worksrail.daemon.steered._engine import SteeringEngine
 
@@ -71,12 +71,15 @@
     sleep: Callable[[float], Awaitable[None]] = asyncio.sleep
     """Waits some seconds; tests put their own in its place."""
 
-    zones: set[str] = field(default_factory=set)
-    """Zones to be evacuated, as far as read."""
+    turn: asyncio.Event = field(default_factory=asyncio.Event)
+    """Set while it is this entry's duty to read the store."""
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
+            if not self.turn.is_set():
+                await self.turn.wait()
+                self._go_on()
             news = await self._next()
             if isinstance(news, StoreFault):
                 await self._fail(news)
@@ -84,6 +87,11 @@
                 self._take(news)
                 await self.sleep(_PACES[self.kind])
 
+    def _go_on(self) -> None:
+        # Others have told what was new meanwhile.
+        known = self.engine.state.mirror.revisions[self.kind]
+        self.revision = max(self.revision or 0, known) or None
+
     async def _next(self) -> StoreNews | StoreFault:
         if self.revision is None:
             return await self.store.read_all(self.kind)
@@ -114,13 +122,18 @@
                 'object cannot be used; what is in force stays',
                 extra={'kind': self.kind.value, 'problem': fault},
             )
-        if self.kind is StoreKind.CONFIGURATION:
-            if news.configuration:
-                self.engine.dispatch(ConfigurationRead(now, news.configuration))
-        elif self.kind is StoreKind.UPSTREAMS:
+        if listed or _tells_anything(news):
+            self._dispatch(news, now, listed=listed)
+
+    def _dispatch(self, news: StoreNews, now: float, *, listed: bool) -> None:
+        if self.kind is StoreKind.UPSTREAMS:
             self._take_upstreams(news, now, listed=listed)
-        else:
+        elif self.kind is StoreKind.EVACUATIONS:
             self._take_zones(news, now, listed=listed)
+        elif news.configuration:
+            self.engine.dispatch(
+                ConfigurationRead(now, news.configuration, news.revision)
+            )
 
     def _take_upstreams(
         self,
@@ -130,10 +143,12 @@
         listed: bool,
     ) -> None:
         if listed:
-            self.engine.dispatch(UpstreamsListed(now, news.records))
+            self.engine.dispatch(
+                UpstreamsListed(now, news.records, news.revision)
+            )
         else:
             self.engine.dispatch(
-                UpstreamsChanged(now, news.records, news.removed)
+                UpstreamsChanged(now, news.records, news.removed, news.revision)
             )
 
     def _take_zones(
@@ -143,8 +158,17 @@
         *,
         listed: bool,
     ) -> None:
-        if listed:
-            self.zones.clear()
-        self.zones.difference_update(news.removed)
-        self.zones.update(news.zones)
-        self.engine.dispatch(EvacuationsRead(now, frozenset(self.zones)))
+        zones: set[str] = set()
+        if not listed:
+            zones.update(self.engine.state.catalog.evacuated)
+        zones.difference_update(news.removed)
+        zones.update(news.zones)
+        self.engine.dispatch(
+            EvacuationsRead(now, frozenset(zones), news.revision)
+        )
+
+
+def _tells_anything(news: StoreNews) -> bool:
+    return bool(
+        news.configuration or news.records or news.zones or news.removed
+    )
--- a/worksrail/platform/_store.py
+++ b/worksrail/platform/_store.py
@@ -9,14 +9,18 @@
 
 from tornado import httputil
 
-from worksrail.core.steering import RoutingConfiguration, UpstreamRecord
-from worksrail.core.steering.events import StoreKind
+from worksrail.core.steering import (
+    RoutingConfiguration,
+    StoreNews,
+    UpstreamRecord,
+)
+from worksrail.core.steering.kinds import StoreKind
 from worksrail.daemon import _clock
 from worksrail.daemon.http._attempt import AttemptEnd, HttpAttempt, Outgoing
 from worksrail.daemon.http._body import BodyStream
 from worksrail.daemon.http._collected import CollectedAnswer
 from worksrail.daemon.http._connections import ConnectionPool
-from worksrail.daemon.steered import StoreFault, StoreNews
+from worksrail.daemon.steered import StoreFault
 from worksrail.platform import _names as names
 from worksrail.platform._fields import Fields, MalformedDocumentError
 from worksrail.platform._objects import decode_configuration, decode_upstream
