Mind how long upstreams keep idle connections, and notice when they lie

Cause: the time that an upstream names in Keep-Alive was decoded and then never used: connections were kept for 30 s. An upstream that drops one without notice resets what is sent next on it; a request that must not be repeated is then lost, and may have been executed.

Keep-Alive is a standard header, so it is read in daemon/http and not in the platform's folder.

--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -16,9 +16,9 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from worksrail.daemon.http._body import BodyStream
-from worksrail.daemon.http._connections import ConnectionPool
+from worksrail.daemon.http._connections import Acquired, ConnectionPool
 from worksrail.daemon.http._dialect import AnswerUse
-from worksrail.daemon.http._headers import BodyLength, answer_length
+from worksrail.daemon.http._headers import BodyLength, answer_length, kept_for
 
 _LOG: Final = Logger('worksrail.http')
 # Seconds in which a connection must be made.  Twice the way to the farthest
@@ -202,10 +202,12 @@
     async def run(self) -> AttemptReport:
         """Make the attempt; never raises but when cancelled from outside."""
         report = AttemptReport(AttemptEnd.NOT_SENT)
-        stream = await self._connected(report)
-        if stream is None:
+        acquired = await self._connected(report)
+        if acquired is None:
             return report
-        if self.clock() >= self.outgoing.not_after:
+        stream = acquired.stream
+        sent_at = self.clock()
+        if sent_at >= self.outgoing.not_after:
             self.pool.release(self.outgoing.address, stream)
             return report
         report.end = AttemptEnd.NO_ANSWER
@@ -213,24 +215,25 @@
             await self._exchange(stream, report)
         except asyncio.CancelledError:
             report.end = AttemptEnd.CANCELLED
+        if report.end is AttemptEnd.NO_ANSWER:
+            self.pool.note_broken(acquired, self.clock() - sent_at)
         if report.end is AttemptEnd.WHOLE and _keeps_alive(report):
-            self.pool.release(self.outgoing.address, stream)
+            self.pool.release(
+                self.outgoing.address, stream, kept_for(report.headers)
+            )
         else:
             stream.close()
         return report
 
-    async def _connected(self, report: AttemptReport) -> IOStream | None:
-        began = self.clock()
-        opened = self.pool.opened
-        timeout = min(_CONNECT_TIMEOUT, self.outgoing.deadline - began)
+    async def _connected(self, report: AttemptReport) -> Acquired | None:
+        timeout = min(_CONNECT_TIMEOUT, self.outgoing.deadline - self.clock())
         try:
-            stream = await self.pool.acquire(self.outgoing.address, timeout)
+            acquired = await self.pool.acquire(self.outgoing.address, timeout)
         except (OSError, TimeoutError, asyncio.CancelledError) as error:
             _LOG.debug('no connection: {}: {}', self.outgoing.address, error)
             return None
-        if self.pool.opened > opened:
-            report.connect_time = self.clock() - began
-        return stream
+        report.connect_time = acquired.connect_time
+        return acquired
 
     async def _exchange(
         self,
--- a/worksrail/daemon/http/_headers.py
+++ b/worksrail/daemon/http/_headers.py
@@ -91,6 +91,19 @@
     return length
 
 
+def kept_for(headers: HTTPHeaders) -> float | None:
+    """Seconds for which the other side keeps an idle connection, if it says.
+
+    >>> kept_for(HTTPHeaders({'Keep-Alive': 'timeout=5, max=100'}))
+    5.0
+    """
+    for part in headers.get('Keep-Alive', '').split(','):
+        name, _, seconds = part.strip().partition('=')
+        if name.lower() == 'timeout' and _DIGITS.fullmatch(seconds):
+            return float(seconds)
+    return None
+
+
 def end_to_end(headers: HTTPHeaders) -> HTTPHeaders:
     """Copy the headers that are not meant for the next hop only."""
     named = {
--- a/worksrail/daemon/steered/_adapter.py
+++ b/worksrail/daemon/steered/_adapter.py
@@ -68,9 +68,6 @@
     load: ReportedLoad | None
     """The upstream's load, if it tells it."""
 
-    idle_time: float | None
-    """Seconds after which it closes an idle connection, if it says."""
-
 
 class UpstreamDialect(Protocol):
     """Spells requests to upstreams and reads their answers."""
--- a/worksrail/platform/_dialect.py
+++ b/worksrail/platform/_dialect.py
@@ -115,7 +115,6 @@
             status == names.MISDIRECTED,
             encoding not in _IDENTITY,
             _load(headers.get(names.LOAD, '')),
-            _idle_time(headers.get(names.KEEP_ALIVE, '')),
         )
 
 
@@ -136,11 +135,3 @@
         return None
     executing, waiting, slots = (int(part) for part in counts)
     return ReportedLoad(executing, waiting, slots)
-
-
-def _idle_time(text: str) -> float | None:
-    for part in text.split(','):
-        name, _, seconds = part.strip().partition('=')
-        if name.lower() == 'timeout' and seconds.isdigit():
-            return float(seconds)
-    return None
--- a/worksrail/platform/_names.py
+++ b/worksrail/platform/_names.py
@@ -24,7 +24,6 @@
 LOAD: Final = 'Server-Load'
 RETRY_AFTER: Final = 'Retry-After'
 CONTENT_ENCODING: Final = 'Content-Encoding'
-KEEP_ALIVE: Final = 'Keep-Alive'
 
 # -- statuses
 
