Weigh only the upstreams that a key belongs to, unless another could win

Change: the upstreams of the key's first ranks are weighed first; the others only if the fastest of them, warm for nobody and without a wait, could cost less. The use of a service's slots is counted once in 50 ms. Placing and repeating have modules of their own.

--- a/worksrail/core/steering/_affinity.py
+++ b/worksrail/core/steering/_affinity.py
@@ -10,20 +10,35 @@
 from worksrail.core.identity import RegionName, ServiceName
 from worksrail.core.steering._catalog import Catalog, Upstream
 
+# Upstreams of each key, its own included, that it spills to.  An upstream
+# remembers a limited number of keys: when keys spill anywhere, each is soon
+# cold everywhere.
+SPILL: Final = 2
 _CACHE_LIMIT: Final = 20_000
 # Hashes are whole numbers of 64 bits; so many there are.
 _HASHES: Final = float('18446744073709551616')
 
 
 @dataclass(frozen=True, slots=True)
-class KeyRanks:
-    """The order of upstreams for one key."""
+class KeyOrder:
+    """The order of some upstreams for one key."""
 
-    everywhere: dict[str, int]
-    """Rank of each upstream among all; zero is the key's own."""
+    ranks: dict[str, int]
+    """Rank of each upstream; zero is the key's own."""
 
-    by_region: dict[str, int]
-    """Rank of each upstream within its region."""
+    homes: tuple[str, ...]
+    """Upstreams that the key belongs to or spills to."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyOrders:
+    """The orders of upstreams for one key."""
+
+    everywhere: KeyOrder
+    """Ranks among all."""
+
+    by_region: KeyOrder
+    """Ranks within each region."""
 
 
 @dataclass(slots=True)
@@ -38,29 +53,31 @@
     generation: int = -1
     """Generation of the catalog that the ranks were made from."""
 
-    ranks: dict[tuple[ServiceName, str], KeyRanks] = field(default_factory=dict)
-    """Ranks by service and key."""
+    orders: dict[tuple[ServiceName, str], KeyOrders] = field(
+        default_factory=dict
+    )
+    """Orders by service and key."""
 
-    def ranks_of(
+    def orders_of(
         self,
         catalog: Catalog,
         service: ServiceName,
         key: str,
-    ) -> KeyRanks:
+    ) -> KeyOrders:
         """The order of a service's upstreams for a key."""
         if catalog.generation != self.generation:
-            self.ranks.clear()
+            self.orders.clear()
             self.generation = catalog.generation
-        known = self.ranks.get((service, key))
+        known = self.orders.get((service, key))
         if known is None:
-            if len(self.ranks) >= _CACHE_LIMIT:
-                self.ranks.clear()
+            if len(self.orders) >= _CACHE_LIMIT:
+                self.orders.clear()
             known = _rank(catalog.usable(service), key)
-            self.ranks[service, key] = known
+            self.orders[service, key] = known
         return known
 
 
-def _rank(upstreams: Iterable[Upstream], key: str) -> KeyRanks:
+def _rank(upstreams: Iterable[Upstream], key: str) -> KeyOrders:
     weighed = sorted(
         upstreams,
         key=lambda upstream: rendezvous_score(
@@ -75,7 +92,12 @@
         by_region[upstream.name] = position
         counts[upstream.region] = position + 1
     everywhere = {upstream.name: rank for rank, upstream in enumerate(weighed)}
-    return KeyRanks(everywhere, by_region)
+    return KeyOrders(_order(everywhere), _order(by_region))
+
+
+def _order(ranks: dict[str, int]) -> KeyOrder:
+    homes = tuple(name for name, rank in ranks.items() if rank < SPILL)
+    return KeyOrder(ranks, homes)
 
 
 def rendezvous_score(name: str, weight: float, key: str) -> float:
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -1,20 +1,25 @@
 """Which upstream a request goes to: the one that costs least time."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Final
 
 from worksrail.core.identity import RegionName, ServiceName
 from worksrail.core.results import ResultCode
+from worksrail.core.steering._affinity import SPILL, KeyOrder
 from worksrail.core.steering._catalog import Upstream
 from worksrail.core.steering._cold import sharers_of
-from worksrail.core.steering._load import LearnedTime
+from worksrail.core.steering._load import FASTEST, LearnedTime
 from worksrail.core.steering._routes import (
     RouteKind,
     RoutingConfiguration,
     ServicePolicy,
 )
-from worksrail.core.steering.state import SteeredRequest, SteeringState
+from worksrail.core.steering.state import (
+    Shortage,
+    SteeredRequest,
+    SteeringState,
+)
 
 # Share of its slots from which an upstream counts as short of room.
 _ROOMY: Final = 0.5
@@ -27,6 +32,8 @@
 # as much, and a service that is full of cold work does not recover.
 _SHORT: Final = 0.4
 _SHORTAGE: Final = 3.0
+# Seconds for which the use of a service's slots is not counted anew.
+_SHORTAGE_AGE: Final = 0.05
 # Share of the target latency that an answer should take, and the least share
 # that may be spent waiting for a slot whatever the work takes.
 _ON_TIME: Final = 0.9
@@ -45,15 +52,15 @@
 # Share of the lost warmth that is counted where this entry has sent the key
 # lately, though it is not the key's own upstream.
 _SERVED_LOSS: Final = 0.15
-# Upstreams of each key, its own included, that it spills to first, and the
-# lost warmth that is counted at others.  An upstream remembers a limited
-# number of keys: when keys spill anywhere, each is soon cold everywhere.
-_SPILL: Final = 2
+# Lost warmth that is counted at an upstream that the key does not spill to.
 _STRANGER_LOSS: Final = 4.0
 # Times slower that a cold upstream is taken to be.
 _COLD_SLOWNESS: Final = 2.0
 
 
+_NO_ORDER: Final = KeyOrder({}, ())
+
+
 @dataclass(frozen=True, slots=True)
 class Choice:
     """The upstream for an attempt, and what it is expected to cost."""
@@ -87,7 +94,7 @@
     warm: float
     usual: float
     loss: float
-    ranks: dict[str, int]
+    order: KeyOrder
     served: frozenset[str]
     shortage: float
     policy: ServicePolicy | None
@@ -113,9 +120,9 @@
             times.warm.typical,
             state.usual_time(service, times.warm.typical).typical,
             times.loss if key else 0,
-            _ranks(state, request) if key else {},
+            _order(state, request) if key else _NO_ORDER,
             state.warmth.warm_at(service, key, now),
-            _shortage(state, service),
+            _shortage(state, service, now),
             policy,
         )
 
@@ -134,6 +141,11 @@
         cost += work * (crowding + self.shortage)
         return Choice(upstream, cost, wait, own, queue, lost == 0)
 
+    def least_elsewhere(self) -> float:
+        """No upstream that the key does not belong to costs less."""
+        least_work = (self.warm + self.loss * _STRANGER_LOSS) * FASTEST
+        return least_work * (1 + self.shortage)
+
     def allows(self, upstream: Upstream) -> bool:
         """Whether the upstream may get this request now."""
         if upstream.name in self.request.tried:
@@ -152,10 +164,10 @@
         return learned
 
     def _lost(self, name: str) -> float:
-        rank = self.ranks.get(name, 0)
+        rank = self.order.ranks.get(name, 0)
         if not rank:
             return 0
-        if rank >= _SPILL:
+        if rank >= SPILL:
             return self.loss * _STRANGER_LOSS
         return self.loss * _SERVED_LOSS if name in self.served else self.loss
 
@@ -191,19 +203,9 @@
 ) -> Choice | ResultCode:
     """Choose the upstream for the next attempt of a request."""
     scale = _Scale.from_request(state, request, now)
-    choices = [
-        scale.weigh(upstream) for upstream in _candidates(scale, ejected=False)
-    ]
-    if not choices:
-        # All are ejected, or there are none: the ejected ones are better
-        # than nothing.
-        choices = [
-            scale.weigh(upstream)
-            for upstream in _candidates(scale, ejected=True)
-        ]
-    if not choices:
+    best = _best_home(scale) or _best_of_all(scale)
+    if best is None:
         return ResultCode.NO_SLOT
-    best = min(choices, key=_cost)
     if best.wait > patience(request, best, now):
         return ResultCode.QUEUE_FULL
     return best
@@ -234,23 +236,65 @@
     return known
 
 
-def _ranks(state: SteeringState, request: SteeredRequest) -> dict[str, int]:
-    ranked = state.affinity.ranks_of(
+def _best_home(scale: _Scale) -> Choice | None:
+    """The best of the upstreams that the key belongs to, if no other wins.
+
+    The others need not be weighed when even the fastest of them, without a
+    wait, would cost more: a service may have hundreds.
+    """
+    known = scale.state.catalog.upstreams
+    homes = [known[name] for name in scale.order.homes]
+    best = _best(scale, _candidates(scale, homes, ejected=False))
+    if best is None or best.cost > scale.least_elsewhere():
+        return None
+    return best
+
+
+def _best_of_all(scale: _Scale) -> Choice | None:
+    catalog = scale.state.catalog
+    service = scale.request.service
+    # If all are ejected, these are better than nothing.
+    for ejected in (False, True):
+        upstreams = catalog.usable(service)
+        best = _best(scale, _candidates(scale, upstreams, ejected=ejected))
+        if best:
+            return best
+    return None
+
+
+def _best(scale: _Scale, upstreams: Iterable[Upstream]) -> Choice | None:
+    choices = (scale.weigh(upstream) for upstream in upstreams)
+    return min(choices, key=_cost, default=None)
+
+
+def _order(state: SteeringState, request: SteeredRequest) -> KeyOrder:
+    orders = state.affinity.orders_of(
         state.catalog, request.service, request.head.key
     )
     if request.route.kind is RouteKind.DOWNLOAD:
-        return ranked.by_region
-    return ranked.everywhere
+        return orders.by_region
+    return orders.everywhere
+
+
+def _shortage(
+    state: SteeringState,
+    service: ServiceName,
+    now: float,
+) -> float:
+    known = state.shortages.get(service)
+    if known is None or now - known.seen_at > _SHORTAGE_AGE:
+        known = Shortage(_use_of_slots(state, service), now)
+        state.shortages[service] = known
+    return _SHORTAGE * _excess(known.used, _SHORT)
 
 
-def _shortage(state: SteeringState, service: ServiceName) -> float:
+def _use_of_slots(state: SteeringState, service: ServiceName) -> float:
     slots = 0
     in_flight = 0
     for upstream in state.catalog.usable(service):
         slots += upstream.record.slots
         in_flight += state.loads.of(upstream.name).in_flight
-    used = in_flight / slots if slots else 1
-    return _SHORTAGE * _excess(used, _SHORT)
+    return in_flight / slots if slots else 1
 
 
 def _excess(used: float, roomy: float) -> float:
@@ -258,9 +302,14 @@
     return min(1, max(0, used - roomy) / (1 - roomy))
 
 
-def _candidates(scale: _Scale, *, ejected: bool) -> Iterator[Upstream]:
+def _candidates(
+    scale: _Scale,
+    upstreams: Iterable[Upstream],
+    *,
+    ejected: bool,
+) -> Iterator[Upstream]:
     state = scale.state
-    for upstream in state.catalog.usable(scale.request.service):
+    for upstream in upstreams:
         load = state.loads.of(upstream.name)
         out = load.ejected_until > scale.now or load.is_silent(
             scale.usual, upstream.record.slots, scale.now
--- a/worksrail/core/steering/_load.py
+++ b/worksrail/core/steering/_load.py
@@ -21,7 +21,8 @@
 _SILENT_SLACK: Final = 0.4
 # Seconds over which the rate of arrivals is averaged.
 _RATE_TIME: Final = 2.0
-_FASTEST: Final = 0.25
+# Bounds of the learned slowness.
+FASTEST: Final = 0.25
 _SLOWEST: Final = 30.0
 
 
@@ -85,7 +86,7 @@
 
     def note_speed(self, ratio: float, now: float) -> None:
         """Learn from the time of one execution over the usual time."""
-        bounded = max(_FASTEST, min(_SLOWEST, ratio))
+        bounded = max(FASTEST, min(_SLOWEST, ratio))
         current = self.slowness_now(now)
         self.slowness = current + _GAIN * (bounded - current)
         self.slowness_at = now
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -4,8 +4,14 @@
 from typing import Final
 
 from worksrail.core.results import ResultCode
-from worksrail.core.steering._choosing import Choice, choose
 from worksrail.core.steering._learning import learn
+from worksrail.core.steering._placing import (
+    place,
+    refuse,
+    retry_pause,
+    version_of,
+)
+from worksrail.core.steering._repeating import NOT_EXECUTED, denial_of
 from worksrail.core.steering._routes import (
     NoRoute,
     Route,
@@ -17,7 +23,6 @@
     Decision,
     DecisionKind,
     Effect,
-    SendUpstream,
 )
 from worksrail.core.steering.events import (
     AttemptEnded,
@@ -27,37 +32,11 @@
 )
 from worksrail.core.steering.state import SteeredRequest, SteeringState
 
-# Seconds for which an answer is awaited beyond the time that the upstream
-# was given: its own word that the time is over has to come back.
-_ANSWER_MARGIN: Final = 0.1
-# Attempts that find no connection leave the budget and the route's attempts
-# alone; so many are made at the most.
-_CONNECT_ATTEMPTS: Final = 4
 # Seconds after the request to stop from which new requests are refused, as a
 # share of the grace period.
 _LAST_ARRIVALS: Final = 0.58
-# An execution that would have less time than this is not begun; seconds.
-_LEAST_TIME: Final = 0.02
 # Share of the longest time allowed from which a request is a first attempt.
 _FRESH: Final = 0.99
-_SHORTEST_RETRY: Final = 0.2
-_LONGEST_RETRY: Final = 1.0
-_RETRY_SPREAD: Final = (0.5, 1.5)
-
-_NOT_EXECUTED: Final = frozenset(
-    (
-        AttemptOutcome.NOT_CONNECTED,
-        AttemptOutcome.NOT_EXECUTED,
-        AttemptOutcome.OTHER_UPSTREAM,
-    )
-)
-_REPEATABLE: Final = frozenset(
-    (
-        AttemptOutcome.BROKE_BEFORE_ANSWER,
-        AttemptOutcome.SPOILED,
-        AttemptOutcome.CANCELLED,
-    )
-)
 _FINAL_CODES: Final = {
     AttemptOutcome.NOT_CONNECTED: ResultCode.UPSTREAM_UNREACHABLE,
     AttemptOutcome.NOT_EXECUTED: ResultCode.UPSTREAM_SHED,
@@ -78,12 +57,12 @@
     state.arrivals.note(event.now)
     route = _route(state, event)
     if isinstance(route, ResultCode):
-        retry_after = _retry_after(state) if _comes_back(route) else 0
+        retry_after = retry_pause(state) if _comes_back(route) else 0
         yield Decision(
             DecisionKind.REQUEST_REFUSED,
             route.name,
             event.request,
-            (('version', _version(state)),),
+            (('version', version_of(state)),),
         )
         yield AnswerResult(event.request, route, retry_after)
         return
@@ -100,7 +79,7 @@
     )
     request.returned = _has_returned(state, request)
     state.requests[event.request] = request
-    yield from _place(state, request, event.now)
+    yield from place(state, request, event.now)
 
 
 def on_caller_gone(
@@ -139,7 +118,7 @@
         state.requests.pop(request.number)
         yield _answered(request, event)
         return
-    if event.outcome not in _NOT_EXECUTED:
+    if event.outcome not in NOT_EXECUTED:
         request.maybe_executed = True
     cut = event.outcome is AttemptOutcome.CANCELLED
     if request.caller_gone or (cut and not request.moving):
@@ -149,11 +128,11 @@
         )
         return
     request.moving = False
-    denial = _denial(state, request, event)
+    denial = denial_of(state, request, event)
     if denial:
         yield from _finish(state, request, event, denial)
         return
-    yield from _place(state, request, event.now)
+    yield from place(state, request, event.now)
 
 
 def _route(
@@ -187,96 +166,6 @@
     return left < longest * _FRESH
 
 
-def _place(
-    state: SteeringState,
-    request: SteeredRequest,
-    now: float,
-) -> Iterator[Effect]:
-    if request.deadline - now < _LEAST_TIME:
-        yield from _refuse(state, request, ResultCode.DEADLINE_EXPIRED, now)
-        return
-    choice = choose(state, request, now)
-    if isinstance(choice, ResultCode):
-        yield from _refuse(state, request, choice, now)
-        return
-    yield from _send(state, request, choice, now)
-
-
-def _send(
-    state: SteeringState,
-    request: SteeredRequest,
-    choice: Choice,
-    now: float,
-) -> Iterator[Effect]:
-    upstream = choice.upstream
-    load = state.loads.of(upstream.name)
-    kind = DecisionKind.REQUEST_SENT
-    if request.sends:
-        kind = DecisionKind.REQUEST_REPEATED
-    if not request.counted:
-        request.counted = True
-        state.budget(request.service).note_request(now)
-    load.note_sent(now)
-    request.attempts += 1
-    request.sends += 1
-    request.upstream = upstream.name
-    request.sent_at = now
-    request.expected = choice.wait + choice.work
-    request.warm = choice.warm
-    request.queue = choice.queue
-    if upstream.cold_until > now:
-        state.cold.note_sent(upstream.name, now)
-    yield SendUpstream(
-        request.number,
-        request.attempts,
-        upstream.name,
-        upstream.record.address,
-        request.deadline,
-        request.deadline + _ANSWER_MARGIN,
-    )
-    yield Decision(
-        kind,
-        upstream.name,
-        request.number,
-        (
-            ('service', request.service),
-            ('key', request.head.key),
-            ('cost', round(choice.cost, 4)),
-            ('wait', round(choice.wait, 4)),
-            ('own', load.own),
-            ('others', load.others),
-            ('warm', int(choice.warm)),
-            ('version', _version(state)),
-        ),
-    )
-
-
-def _denial(
-    state: SteeringState,
-    request: SteeredRequest,
-    event: AttemptEnded,
-) -> str:
-    """Why a request is not sent to one more upstream; empty if it may be."""
-    request.tried.add(request.last_upstream)
-    if event.outcome not in _NOT_EXECUTED:
-        if event.outcome not in _REPEATABLE:
-            return 'outcome'
-        if not request.route.idempotent:
-            return 'at most once'
-    if not event.replayable:
-        return 'body not kept'
-    if event.outcome is AttemptOutcome.NOT_CONNECTED:
-        # No byte left, so nothing arrived that the budget would count.
-        request.sends -= 1
-        return 'connections' if request.attempts >= _CONNECT_ATTEMPTS else ''
-    if request.sends >= request.route.max_attempts:
-        return 'attempts'
-    entries = 1 + len(state.fleet.entries)
-    if not state.budget(request.service).spend(event.now, entries):
-        return 'budget'
-    return ''
-
-
 def _finish(
     state: SteeringState,
     request: SteeredRequest,
@@ -284,10 +173,10 @@
     denial: str,
 ) -> Iterator[Effect]:
     code = _FINAL_CODES[event.outcome]
-    if event.outcome in _NOT_EXECUTED:
+    if event.outcome in NOT_EXECUTED:
         yield Decision(DecisionKind.REPEAT_DENIED, denial, request.number)
         if not request.maybe_executed:
-            yield from _refuse(state, request, code, event.now)
+            yield from refuse(state, request, code, event.now)
             return
         code = ResultCode.UPSTREAM_BROKE
     state.requests.pop(request.number)
@@ -305,33 +194,6 @@
     yield AnswerResult(request.number, code)
 
 
-def _refuse(
-    state: SteeringState,
-    request: SteeredRequest,
-    code: ResultCode,
-    now: float,
-) -> Iterator[Effect]:
-    state.requests.pop(request.number)
-    kind = DecisionKind.REQUEST_REFUSED
-    retry_after = _retry_after(state)
-    if request.maybe_executed:
-        # Only what was never executed may be called refused.
-        kind = DecisionKind.REQUEST_FAILED
-        code = ResultCode.UPSTREAM_BROKE
-        retry_after = 0
-    yield Decision(
-        kind,
-        code.name,
-        request.number,
-        (
-            ('service', request.service),
-            ('after', round(now - request.arrived_at, 4)),
-            ('version', _version(state)),
-        ),
-    )
-    yield AnswerResult(request.number, code, retry_after)
-
-
 def _answered(request: SteeredRequest, event: AttemptEnded) -> Decision:
     return Decision(
         DecisionKind.REQUEST_ANSWERED,
@@ -353,17 +215,5 @@
     return now - request.arrived_at > request.route.target_latency
 
 
-def _retry_after(state: SteeringState) -> float:
-    spread = state.rng.uniform(*_RETRY_SPREAD)
-    return round(min(_LONGEST_RETRY, _SHORTEST_RETRY * spread), 3)
-
-
 def _comes_back(code: ResultCode) -> bool:
     return code in {ResultCode.NOT_READY, ResultCode.ENTRY_LEAVING}
-
-
-def _version(state: SteeringState) -> int:
-    configuration = state.configuration
-    if isinstance(configuration, RoutingConfiguration):
-        return configuration.version
-    return 0
--- /dev/null
+++ b/worksrail/core/steering/_placing.py
@@ -0,0 +1,133 @@
+"""Sends a request to the upstream that is chosen, or refuses it."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from worksrail.core.results import ResultCode
+from worksrail.core.steering._choosing import Choice, choose
+from worksrail.core.steering._routes import RoutingConfiguration
+from worksrail.core.steering.effects import (
+    AnswerResult,
+    Decision,
+    DecisionKind,
+    Effect,
+    SendUpstream,
+)
+from worksrail.core.steering.state import SteeredRequest, SteeringState
+
+# Seconds for which an answer is awaited beyond the time that the upstream
+# was given: its own word that the time is over has to come back.
+_ANSWER_MARGIN: Final = 0.1
+# An execution that would have less time than this is not begun; seconds.
+_LEAST_TIME: Final = 0.02
+# Seconds after which callers that were refused shall come back.
+_SHORTEST_RETRY: Final = 0.2
+_LONGEST_RETRY: Final = 1.0
+_RETRY_SPREAD: Final = (0.5, 1.5)
+
+
+def place(
+    state: SteeringState,
+    request: SteeredRequest,
+    now: float,
+) -> Iterator[Effect]:
+    """Send a request to the best upstream, or refuse it at once."""
+    if request.deadline - now < _LEAST_TIME:
+        yield from refuse(state, request, ResultCode.DEADLINE_EXPIRED, now)
+        return
+    choice = choose(state, request, now)
+    if isinstance(choice, ResultCode):
+        yield from refuse(state, request, choice, now)
+        return
+    yield from _send(state, request, choice, now)
+
+
+def _send(
+    state: SteeringState,
+    request: SteeredRequest,
+    choice: Choice,
+    now: float,
+) -> Iterator[Effect]:
+    upstream = choice.upstream
+    load = state.loads.of(upstream.name)
+    kind = DecisionKind.REQUEST_SENT
+    if request.sends:
+        kind = DecisionKind.REQUEST_REPEATED
+    if not request.counted:
+        request.counted = True
+        state.budget(request.service).note_request(now)
+    load.note_sent(now)
+    request.attempts += 1
+    request.sends += 1
+    request.upstream = upstream.name
+    request.sent_at = now
+    request.expected = choice.wait + choice.work
+    request.warm = choice.warm
+    request.queue = choice.queue
+    if upstream.cold_until > now:
+        state.cold.note_sent(upstream.name, now)
+    yield SendUpstream(
+        request.number,
+        request.attempts,
+        upstream.name,
+        upstream.record.address,
+        request.deadline,
+        request.deadline + _ANSWER_MARGIN,
+    )
+    yield Decision(
+        kind,
+        upstream.name,
+        request.number,
+        (
+            ('service', request.service),
+            ('key', request.head.key),
+            ('cost', round(choice.cost, 4)),
+            ('wait', round(choice.wait, 4)),
+            ('own', load.own),
+            ('others', load.others),
+            ('warm', int(choice.warm)),
+            ('version', version_of(state)),
+        ),
+    )
+
+
+def refuse(
+    state: SteeringState,
+    request: SteeredRequest,
+    code: ResultCode,
+    now: float,
+) -> Iterator[Effect]:
+    """End a request that no upstream shall get (any more)."""
+    state.requests.pop(request.number)
+    kind = DecisionKind.REQUEST_REFUSED
+    retry_after = retry_pause(state)
+    if request.maybe_executed:
+        # Only what was never executed may be called refused.
+        kind = DecisionKind.REQUEST_FAILED
+        code = ResultCode.UPSTREAM_BROKE
+        retry_after = 0
+    yield Decision(
+        kind,
+        code.name,
+        request.number,
+        (
+            ('service', request.service),
+            ('after', round(now - request.arrived_at, 4)),
+            ('version', version_of(state)),
+        ),
+    )
+    yield AnswerResult(request.number, code, retry_after)
+
+
+def retry_pause(state: SteeringState) -> float:
+    """Seconds after which a refused caller shall come back."""
+    spread = state.rng.uniform(*_RETRY_SPREAD)
+    return round(min(_LONGEST_RETRY, _SHORTEST_RETRY * spread), 3)
+
+
+def version_of(state: SteeringState) -> int:
+    """Version of the configuration in force; zero if there is none."""
+    configuration = state.configuration
+    if isinstance(configuration, RoutingConfiguration):
+        return configuration.version
+    return 0
--- /dev/null
+++ b/worksrail/core/steering/_repeating.py
@@ -0,0 +1,50 @@
+"""Whether a request may be sent to one more upstream."""
+
+from typing import Final
+
+from worksrail.core.steering.events import AttemptEnded, AttemptOutcome
+from worksrail.core.steering.state import SteeredRequest, SteeringState
+
+# Attempts that find no connection leave the budget and the route's attempts
+# alone; so many are made at the most.
+_CONNECT_ATTEMPTS: Final = 4
+NOT_EXECUTED: Final = frozenset(
+    (
+        AttemptOutcome.NOT_CONNECTED,
+        AttemptOutcome.NOT_EXECUTED,
+        AttemptOutcome.OTHER_UPSTREAM,
+    )
+)
+_REPEATABLE: Final = frozenset(
+    (
+        AttemptOutcome.BROKE_BEFORE_ANSWER,
+        AttemptOutcome.SPOILED,
+        AttemptOutcome.CANCELLED,
+    )
+)
+
+
+def denial_of(
+    state: SteeringState,
+    request: SteeredRequest,
+    event: AttemptEnded,
+) -> str:
+    """Why a request is not sent to one more upstream; empty if it may be."""
+    request.tried.add(request.last_upstream)
+    if event.outcome not in NOT_EXECUTED:
+        if event.outcome not in _REPEATABLE:
+            return 'outcome'
+        if not request.route.idempotent:
+            return 'at most once'
+    if not event.replayable:
+        return 'body not kept'
+    if event.outcome is AttemptOutcome.NOT_CONNECTED:
+        # No byte left, so nothing arrived that the budget would count.
+        request.sends -= 1
+        return 'connections' if request.attempts >= _CONNECT_ATTEMPTS else ''
+    if request.sends >= request.route.max_attempts:
+        return 'attempts'
+    entries = 1 + len(state.fleet.entries)
+    if not state.budget(request.service).spend(event.now, entries):
+        return 'budget'
+    return ''
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -101,6 +101,17 @@
     """The caller has left."""
 
 
+@dataclass(frozen=True, slots=True)
+class Shortage:
+    """How much of a service's slots is in use."""
+
+    used: float
+    """Requests in flight over slots."""
+
+    seen_at: float
+    """When they were counted."""
+
+
 @dataclass(slots=True)
 class SteeringState:
     """What :func:`worksrail.core.steering.reduce` works on."""
@@ -194,6 +205,9 @@
     exited: bool = False
     """The stop is complete."""
 
+    shortages: dict[ServiceName, Shortage] = field(default_factory=dict)
+    """Use of slots by service."""
+
     arrivals: RateMeter = field(default_factory=RateMeter)
     """Requests that come to this entry."""
 
