Leave zones alone that cannot be reached; count partial failures in the cost

Cause: when a zone lost its power or was cut off, each of its upstreams had to be found out by itself, three attempts each, and every attempt cost its request the half second that a connection may take: late for most targets. An upstream that fails a part of its requests hardly ever fails three times in a row, so it kept all its keys.

Change: three different upstreams of a zone that in turn do not answer a connection, or owe answers for too long, leave the whole zone alone for 1 s, doubled to 4 s, until one of them answers. The share of failed answers is learned by upstream, fades, and costs three target latencies times the share.

--- a/tests/steering/test_choice.py
+++ b/tests/steering/test_choice.py
@@ -237,3 +237,27 @@
     # It has come back after a refusal, so it may wait for its target.
     number = world.ask(key='k', time_left=1.7)
     assert (world.sent(number) == [own]) is stays
+
+
+def test_upstream_that_fails_a_part_loses_its_keys() -> None:
+    # Never three failures in a row, so it is not ejected.
+    world = World((), (upstream('1'), upstream('2')))
+    bad = world.sent(world.ask(key='k'))[0]
+    world.end(world.requests)
+    chosen = ''
+    for number in range(40):
+        world.wait(0.2)
+        chosen = world.sent(world.ask(key='k'))[0]
+        world.wait(0.15)
+        failed = chosen == bad and number % 2
+        world.end(world.requests, status=500 if failed else 200)
+        if chosen != bad:
+            break
+    assert chosen != bad
+
+
+def test_one_failure_moves_no_key() -> None:
+    world = World((), (upstream('1'), upstream('2')))
+    home = world.sent(world.ask(key='k'))[0]
+    world.end(world.requests, status=500)
+    assert _answers(world, 4, 'k', gap=0.2) == home * 4
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -54,6 +54,9 @@
 _SERVED_LOSS: Final = 0.15
 # Lost warmth that is counted at an upstream that the key does not spill to.
 _STRANGER_LOSS: Final = 4.0
+# Target latencies that an answer which is no success is counted for: the
+# request has lost all its worth, a late one only most of it.
+_FAILURE_LOSS: Final = 3.0
 # Times slower that a cold upstream is taken to be.
 _COLD_SLOWNESS: Final = 2.0
 
@@ -98,6 +101,7 @@
     served: frozenset[str]
     shortage: float
     policy: ServicePolicy | None
+    failure_loss: float
 
     @classmethod
     def from_request(
@@ -124,21 +128,22 @@
             state.warmth.warm_at(service, key, now),
             _shortage(state, service, now),
             policy,
+            request.route.target_latency * _FAILURE_LOSS,
         )
 
     def weigh(self, upstream: Upstream) -> Choice:
         """What it costs to send the request to an upstream."""
-        used = self.state.loads.of(upstream.name).in_flight
-        slots = max(1, upstream.record.slots)
+        load = self.state.loads.of(upstream.name)
+        used, slots = load.in_flight, max(1, upstream.record.slots)
         slowness = self._slowness(upstream)
         lost = self._lost(upstream.name)
         work = (self.warm + lost) * slowness
         queue = max(0, used + 1 - slots) / slots
         wait = queue * self.usual * slowness
         own = work + distance(self.state, upstream.region).typical
-        crowding = _excess(used / slots, _ROOMY) * _CROWDING
         cost = wait + own + self._preference(upstream)
-        cost += work * (crowding + self.shortage)
+        cost += load.failing_now(self.now) * self.failure_loss
+        cost += work * (_crowding(used / slots) + self.shortage)
         return Choice(upstream, cost, wait, own, queue, lost == 0)
 
     def least_elsewhere(self) -> float:
@@ -297,6 +302,10 @@
     return in_flight / slots if slots else 1
 
 
+def _crowding(used: float) -> float:
+    return _CROWDING * _excess(used, _ROOMY)
+
+
 def _excess(used: float, roomy: float) -> float:
     """How far a use of slots is between a roomy share and all, 0 to 1."""
     return min(1, max(0, used - roomy) / (1 - roomy))
@@ -311,8 +320,10 @@
     state = scale.state
     for upstream in upstreams:
         load = state.loads.of(upstream.name)
-        out = load.ejected_until > scale.now or load.is_silent(
-            scale.usual, upstream.record.slots, scale.now
+        out = (
+            load.ejected_until > scale.now
+            or state.reach.is_out(upstream.record.zone, scale.now)
+            or load.is_silent(scale.usual, upstream.record.slots, scale.now)
         )
         if out is ejected:
             if scale.allows(upstream):
--- a/worksrail/core/steering/_learning.py
+++ b/worksrail/core/steering/_learning.py
@@ -8,6 +8,22 @@
 from worksrail.core.steering.events import AttemptEnded, AttemptOutcome
 from worksrail.core.steering.state import SteeredRequest, SteeringState
 
+# Seconds after which a connection that was not made has met silence: an
+# upstream that is down, on an instance that is up, refuses sooner.
+_HUNG: Final = 0.4
+# The upstream executed the request and answered, well or badly.
+_EXECUTED: Final = frozenset(
+    (
+        AttemptOutcome.ANSWERED,
+        AttemptOutcome.SPOILED,
+        AttemptOutcome.BROKE_IN_ANSWER,
+    )
+)
+# Its zone can be reached.
+_REACHED: Final = _EXECUTED | {
+    AttemptOutcome.NOT_EXECUTED,
+    AttemptOutcome.OTHER_UPSTREAM,
+}
 _SERVER_ERROR: Final = 500
 # An expected time below this says nothing of an upstream's speed; seconds.
 _LEAST_EXPECTED: Final = 0.02
@@ -26,7 +42,12 @@
     silent = event.now - request.sent_at > SILENCE * request.expected
     load.note_ended(event.now)
     _learn_distance(state, name, event.connect_time)
+    yield from _learn_reach(state, request, event)
     outcome = event.outcome
+    if outcome in _EXECUTED:
+        failed = outcome is not AttemptOutcome.ANSWERED
+        failed = failed or event.status >= _SERVER_ERROR
+        load.note_answer(event.now, failed=failed)
     if outcome is AttemptOutcome.CANCELLED and not silent:
         return
     if outcome is AttemptOutcome.OTHER_UPSTREAM:
@@ -51,6 +72,30 @@
         )
 
 
+def _learn_reach(
+    state: SteeringState,
+    request: SteeredRequest,
+    event: AttemptEnded,
+) -> Iterator[Effect]:
+    upstream = state.catalog.upstreams.get(request.upstream)
+    if upstream is None:
+        return
+    zone = upstream.record.zone
+    if event.outcome in _REACHED or event.connect_time:
+        state.reach.note_reached(zone)
+        return
+    hung = event.now - request.sent_at > _HUNG
+    dark = event.outcome is AttemptOutcome.NOT_CONNECTED and hung
+    if dark or request.moving:
+        if state.reach.note_unreached(zone, upstream.name, event.now):
+            yield Decision(
+                DecisionKind.ZONE_UNREACHED,
+                zone,
+                event.request,
+                (('upstream', upstream.name),),
+            )
+
+
 def _learn_distance(
     state: SteeringState,
     name: str,
--- a/worksrail/core/steering/_load.py
+++ b/worksrail/core/steering/_load.py
@@ -8,6 +8,8 @@
 
 # How much one answer moves the learned figures.
 _GAIN: Final = 0.2
+# The same for the share of failures: one alone says little.
+_FAILING_GAIN: Final = 0.1
 # A slow upstream is tried less often; its figure fades so that it is tried
 # again.  Seconds in which the figure halves its distance to normal.
 _FADE: Final = 4.0
@@ -45,6 +47,12 @@
     failures: int = 0
     """Failures in a row."""
 
+    failing: float = 0
+    """Share of its answers that were failures, as of ``failing_at``."""
+
+    failing_at: float = 0
+    """When that was learned."""
+
     ejected_until: float = 0
     """Until when it gets nothing."""
 
@@ -91,6 +99,20 @@
         self.slowness = current + _GAIN * (bounded - current)
         self.slowness_at = now
 
+    def failing_now(self, now: float) -> float:
+        """Share of answers that are failures, faded by its age."""
+        return self.failing * 2 ** ((self.failing_at - now) / _FADE)
+
+    def note_answer(self, now: float, *, failed: bool) -> None:
+        """An answer came, a success or a failure.
+
+        An upstream that fails a part of its requests may never fail so many
+        in a row that it is ejected.
+        """
+        current = self.failing_now(now)
+        self.failing = current + _FAILING_GAIN * (int(failed) - current)
+        self.failing_at = now
+
     def note_success(self) -> None:
         """A whole answer came."""
         self.failures = 0
--- /dev/null
+++ b/worksrail/core/steering/_reach.py
@@ -0,0 +1,59 @@
+"""Zones none of whose upstreams can be reached."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from worksrail.core.identity import ZoneName
+
+# Different upstreams of a zone that in turn cannot be reached, none of the
+# zone having answered in between, after which the zone is left alone.  Three
+# lost packets in a row are rare, and one upstream that is gone is no zone.
+_UNREACHED: Final = 3
+# Seconds for which it is left alone, doubled each time up to the longest.
+_FIRST_PAUSE: Final = 1.0
+_LONGEST_PAUSE: Final = 4.0
+
+
+@dataclass(slots=True)
+class ZoneReach:
+    """What attempts have told of one zone."""
+
+    unreached: set[str] = field(default_factory=set)
+    """Upstreams that could not be reached since the last answer."""
+
+    pause: float = _FIRST_PAUSE
+    """Seconds for which the zone is left alone the next time."""
+
+    out_until: float = 0
+    """Until when it is left alone."""
+
+
+@dataclass(slots=True)
+class Reach:
+    """Leaves a zone alone that lost its power or is cut off.
+
+    Without this, each of its upstreams has to be found out by itself, and
+    every attempt costs a request the time that a connection may take.
+    """
+
+    zones: dict[ZoneName, ZoneReach] = field(default_factory=dict)
+    """Zones in which an upstream could not be reached."""
+
+    def is_out(self, zone: ZoneName, now: float) -> bool:
+        """Whether a zone is left alone."""
+        reach = self.zones.get(zone)
+        return reach is not None and reach.out_until > now
+
+    def note_unreached(self, zone: ZoneName, name: str, now: float) -> bool:
+        """An upstream was not reached; true if its zone is left alone now."""
+        reach = self.zones.setdefault(zone, ZoneReach())
+        reach.unreached.add(name)
+        if len(reach.unreached) < _UNREACHED or reach.out_until > now:
+            return False
+        reach.out_until = now + reach.pause
+        reach.pause = min(_LONGEST_PAUSE, reach.pause * 2)
+        return True
+
+    def note_reached(self, zone: ZoneName) -> None:
+        """An upstream of a zone has answered."""
+        self.zones.pop(zone, None)
--- a/worksrail/core/steering/_watching.py
+++ b/worksrail/core/steering/_watching.py
@@ -53,8 +53,9 @@
             state.lost.clear()
         yield Decision(DecisionKind.WATCH, 'begun' if watching else 'ended')
         yield FollowStore(watching)
+    others = _tellers(state, now)
     for kind in StoreKind:
-        yield from _catch_up(state, kind, now)
+        yield from _catch_up(state, kind, others, now)
     revisions = tuple(state.mirror.revisions.values())
     if revisions != state.told_revisions:
         # Others wait for news: they are told at once.
@@ -128,37 +129,33 @@
 def _catch_up(
     state: SteeringState,
     kind: StoreKind,
+    others: list[Contact],
     now: float,
 ) -> Iterator[Effect]:
-    sources = _sources(state, kind, now)
-    if not sources:
+    known = state.mirror.revisions[kind]
+    ahead = [other for other in others if other.revision(kind) > known]
+    if not ahead:
         state.behind_since.pop(kind, None)
         return
     behind = now - state.behind_since.setdefault(kind, now)
     patience = _WATCHER_LAG if state.watching else 0
     if behind >= patience and kind not in state.fetching:
         state.fetching.add(kind)
-        source = state.rng.choice(sources)
-        yield FetchNews(kind, source.peer, state.mirror.revisions[kind])
+        zone = state.settings.zone
+        near = [other for other in ahead if other.zone == zone]
+        source = state.rng.choice(near or ahead)
+        yield FetchNews(kind, source.peer, known)
 
 
-def _sources(
-    state: SteeringState,
-    kind: StoreKind,
-    now: float,
-) -> list[Contact]:
-    known = state.mirror.revisions[kind]
-    mates = [
-        mate for mate in state.fleet.mates(now) if mate.revision(kind) > known
-    ]
-    # Only the speaker asks other zones, for all of its own.
-    if mates or not state.fleet.is_speaker(now, leaving=state.leaving):
-        return mates
-    return [
-        contact
-        for contact in state.fleet.far(now)
-        if contact.revision(kind) > known
-    ]
+def _tellers(state: SteeringState, now: float) -> list[Contact]:
+    """The entries that this one may ask.
+
+    Only the speaker asks other zones, for all of its own.
+    """
+    mates = state.fleet.mates(now)
+    if state.fleet.is_speaker(now, leaving=state.leaving):
+        return mates + state.fleet.far(now)
+    return mates
 
 
 def _apply(
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -112,6 +112,7 @@
     UPSTREAM_COLD = 'upstream cold'
     UPSTREAM_EJECTED = 'upstream left alone for its failures'
     UPSTREAM_SILENT = 'upstream owes answers for too long'
+    ZONE_UNREACHED = 'zone left alone: its upstreams cannot be reached'
     UPSTREAM_MISDIRECTED = 'address belongs to another upstream'
     ZONES_EVACUATED = 'zones to be evacuated'
     STORE_LOST = 'store lost'
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -17,6 +17,7 @@
     RateMeter,
 )
 from worksrail.core.steering._news import Mirror
+from worksrail.core.steering._reach import Reach
 from worksrail.core.steering._repeats import RepeatBudget
 from worksrail.core.steering._routes import Route, RoutingConfiguration
 from worksrail.core.steering._settings import EntrySettings
@@ -145,6 +146,9 @@
     loads: LoadTable = field(default_factory=LoadTable)
     """Load, speed and faults of upstreams."""
 
+    reach: Reach = field(default_factory=Reach)
+    """Zones that cannot be reached."""
+
     affinity: Affinity = field(default_factory=Affinity)
     """Order of upstreams by key."""
 
