Take nothing back by news that were overtaken; look after the fleet less often

An entry that watches the store and is behind also asks others. A complete list that was asked for, and overtaken by the entry's own watch, replaced newer knowledge: a draining upstream became usable again, and since the revision stayed, nobody told of it once more. A late answer of a watch could also make a change look older than it is, and so hide it from those that ask.

Change: news at or below the known revision are dropped, whether fetched or read; changes keep their highest revision.

--- a/worksrail/core/steering/_fleet.py
+++ b/worksrail/core/steering/_fleet.py
@@ -96,6 +96,9 @@
     zones: dict[ZoneName, FarZone] = field(default_factory=dict)
     """The other zones."""
 
+    weights: dict[tuple[ZoneName, str], int] = field(default_factory=dict)
+    """Weights of entries for the duties of their zones."""
+
     addresses: dict[str, float] = field(default_factory=dict)
     """Peer addresses to write to, with the time they were learned."""
 
@@ -169,8 +172,8 @@
         The first one is the speaker.
         """
         names = [mate.name for mate in self.mates(now) if not mate.leaving]
-        own = _duty_weight(self.zone, self.name)
-        return sum(_duty_weight(self.zone, name) > own for name in names)
+        own = self._duty_weight(self.zone, self.name)
+        return sum(self._duty_weight(self.zone, name) > own for name in names)
 
     def is_speaker(self, now: float, *, leaving: bool) -> bool:
         """Whether this entry speaks for its zone."""
@@ -179,7 +182,7 @@
         if not leaving:
             staying.append(self.name)
         candidates = staying or [self.name, *(mate.name for mate in mates)]
-        return _speaker(self.zone, candidates) == self.name
+        return self._speaker(self.zone, candidates) == self.name
 
     def speakers(self, now: float) -> list[str]:
         """Addresses of the speakers of the other zones."""
@@ -193,7 +196,7 @@
                     contact.peer
                 )
         return [
-            members[_speaker(zone, members)]
+            members[self._speaker(zone, members)]
             for zone, members in (leaving | by_zone).items()
         ]
 
@@ -227,6 +230,8 @@
         for name in forgotten:
             self.entries.pop(name)
             self.near.discard(name)
+        if forgotten:
+            self.weights.clear()
         for address, at in tuple(self.addresses.items()):
             if now - at > _REMEMBER:
                 self.addresses.pop(address)
@@ -244,6 +249,16 @@
             self.zones.pop(zone)
         return silent
 
+    def _speaker(self, zone: ZoneName, names: Iterable[str]) -> str:
+        return max(names, key=lambda name: self._duty_weight(zone, name))
+
+    def _duty_weight(self, zone: ZoneName, name: str) -> tuple[int, str]:
+        weight = self.weights.get((zone, name))
+        if weight is None:
+            weight = rendezvous_weight(f'speaker|{zone}', name)
+            self.weights[zone, name] = weight
+        return weight, name
+
     def _bury(self, before: ZoneDigest, after: ZoneDigest, now: float) -> None:
         # A speaker names all that live; who is named no more is dead.
         named = {contact.name for contact in after.members}
@@ -253,14 +268,6 @@
                 entry.heard_at = min(entry.heard_at, now - _FAR_DEAD_AFTER)
 
 
-def _speaker(zone: ZoneName, names: Iterable[str]) -> str:
-    return max(names, key=lambda name: _duty_weight(zone, name))
-
-
-def _duty_weight(zone: ZoneName, name: str) -> tuple[int, str]:
-    return rendezvous_weight(f'speaker|{zone}', name), name
-
-
 def _draw(addresses: list[str], most: int, rng: random.Random) -> list[str]:
     return rng.sample(addresses, min(most, len(addresses)))
 
--- a/worksrail/core/steering/_news.py
+++ b/worksrail/core/steering/_news.py
@@ -77,8 +77,9 @@
     def note_changes(self, names: Iterable[str], revision: int) -> None:
         """Some upstreams have changed up to a revision."""
         for name in names:
-            self.changed.pop(name, None)
-            self.changed[name] = revision
+            # Late news must not make a change look older than it is.
+            known = self.changed.pop(name, 0)
+            self.changed[name] = max(known, revision)
         while len(self.changed) > _CHANGES_KEPT:
             oldest = next(iter(self.changed))
             self.floor = max(self.floor, self.changed.pop(oldest))
--- a/worksrail/core/steering/_on_time.py
+++ b/worksrail/core/steering/_on_time.py
@@ -21,6 +21,8 @@
 from worksrail.core.steering.kinds import StoreKind
 from worksrail.core.steering.state import SteeringState
 
+# Seconds between two looks at who lives and who knows more of the store.
+_UPKEEP_INTERVAL: Final = 0.1
 # Seconds for which a fresh entry waits for digests of the others.
 _SETTLING: Final = 0.5
 # Seconds after the request to stop for which callers may still come with a
@@ -34,11 +36,13 @@
 
 def on_tick(state: SteeringState, event: Ticked) -> Iterator[Effect]:
     """Do what is due."""
-    yield from _note_deaths(state, event.now)
     yield from expire_upstreams(state, event.now)
     yield from _become_ready(state, event.now)
     yield from move_from_silent(state, event.now)
-    yield from keep_up(state, event.now)
+    if event.now >= state.next_upkeep_at:
+        state.next_upkeep_at = event.now + _UPKEEP_INTERVAL
+        yield from _note_deaths(state, event.now)
+        yield from keep_up(state, event.now)
     if event.now >= state.next_digest_at:
         yield from tell(state, event.now)
     yield from _exit_when_done(state, event.now)
--- a/worksrail/core/steering/_watching.py
+++ b/worksrail/core/steering/_watching.py
@@ -67,6 +67,9 @@
     """Take in what another entry told of the store."""
     state.fetching.discard(event.kind)
     news = event.news
+    if news.revision <= state.mirror.revisions[event.kind]:
+        # Meanwhile more has become known here than was told.
+        return
     if event.kind is StoreKind.UPSTREAMS:
         state.catalog.told_of_store(news.store_back, event.now)
     yield Decision(
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -221,6 +221,9 @@
     digests: int = 0
     """Digests sent."""
 
+    next_upkeep_at: float = 0
+    """When to look next at who lives and who knows more of the store."""
+
     next_digest_at: float = 0
     """When the next digest is due."""
 
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -55,7 +55,7 @@
 
 _LOG: Final = Logger('worksrail.daemon')
 # Seconds between two rounds of decisions that only time makes due.
-_TICK: Final = 0.05
+_TICK: Final = 0.1
 # Seconds that closing connections may take at the end.
 _LAST_CLOSES: Final = 0.1
 # Seconds between looks at the settings and summaries of the log.
--- a/worksrail/daemon/steered/_following.py
+++ b/worksrail/daemon/steered/_following.py
@@ -122,7 +122,11 @@
                 'object cannot be used; what is in force stays',
                 extra={'kind': self.kind.value, 'problem': fault},
             )
-        if listed or _tells_anything(news):
+        known = self.engine.state.mirror.revisions[self.kind]
+        if news.revision < known:
+            # Others have told more meanwhile: this would take it back.
+            self.revision = known
+        elif listed or _tells_anything(news):
             self._dispatch(news, now, listed=listed)
 
     def _dispatch(self, news: StoreNews, now: float, *, listed: bool) -> None:
