Let fresh entries meet their zone before they speak for it

A fresh entry could come first in the order of its zone's duties and speak before it had met its zone; its digest named only itself, and a zone's digest buried all whom it did not name.

Change: only ready entries speak, fresh and leaving ones come last in the order of duties; only the omission by the same speaker buries an entry. Whoever gets a zone's digest first passes it on, speaker or not.

The test fails without it.

--- a/tests/steering/test_zones.py
+++ b/tests/steering/test_zones.py
@@ -81,6 +81,23 @@
     assert zones['a1'].digest.speaker.name != speaker
 
 
+def test_zone_is_heard_on_while_entries_are_added_to_it() -> None:
+    # Found by the bench on hvc-pedidos, incident inc-3a9d: a fresh entry took
+    # the duty to speak before it had met its zone; the others were taken for
+    # dead.
+    zones = {'a1': 1, 'a2': 1, 'b1': 1, 'c1': 1}
+    world = FleetWorld(zones, _REGIONS)
+    world.wait(5)
+    founders = set(world.states)
+    for number in range(1, 4):
+        for zone in zones:
+            world.start(f'{zone}-{number}')
+        for _ in range(20):
+            world.wait(0.1)
+            for name in founders:
+                assert founders <= world.known(name) | {name}
+
+
 def test_dead_entry_of_another_zone_is_out_of_answers_soon() -> None:
     world = FleetWorld({'a1': 3, 'a2': 3}, _REGIONS)
     world.wait(5)
--- a/worksrail/core/steering/_digests.py
+++ b/worksrail/core/steering/_digests.py
@@ -93,5 +93,8 @@
     in_flight: dict[str, int]
     """Requests of all its members in flight, by upstream."""
 
+    passed_on: bool = False
+    """It came to this zone before, and was passed on within it."""
+
 
 Digest = EntryDigest | ZoneDigest
--- a/worksrail/core/steering/_fleet.py
+++ b/worksrail/core/steering/_fleet.py
@@ -8,7 +8,6 @@
 """
 
 import random
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -132,7 +131,7 @@
         for contact in digest.members:
             self.entries[contact.name] = Entry(contact, now, near=False)
             self.learn(contact.peer, now)
-        if known:
+        if known and known.digest.speaker == digest.speaker:
             self._bury(known.digest, digest, now)
         return True
 
@@ -166,39 +165,24 @@
             if entry.contact.zone != self.zone
         ]
 
-    def rank_in_zone(self, now: float) -> int:
-        """Place of this entry in the order of its zone's duties, from zero.
-
-        The first one is the speaker.
-        """
-        names = [mate.name for mate in self.mates(now) if not mate.leaving]
-        own = self._duty_weight(self.zone, self.name)
-        return sum(self._duty_weight(self.zone, name) > own for name in names)
-
-    def is_speaker(self, now: float, *, leaving: bool) -> bool:
-        """Whether this entry speaks for its zone."""
+    def rank_in_zone(self, own: Contact, now: float) -> int:
+        """Place of this entry in the order of its zone's duties, from zero."""
+        order = self._duty_order(own)
         mates = self.mates(now)
-        staying = [mate.name for mate in mates if not mate.leaving]
-        if not leaving:
-            staying.append(self.name)
-        candidates = staying or [self.name, *(mate.name for mate in mates)]
-        return self._speaker(self.zone, candidates) == self.name
+        return sum(self._duty_order(mate) > order for mate in mates)
+
+    def is_speaker(self, own: Contact, now: float) -> bool:
+        """Whether this entry speaks for its zone: the first in that order."""
+        return self.rank_in_zone(own, now) == 0
 
     def speakers(self, now: float) -> list[str]:
         """Addresses of the speakers of the other zones."""
-        by_zone: dict[ZoneName, dict[str, str]] = {}
-        leaving: dict[ZoneName, dict[str, str]] = {}
-        for entry in self.alive(now):
-            contact = entry.contact
-            if contact.zone != self.zone:
-                members = leaving if contact.leaving else by_zone
-                members.setdefault(contact.zone, {})[contact.name] = (
-                    contact.peer
-                )
-        return [
-            members[self._speaker(zone, members)]
-            for zone, members in (leaving | by_zone).items()
-        ]
+        by_zone: dict[ZoneName, Contact] = {}
+        for contact in self.far(now):
+            known = by_zone.get(contact.zone)
+            if known is None or self._precedes(contact, known):
+                by_zone[contact.zone] = contact
+        return [contact.peer for contact in by_zone.values()]
 
     def newcomers(self, now: float, rng: random.Random) -> list[str]:
         """Some addresses that were learned lately and not heard yet."""
@@ -249,18 +233,22 @@
             self.zones.pop(zone)
         return silent
 
-    def _speaker(self, zone: ZoneName, names: Iterable[str]) -> str:
-        return max(names, key=lambda name: self._duty_weight(zone, name))
+    def _precedes(self, one: Contact, other: Contact) -> bool:
+        return self._duty_order(one) > self._duty_order(other)
 
-    def _duty_weight(self, zone: ZoneName, name: str) -> tuple[int, str]:
-        weight = self.weights.get((zone, name))
+    def _duty_order(self, contact: Contact) -> tuple[bool, int, str]:
+        # A fresh entry knows nobody yet, and one that leaves is gone soon:
+        # they come after all others.
+        place = (contact.zone, contact.name)
+        weight = self.weights.get(place)
         if weight is None:
-            weight = rendezvous_weight(f'speaker|{zone}', name)
-            self.weights[zone, name] = weight
-        return weight, name
+            weight = rendezvous_weight(f'duty|{contact.zone}', contact.name)
+            self.weights[place] = weight
+        return contact.takes_requests, weight, contact.name
 
     def _bury(self, before: ZoneDigest, after: ZoneDigest, now: float) -> None:
-        # A speaker names all that live; who is named no more is dead.
+        # Who is named no more by the same speaker is dead.  Another speaker
+        # may not know its whole zone yet.
         named = {contact.name for contact in after.members}
         for contact in before.members:
             entry = self.entries.get(contact.name)
--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterator
 from typing import Final
 
+import msgspec
+
 from worksrail.core.steering._digests import (
     Contact,
     Digest,
@@ -55,10 +57,13 @@
     if state.digests % _DISCOVERY == 1:
         receivers.update(fleet.distant(now, state.rng))
     yield SendDigest(tuple(sorted(receivers)), _digest_of(state, now))
-    if fleet.is_speaker(now, leaving=state.leaving):
+    own = own_contact(state, now)
+    # A fresh entry may not have met its zone yet, and would speak for itself.
+    if state.ready and fleet.is_speaker(own, now):
         speakers = fleet.speakers(now)
         if speakers:
-            yield SendDigest(tuple(speakers), _zone_digest(state, mates, now))
+            digest = _zone_digest(state, (own, *mates))
+            yield SendDigest(tuple(speakers), digest)
 
 
 def own_contact(state: SteeringState, now: float) -> Contact:
@@ -106,10 +111,13 @@
     for contact in digest.members:
         if contact.name not in known:
             yield from _seen(state, contact)
-    if state.fleet.is_speaker(now, leaving=state.leaving):
+    if not digest.passed_on:
+        # Whoever gets it first passes it on, speaker or not: a zone may know
+        # of a new speaker later than that one itself.
         mates = [contact.peer for contact in state.fleet.mates(now)]
         if mates:
-            yield SendDigest(tuple(sorted(mates)), digest)
+            passed = msgspec.structs.replace(digest, passed_on=True)
+            yield SendDigest(tuple(sorted(mates)), passed)
 
 
 def forget_silent_zones(state: SteeringState, now: float) -> None:
@@ -147,16 +155,15 @@
 
 def _zone_digest(
     state: SteeringState,
-    mates: list[Contact],
-    now: float,
+    members: tuple[Contact, ...],
 ) -> Digest:
-    names = [contact.name for contact in mates]
+    mates = [member.name for member in members if member.who != state.who]
     return ZoneDigest(
         state.who,
         state.settings.zone,
         state.digests,
-        (own_contact(state, now), *mates),
-        _busiest(state.loads.sum_of(names), _ZONE_IN_FLIGHT_LIMIT),
+        members,
+        _busiest(state.loads.sum_of(mates), _ZONE_IN_FLIGHT_LIMIT),
     )
 
 
--- a/worksrail/core/steering/_watching.py
+++ b/worksrail/core/steering/_watching.py
@@ -12,6 +12,7 @@
 from worksrail.core.steering import _on_store
 from worksrail.core.steering._digests import Contact
 from worksrail.core.steering._news import StoreNews
+from worksrail.core.steering._on_digests import own_contact
 from worksrail.core.steering._routes import RoutingConfiguration
 from worksrail.core.steering.effects import (
     Decision,
@@ -125,7 +126,7 @@
         return False
     if age > _PATIENCE and not all(state.mirror.revisions.values()):
         return True
-    rank = state.fleet.rank_in_zone(now)
+    rank = state.fleet.rank_in_zone(own_contact(state, now), now)
     return rank < _WATCHERS
 
 
@@ -156,7 +157,7 @@
     Only the speaker asks other zones, for all of its own.
     """
     mates = state.fleet.mates(now)
-    if state.fleet.is_speaker(now, leaving=state.leaving):
+    if state.fleet.is_speaker(own_contact(state, now), now):
         return mates + state.fleet.far(now)
     return mates
 
