--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,7 +8,9 @@
 from hypothesis import HealthCheck, Phase, settings
 
 from tests.processes.raw import exchange, result_of
-from worksrail.bench._fleet import Fleet, FleetPlan, wait_until
+from worksrail.bench._calls import wait_until
+from worksrail.bench._fleet import Fleet
+from worksrail.bench._plan import FleetPlan
 from worksrail.core.results import ResultCode
 
 settings.register_profile(
--- a/tests/processes/test_callers.py
+++ b/tests/processes/test_callers.py
@@ -7,7 +7,8 @@
 import pytest
 
 from tests.processes.raw import exchange, result_of
-from worksrail.bench._fleet import Fleet, wait_until
+from worksrail.bench._calls import wait_until
+from worksrail.bench._fleet import Fleet
 from worksrail.client import Answer, CallerClient, CallerSettings
 from worksrail.core.results import ResultCode
 
--- a/tests/processes/test_operators.py
+++ b/tests/processes/test_operators.py
@@ -6,7 +6,8 @@
 import pytest
 
 from tests.conftest import SMALL_BUNDLE
-from worksrail.bench._fleet import Fleet, get, post, wait_until
+from worksrail.bench._calls import get, post, wait_until
+from worksrail.bench._fleet import Fleet
 from worksrail.core.results import ResultCode
 
 pytestmark = pytest.mark.xdist_group('processes')
--- a/worksrail/bench/_fleet.py
+++ b/worksrail/bench/_fleet.py
@@ -10,136 +10,20 @@
 import signal
 import subprocess
 import sys
-import time
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Final
 
 import msgspec
-from tornado.httpclient import HTTPClient, HTTPError
 
-from worksrail.core.bundle import Bundle, BundleFaults, parse_bundle
+from worksrail.bench._calls import PATIENCE, get, post, wait_until
+from worksrail.bench._plan import EntryPlan, FleetPlan
 from worksrail.standins.upstream import UpstreamPlan
 
-EXAMPLES: Final = Path(__file__).resolve().parents[2] / 'examples'
-_WAIT: Final = 60.0
-_POLL: Final = 0.05
 _SECRET: Final = 'a-secret-for-measurements-only'
 _TOKENS: Final = {'ana': 'token-of-ana', 'luis': 'token-of-luis'}
 
 
-@dataclass(frozen=True, slots=True)
-class EntryPlan:
-    """One entry instance."""
-
-    name: str
-    """Its name."""
-
-    zone: str
-    """Availability zone."""
-
-    region: str
-    """Region."""
-
-    host: str
-    """IP number it listens on."""
-
-    base_port: int
-    """First of its four ports."""
-
-    def address(self, offset: int) -> str:
-        """IP number and one of its ports."""
-        return f'{self.host}:{self.base_port + offset}'
-
-    @property
-    def caller(self) -> str:
-        """Address for callers."""
-        return self.address(0)
-
-    @property
-    def operator(self) -> str:
-        """Address for operators."""
-        return self.address(1)
-
-    @property
-    def peer(self) -> str:
-        """Address for messages."""
-        return self.address(2)
-
-    @property
-    def passing(self) -> str:
-        """Address for passed requests."""
-        return self.address(3)
-
-
-@dataclass(frozen=True, slots=True)
-class FleetPlan:
-    """What a fleet consists of."""
-
-    bundle: Bundle
-    """Its first bundle."""
-
-    text: str
-    """Text of the bundle."""
-
-    entries: tuple[EntryPlan, ...]
-    """Entry instances."""
-
-    store: str
-    """Address of the platform stand-in."""
-
-    admin: dict[str, str]
-    """Admin address of the upstreams of each zone."""
-
-    folder: Path
-    """Folder for logs and plan files."""
-
-    service_times: dict[str, float]
-    """Median execution time by service."""
-
-    flags: dict[str, str] = field(default_factory=dict)
-    """More flags for the daemons."""
-
-    cold: tuple[float, int] = (1, 0)
-    """Cold factor and requests until warm."""
-
-    @classmethod
-    def from_example(
-        cls,
-        deployment: str,
-        folder: Path,
-        service_times: dict[str, float],
-        *,
-        entries_per_region: int = 3,
-        base_port: int = 8000,
-        flags: dict[str, str] | None = None,
-        cold: tuple[float, int] = (1, 0),
-        text: str | None = None,
-    ) -> 'FleetPlan':
-        """Plan for one of the example deployments."""
-        source = text or (EXAMPLES / f'{deployment}.yaml').read_text()
-        bundle = parse_bundle(source)
-        if isinstance(bundle, BundleFaults):
-            raise ValueError(bundle.faults)
-        prefix = _prefix(bundle)
-        zones = [zone.name for zone in bundle.zones]
-        return cls(
-            bundle,
-            source,
-            _entries(bundle, prefix, entries_per_region, base_port),
-            f'{prefix}.250.1:{base_port - 1000}',
-            {
-                zone: f'{prefix}.250.2:{base_port - 900 + index}'
-                for index, zone in enumerate(zones)
-            },
-            folder,
-            service_times,
-            flags or {},
-            cold,
-        )
-
-
 @dataclass(slots=True)
 class Process:
     """A started process."""
@@ -223,7 +107,7 @@
         """Send a signal to a process that this fleet started."""
         self.processes[name].popen.send_signal(number)
 
-    def wait_ended(self, name: str, seconds: float = _WAIT) -> int:
+    def wait_ended(self, name: str, seconds: float = PATIENCE) -> int:
         """Wait for a process to end and give its exit code."""
         code = self.processes[name].popen.wait(seconds)
         self.processes.pop(name)
@@ -410,72 +294,3 @@
         )
         log.close()
         self.processes[name] = Process(name, popen)
-
-
-def wait_until(condition: Callable[[], bool], seconds: float = _WAIT) -> None:
-    """Wait for a condition, with a generous limit."""
-    limit = time.monotonic() + seconds
-    while True:
-        try:
-            if condition():
-                return
-        except (HTTPError, OSError):
-            # What is waited for may not listen yet.
-            time.sleep(_POLL)
-        if time.monotonic() > limit:
-            raise TimeoutError(f'not true after {seconds} s')
-        time.sleep(_POLL)
-
-
-def get(url: str, token: str = '') -> Any:
-    """Read JSON."""
-    return _fetch(url, 'GET', None, token)
-
-
-def post(url: str, document: object) -> Any:
-    """Send JSON."""
-    return _fetch(url, 'POST', json.dumps(document).encode(), '')
-
-
-def _fetch(url: str, method: str, body: bytes | None, token: str) -> Any:
-    client = HTTPClient()
-    try:
-        answer = client.fetch(
-            url,
-            method=method,
-            body=body,
-            headers={'Authorization': f'Bearer {token}'},
-        )
-    finally:
-        client.close()
-    return json.loads(answer.body) if answer.body else None
-
-
-def _prefix(bundle: Bundle) -> str:
-    first = bundle.services[0].upstreams[0].address
-    return '.'.join(first.split('.')[:2])
-
-
-def _entries(
-    bundle: Bundle,
-    prefix: str,
-    count: int,
-    base_port: int,
-) -> tuple[EntryPlan, ...]:
-    entries = []
-    for number, region in enumerate(bundle.regions):
-        zones = [
-            zone.name for zone in bundle.zones if zone.region == region.name
-        ]
-        for index in range(count):
-            zone = zones[index % len(zones)]
-            entries.append(
-                EntryPlan(
-                    f'{zone}-{index // len(zones) + 1}',
-                    zone,
-                    region.name,
-                    f'{prefix}.{200 + number}.{index + 1}',
-                    base_port,
-                )
-            )
-    return tuple(entries)
--- a/worksrail/bench/demo.py
+++ b/worksrail/bench/demo.py
@@ -16,9 +16,11 @@
 from rich.console import Console
 from rich.table import Table
 
-from worksrail.bench._fleet import Fleet, FleetPlan, get, wait_until
+from worksrail.bench._calls import get, wait_until
+from worksrail.bench._fleet import Fleet
 from worksrail.bench._load import LoadPlan, Stream
 from worksrail.bench._marks import CapMarks, cap_marks
+from worksrail.bench._plan import FleetPlan
 
 _SERVICE_TIMES: Final = {
     'pedidos': 0.25,
--- a/worksrail/bench/load.py
+++ b/worksrail/bench/load.py
@@ -20,9 +20,10 @@
 import fire
 import msgspec
 
-from worksrail.bench._fleet import Fleet, FleetPlan
+from worksrail.bench._fleet import Fleet
 from worksrail.bench._load import LoadPlan, Stream
 from worksrail.bench._marks import cap_marks
+from worksrail.bench._plan import FleetPlan
 
 _SERVICE_TIMES: Final = {
     'pedidos': 0.9,
--- a/worksrail/bench/slopes/_daemons.py
+++ b/worksrail/bench/slopes/_daemons.py
@@ -7,7 +7,9 @@
 
 from tornado.httpclient import HTTPClient
 
-from worksrail.bench._fleet import Fleet, FleetPlan, wait_until
+from worksrail.bench._calls import wait_until
+from worksrail.bench._fleet import Fleet
+from worksrail.bench._plan import FleetPlan
 
 _EXAMPLES: Final = Path(__file__).resolve().parents[3] / 'examples'
 _MEGABYTE: Final = 1_048_576
--- a/worksrail/core/permits/__init__.py
+++ b/worksrail/core/permits/__init__.py
@@ -1,12 +1,7 @@
 """Permits: bounded rights shared between instances, lent on demand."""
 
-from worksrail.core.permits._ledger import (
-    Group,
-    Hold,
-    NoPermit,
-    PermitLedger,
-    Pool,
-)
+from worksrail.core.permits._holdings import Group, Hold, NoPermit, Pool
+from worksrail.core.permits._ledger import PermitLedger
 from worksrail.core.permits._lending import Addressed, Lender, Lending
 from worksrail.core.permits._loans import LoanId
 from worksrail.core.permits._pool import (
--- a/worksrail/core/permits/_lending.py
+++ b/worksrail/core/permits/_lending.py
@@ -17,7 +17,8 @@
     LoanRequest,
     LoanReturn,
 )
-from worksrail.core.permits._ledger import Group, PermitLedger
+from worksrail.core.permits._holdings import Group
+from worksrail.core.permits._ledger import PermitLedger
 from worksrail.core.permits._loans import BorrowedLoan, LoanId
 from worksrail.core.permits._pool import GroupKey
 from worksrail.core.settings import CoreSettings
