Soak real entries under faults; survive connections that are reset at once

Its first seeds found that a connection which is reset between its making and its first use has no socket any more: setting its options raised what nobody caught. In a follower of the store that ended the process; in an attempt it left the request without an answer.

Change: tests/soak plays seeded series of faults from outside (signals, a loopback proxy that delays, resets, silences and cuts one way, a misbehaving store, upstreams that drain, lie and change hands) against real processes, and checks seven promises from what callers and upstreams see. Every promise has a planted fault that the checker must notice; a short seed runs with the tests. A connection that is closed already counts as none.

Not covered: clocks that jump, and instances without power.

--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,46 @@
+"""``python -m tests.soak``: play seeds by hand."""
+
+import asyncio
+import tempfile
+import time
+from pathlib import Path
+
+import fire
+
+from tests.soak._soak import play_seed
+
+
+def soak(
+    seed: int = 0,
+    seconds: float = 30.0,
+    entries: int = 3,
+    seeds: int = 1,
+    logs: str = '',
+) -> None:
+    """Play seeds, and end with 1 if a promise was broken.
+
+    Seed zero takes the time of day.  Logs of the entries stay in the folder
+    that is named, below one folder for each seed.
+    """
+    first = seed or int(time.time())
+    broken = 0
+    for number in range(first, first + seeds):
+        with tempfile.TemporaryDirectory() as temporary:
+            folder = Path(logs or temporary) / str(number)
+            folder.mkdir(parents=True)
+            result = asyncio.run(play_seed(number, seconds, entries, folder))
+        faults = ' '.join(step.fault.name for step in result.steps)
+        print(
+            f'seed {number}: {result.requests} requests, '
+            f'{result.served} served, {len(result.violations)} broken; '
+            f'{faults}',
+            flush=True,
+        )
+        for violation in result.violations[:20]:
+            print(f'  {violation}', flush=True)
+        broken += len(result.violations)
+    raise SystemExit(1 if broken else 0)
+
+
+if __name__ == '__main__':
+    fire.Fire(soak)
--- /dev/null
+++ b/tests/soak/_callers.py
@@ -0,0 +1,111 @@
+"""Callers of the soak: they use a connection until the entry is gone."""
+
+import asyncio
+import random
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tests.soak._promises import Ended, Sent, Witness
+
+_LENGTH = re.compile(rb'\r\nContent-Length: (\d+)', re.IGNORECASE)
+# Seconds that a caller waits for an answer, and between two requests.
+_DEADLINE = 3.0
+_PAUSE = (0.0, 0.05)
+
+
+@dataclass(slots=True)
+class Caller:
+    """Sends one request after the other to one entry."""
+
+    name: str
+    """Prefix of its identifiers."""
+
+    entry: str
+    """Address of the entry."""
+
+    witness: Witness
+    """Is told of all it sends and gets."""
+
+    rng: random.Random
+    """Draws requests."""
+
+    clock: Callable[[], float]
+    """Seconds."""
+
+    async def run(self) -> None:
+        """Send until cancelled."""
+        number = 0
+        while True:
+            try:
+                reader, writer = await self._connect()
+            except (OSError, TimeoutError):
+                await asyncio.sleep(0.1)
+                continue
+            kept = True
+            while kept:
+                number += 1
+                sent = self._draw(number)
+                kept = await self.ask(sent, reader, writer)
+                await asyncio.sleep(self.rng.uniform(*_PAUSE))
+            writer.close()
+
+    async def ask(
+        self,
+        sent: Sent,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Send one request; false if the connection cannot be used on."""
+        self.witness.sent[sent.trace] = sent
+        status, body, kept = 0, b'', False
+        try:
+            async with asyncio.timeout(_DEADLINE + 1):
+                writer.write(_request(sent))
+                head = await reader.readuntil(b'\r\n\r\n')
+                length = _LENGTH.search(head)
+                body = await reader.readexactly(int(length[1]) if length else 0)
+                status = int(head.split(b' ', 2)[1])
+                kept = b'connection: close' not in head.lower()
+        except TimeoutError:
+            # No end was seen, so there is nothing to hold against anyone.
+            return False
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        self.witness.ended[sent.trace] = Ended(
+            sent.trace, status, body, self.clock()
+        )
+        return kept
+
+    async def _connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = self.entry.partition(':')
+        async with asyncio.timeout(1):
+            return await asyncio.open_connection(host, int(port))
+
+    def _draw(self, number: int) -> Sent:
+        unsafe = self.rng.random() < 0.5
+        path = f'/{"w" if unsafe else "r"}/{self.rng.randrange(40)}'
+        body = self.rng.randbytes(self.rng.randrange(200)) if unsafe else b''
+        return Sent(
+            f'{self.name}-{number}',
+            path,
+            body,
+            unsafe,
+            self.entry,
+            self.clock(),
+        )
+
+
+def _request(sent: Sent) -> bytes:
+    method = 'POST' if sent.unsafe else 'GET'
+    key = sent.path.rpartition('/')[2]
+    head = (
+        f'{method} {sent.path} HTTP/1.1\r\nHost: h.example\r\n'
+        f'Request-Id: {sent.trace}\r\nCookie: Affinity-Key={key}\r\n'
+        f'Deadline-Ms: {int(_DEADLINE * 1000)}\r\n'
+    )
+    if sent.unsafe:
+        head += f'Content-Length: {len(sent.body)}\r\n'
+    return head.encode() + b'\r\n' + sent.body
--- /dev/null
+++ b/tests/soak/_faults.py
@@ -0,0 +1,67 @@
+"""Which faults a seed brings, and when; they come in series and overlap."""
+
+import random
+from dataclasses import dataclass
+from enum import Enum, unique
+
+# Seconds between two faults, and for which one lasts.
+_GAPS = (0.2, 2.5)
+_LASTS = (0.5, 4.0)
+# Seconds without faults at the end.
+_QUIET = 3.0
+
+
+@unique
+class Fault(Enum):
+    """What is done to the programs from outside."""
+
+    STOP = 'an entry gets SIGTERM and is started again'
+    HUP = 'an entry gets SIGHUP'
+    CONFIGURE = 'a new configuration moves a route'
+    DRAIN = 'an upstream drains, leaves and comes back as another one'
+    KILL = 'an entry is killed and started again'
+    FREEZE = 'an entry is stopped by a signal and goes on later'
+    STORE_MOOD = 'the store is busy, silent or loses answers'
+    STORE_HISTORY = 'the store forgets its history'
+    STORE_LINK = 'the way of one entry to the store is disturbed'
+    UPSTREAM_LINK = 'the way to one upstream is disturbed'
+    UPSTREAM_HABIT = 'an upstream answers badly'
+    REUSE = 'the address of an upstream goes to another service'
+
+    @property
+    def planned(self) -> bool:
+        """Whether operators do it on purpose: it must cut nothing."""
+        return self in _PLANNED
+
+
+_PLANNED = frozenset((Fault.STOP, Fault.HUP, Fault.CONFIGURE, Fault.DRAIN))
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One fault of a seed."""
+
+    at: float
+    """Seconds from the start."""
+
+    fault: Fault
+    """What is done."""
+
+    target: int
+    """Number that picks the entry, upstream, mood or link."""
+
+    lasts: float
+    """Seconds until it ends."""
+
+
+def steps_of(seed: int, seconds: float) -> list[Step]:
+    """The faults of a seed."""
+    rng = random.Random(seed)
+    steps = []
+    at = rng.uniform(*_GAPS)
+    while at < seconds - _QUIET:
+        fault = rng.choice(list(Fault))
+        lasts = min(rng.uniform(*_LASTS), seconds - _QUIET - at)
+        steps.append(Step(at, fault, rng.randrange(1000), lasts))
+        at += rng.uniform(*_GAPS)
+    return steps
--- /dev/null
+++ b/tests/soak/_promises.py
@@ -0,0 +1,175 @@
+"""The promises, checked from what callers and upstreams see."""
+
+import hashlib
+from collections import defaultdict
+from dataclasses import dataclass, field
+from enum import Enum, unique
+
+# Statuses that say: not executed, and it never will be.
+_REFUSALS = frozenset((408, 421, 429, 503))
+_OK = 200
+# Seconds before a request in which an unplanned fault may still cut it.
+_CALM = 4.0
+
+
+@unique
+class Promise(Enum):
+    """What is checked."""
+
+    AT_MOST_ONCE = 'a request that must not be repeated is executed once'
+    TRUE_REFUSAL = 'what was refused was not executed'
+    OWN_ANSWER = 'a success is the whole answer to its own request'
+    UNCHANGED = 'upstreams get what callers sent, and nothing else'
+    ROUTED = 'a request is executed by a service that its route names'
+    PLANNED_STOP = 'a planned stop cuts no request that is executed'
+    RECOVERY = 'all entries serve again once the faults are over'
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A request as a caller sent it."""
+
+    trace: str
+    """Its identifier."""
+
+    path: str
+    """Path, whose first segment names the route."""
+
+    body: bytes
+    """Its body."""
+
+    unsafe: bool
+    """It must not be executed twice."""
+
+    entry: str
+    """Entry that it was sent to."""
+
+    at: float
+    """When."""
+
+
+@dataclass(frozen=True, slots=True)
+class Executed:
+    """A request as an upstream executed it."""
+
+    trace: str
+    """Its identifier."""
+
+    path: str
+    """Path as it arrived."""
+
+    body: bytes
+    """Body as it arrived."""
+
+    service: str
+    """Service of the upstream."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """How a request ended for its caller."""
+
+    trace: str
+    """Its identifier."""
+
+    status: int
+    """Status of a whole answer; zero if there was none."""
+
+    body: bytes
+    """Body of the answer."""
+
+    at: float
+    """When."""
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A promise that was broken."""
+
+    promise: Promise
+    """Which one."""
+
+    about: str
+    """Request or entry."""
+
+    details: str
+    """What was seen."""
+
+
+def answer_of(trace: str, path: str, body: bytes) -> bytes:
+    """What every upstream answers to a request; nothing else is right."""
+    digest = hashlib.sha256(f'{trace}|{path}|'.encode() + body)
+    return digest.hexdigest().encode()
+
+
+@dataclass(slots=True)
+class Witness:
+    """Collects what is seen, and says which promises were broken."""
+
+    services: dict[str, frozenset[str]]
+    """Services that each route ever named, by its first path segment."""
+
+    sent: dict[str, Sent] = field(default_factory=dict)
+    """Requests by identifier."""
+
+    executed: dict[str, list[Executed]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    """Executions by identifier."""
+
+    ended: dict[str, Ended] = field(default_factory=dict)
+    """Ends by identifier."""
+
+    faults: list[float] = field(default_factory=list)
+    """Times at which an unplanned fault was in force."""
+
+    silent: set[str] = field(default_factory=set)
+    """Entries that did not serve at the end."""
+
+    def violations(self) -> list[Violation]:
+        """All promises that were broken."""
+        found = [
+            Violation(Promise.RECOVERY, entry, 'does not serve')
+            for entry in sorted(self.silent)
+        ]
+        for trace, executions in self.executed.items():
+            found += self._of_executions(trace, executions)
+        for trace in self.ended:
+            found += self._of_end(self.sent[trace], self.ended[trace])
+        return found
+
+    def _of_executions(
+        self,
+        trace: str,
+        executions: list[Executed],
+    ) -> list[Violation]:
+        sent = self.sent.get(trace)
+        if sent is None:
+            return [Violation(Promise.UNCHANGED, trace, 'nobody sent it')]
+        found = []
+        if sent.unsafe and len(executions) > 1:
+            times = f'{len(executions)} times'
+            found.append(Violation(Promise.AT_MOST_ONCE, trace, times))
+        for one in executions:
+            if (one.path, one.body) != (sent.path, sent.body):
+                found.append(Violation(Promise.UNCHANGED, trace, one.path))
+            if one.service not in self.services[sent.path.split('/')[1]]:
+                found.append(Violation(Promise.ROUTED, trace, one.service))
+        return found
+
+    def _of_end(self, sent: Sent, end: Ended) -> list[Violation]:
+        ran = bool(self.executed.get(sent.trace))
+        if end.status in _REFUSALS and ran and sent.unsafe:
+            details = f'{end.status} at {end.at:.2f}'
+            return [Violation(Promise.TRUE_REFUSAL, sent.trace, details)]
+        right = answer_of(sent.trace, sent.path, sent.body)
+        if end.status == _OK and end.body != right:
+            details = repr(end.body[:60])
+            return [Violation(Promise.OWN_ANSWER, sent.trace, details)]
+        if end.status == 0 and ran and self._was_calm(sent.at, end.at):
+            details = f'{sent.entry} from {sent.at:.2f} to {end.at:.2f}'
+            return [Violation(Promise.PLANNED_STOP, sent.trace, details)]
+        return []
+
+    def _was_calm(self, begin: float, end: float) -> bool:
+        return not any(begin - _CALM <= at <= end for at in self.faults)
--- /dev/null
+++ b/tests/soak/_soak.py
@@ -0,0 +1,289 @@
+"""Plays the faults of a seed against a world, with callers all the while."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TypeVar
+
+from tests.soak._callers import Caller
+from tests.soak._faults import Fault, Step, steps_of
+from tests.soak._promises import Sent, Violation
+from tests.soak._proxy import Link
+from tests.soak._upstreams import Habit
+from tests.soak._world import SoakWorld
+from worksrail.standins.objects import StoreMood
+
+_Choice = TypeVar('_Choice')
+_CALLERS_PER_ENTRY = 4
+# Seconds between two notes that an unplanned fault is in force.
+_NOTES = 0.2
+# Seconds for which the entries may take to serve, first and after the faults;
+# generous, since the machine may be busy.
+_PATIENCE = 60.0
+_BAD_MOODS = [mood for mood in StoreMood if mood is not StoreMood.WELL]
+_BAD_LINKS = [link for link in Link if link is not Link.PASSING]
+_BAD_HABITS = [habit for habit in Habit if habit is not Habit.WELL]
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What a soak has seen."""
+
+    seed: int
+    """The seed."""
+
+    steps: list[Step]
+    """Its faults."""
+
+    requests: int
+    """Requests that ended."""
+
+    served: int
+    """Those with a success."""
+
+    violations: list[Violation]
+    """Promises that were broken."""
+
+
+@dataclass(slots=True)
+class Soak:
+    """One seed."""
+
+    world: SoakWorld
+    """The programs."""
+
+    active: int = 0
+    """Unplanned faults in force."""
+
+    versions: int = 0
+    """Configurations written."""
+
+    restarting: set[str] = field(default_factory=set)
+    """Entries that are being stopped or started."""
+
+    async def play(self, steps: list[Step], seconds: float) -> None:
+        """Play all faults, each in its own task."""
+        begin = self.world.clock()
+        notes = asyncio.ensure_future(self._note_faults())
+        tasks = []
+        for step in steps:
+            await asyncio.sleep(max(0, begin + step.at - self.world.clock()))
+            tasks.append(asyncio.ensure_future(self._one(step)))
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(max(0, begin + seconds - self.world.clock()))
+        notes.cancel()
+
+    async def _one(self, step: Step) -> None:
+        self.active += not step.fault.planned
+        self._note()
+        try:
+            await _PLAYERS[step.fault](self, step)
+        finally:
+            self._note()
+            self.active -= not step.fault.planned
+
+    async def _note_faults(self) -> None:
+        while True:
+            self._note()
+            await asyncio.sleep(_NOTES)
+
+    def _note(self) -> None:
+        if self.active:
+            self.world.witness.faults.append(self.world.clock())
+
+    # -- entries
+
+    async def stop(self, step: Step) -> None:
+        """Stop an entry gracefully and start it again."""
+        await self._restart(step, signal.SIGTERM)
+
+    async def kill(self, step: Step) -> None:
+        """Kill an entry and start it again."""
+        await self._restart(step, signal.SIGKILL)
+
+    async def _restart(self, step: Step, number: signal.Signals) -> None:
+        host = _pick(self.world.hosts, step)
+        if host in self.restarting:
+            return
+        self.restarting.add(host)
+        self.world.signal(host, number)
+        await self.world.ended(host)
+        await self.world.start(host)
+        self.restarting.discard(host)
+
+    async def freeze(self, step: Step) -> None:
+        """Stop an entry for a while by a signal."""
+        host = _pick(self.world.hosts, step)
+        self.world.signal(host, signal.SIGSTOP)
+        await asyncio.sleep(step.lasts)
+        self.world.signal(host, signal.SIGCONT)
+
+    async def hup(self, step: Step) -> None:
+        """Let an entry read its settings again."""
+        host = _pick(self.world.hosts, step)
+        if host not in self.restarting:
+            self.world.signal(host, signal.SIGHUP)
+
+    # -- the store
+
+    async def configure(self, step: Step) -> None:
+        """Move the route of writes to the other service."""
+        self.versions += 1
+        self.world.configure('ac'[self.versions % 2])
+
+    async def store_mood(self, step: Step) -> None:
+        """Let the store be busy, silent or lose answers."""
+        self.world.store.mood = _pick(_BAD_MOODS, step)
+        await asyncio.sleep(step.lasts)
+        self.world.store.mood = StoreMood.WELL
+
+    async def store_history(self, step: Step) -> None:
+        """Let the store forget its history."""
+        self.world.store.drop_history()
+
+    async def store_link(self, step: Step) -> None:
+        """Disturb the way of one entry to the store."""
+        link = self.world.store_links[_pick(self.world.hosts, step)]
+        link.set(_pick(_BAD_LINKS, step))
+        await asyncio.sleep(step.lasts)
+        link.set(Link.PASSING)
+
+    # -- upstreams
+
+    async def upstream_link(self, step: Step) -> None:
+        """Disturb the way to one upstream."""
+        link = _pick(self.world.upstream_links, step)
+        link.set(_pick(_BAD_LINKS, step))
+        await asyncio.sleep(step.lasts)
+        link.set(Link.PASSING)
+
+    async def upstream_habit(self, step: Step) -> None:
+        """Let one upstream answer badly."""
+        upstream = _pick(self.world.upstreams, step)
+        upstream.habit = _pick(_BAD_HABITS, step)
+        await asyncio.sleep(step.lasts)
+        upstream.habit = Habit.WELL
+
+    async def drain(self, step: Step) -> None:
+        """Drain an upstream; another one moves in after it has left."""
+        number = step.target % len(self.world.upstreams)
+        self.world.list_upstream(number, 'draining')
+        await asyncio.sleep(max(2.0, step.lasts))
+        self.world.unlist_upstream(number)
+        self.world.rename_upstream(number)
+        self.world.list_upstream(number, 'ready')
+
+    async def reuse(self, step: Step) -> None:
+        """Swap the services of two upstreams without a word."""
+        first = _pick(self.world.upstreams, step)
+        second = self.world.upstreams[-1]
+        first.service, second.service = second.service, first.service
+        for number, upstream in enumerate(self.world.upstreams):
+            if upstream in (first, second):
+                self.world.unlist_upstream(number)
+                self.world.rename_upstream(number)
+        await asyncio.sleep(step.lasts)
+        for number, upstream in enumerate(self.world.upstreams):
+            if upstream in (first, second):
+                self.world.list_upstream(number, 'ready')
+
+
+_PLAYERS: dict[Fault, Callable[[Soak, Step], Awaitable[None]]] = {
+    Fault.STOP: Soak.stop,
+    Fault.HUP: Soak.hup,
+    Fault.CONFIGURE: Soak.configure,
+    Fault.DRAIN: Soak.drain,
+    Fault.KILL: Soak.kill,
+    Fault.FREEZE: Soak.freeze,
+    Fault.STORE_MOOD: Soak.store_mood,
+    Fault.STORE_HISTORY: Soak.store_history,
+    Fault.STORE_LINK: Soak.store_link,
+    Fault.UPSTREAM_LINK: Soak.upstream_link,
+    Fault.UPSTREAM_HABIT: Soak.upstream_habit,
+    Fault.REUSE: Soak.reuse,
+}
+
+
+async def play_seed(
+    seed: int,
+    seconds: float,
+    entries: int,
+    folder: Path,
+) -> Result:
+    """Play one seed from start to end."""
+    world = SoakWorld(folder, entries, seed)
+    steps = steps_of(seed, seconds)
+    callers: list[asyncio.Task[None]] = []
+    try:
+        await world.open()
+        await _all_serve(world)
+        callers = _start_callers(world)
+        await Soak(world).play(steps, seconds)
+        world.witness.silent = await _all_serve(world)
+    finally:
+        for caller in callers:
+            caller.cancel()
+        await asyncio.gather(*callers, return_exceptions=True)
+        await world.close()
+    ends = world.witness.ended.values()
+    return Result(
+        seed,
+        steps,
+        len(ends),
+        sum(end.status == 200 for end in ends),
+        world.witness.violations(),
+    )
+
+
+def _start_callers(world: SoakWorld) -> list[asyncio.Task[None]]:
+    return [
+        asyncio.ensure_future(_caller(world, host, str(number)).run())
+        for host in world.hosts
+        for number in range(_CALLERS_PER_ENTRY)
+    ]
+
+
+def _caller(world: SoakWorld, host: str, name: str) -> Caller:
+    return Caller(
+        f'{host}-{name}',
+        world.front(host),
+        world.witness,
+        random.Random(f'{host}-{name}'),
+        world.clock,
+    )
+
+
+async def _all_serve(world: SoakWorld) -> set[str]:
+    """Wait until all entries serve; gives those that do not."""
+    silent = set(world.hosts)
+    limit = world.clock() + _PATIENCE
+    number = 0
+    while silent and world.clock() < limit:
+        for host in tuple(silent):
+            number += 1
+            if await _serves(world, host, f'probe-{world.clock()}-{number}'):
+                silent.discard(host)
+        await asyncio.sleep(0.1)
+    return silent
+
+
+async def _serves(world: SoakWorld, host: str, trace: str) -> bool:
+    address, _, port = world.front(host).partition(':')
+    try:
+        async with asyncio.timeout(5):
+            reader, writer = await asyncio.open_connection(address, int(port))
+            sent = Sent(trace, '/r/1', b'', False, host, world.clock())
+            caller = _caller(world, host, 'probe')
+            await caller.ask(sent, reader, writer)
+            writer.close()
+    except (OSError, TimeoutError):
+        return False
+    end = world.witness.ended.get(trace)
+    return end is not None and end.status == 200
+
+
+def _pick(choices: list[_Choice], step: Step) -> _Choice:
+    return choices[step.target % len(choices)]
--- /dev/null
+++ b/tests/soak/_upstreams.py
@@ -0,0 +1,140 @@
+"""Upstreams of the soak: they execute, and misbehave when told to."""
+
+import asyncio
+import random
+import re
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum, unique
+
+from tests.soak._promises import Executed, answer_of
+
+_LENGTH = re.compile(rb'\r\nContent-Length: (\d+)', re.IGNORECASE)
+_TRACE = re.compile(rb'\r\nRequest-Id: (\S+)', re.IGNORECASE)
+_TARGET = re.compile(rb'\r\nTarget-Instance: (\S+)', re.IGNORECASE)
+# Seconds that an execution takes.
+_EXECUTION = (0.005, 0.08)
+
+
+@unique
+class Habit(Enum):
+    """How an upstream answers."""
+
+    WELL = 'right'
+    LOSES = 'executes some requests and closes without an answer'
+    SPOILS = 'breaks off or spoils some answers'
+    REPEATS = 'sends some answers twice'
+    FAILS = 'answers some requests with 500'
+
+
+@dataclass(slots=True)
+class Upstream:
+    """One upstream at one address."""
+
+    service: str
+    """Its service."""
+
+    name: str
+    """Its identifier; another one moves in when it changes."""
+
+    note: Callable[[Executed], None]
+    """Is told of each execution."""
+
+    rng: random.Random
+    """Draws times and faults."""
+
+    habit: Habit = Habit.WELL
+    """How it answers now."""
+
+    address: str = ''
+    """Where it listens."""
+
+    server: asyncio.Server | None = None
+    """Listens."""
+
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    """Open connections."""
+
+    async def open(self) -> 'Upstream':
+        """Listen at a free port."""
+        self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.address = f'{host}:{port}'
+        return self
+
+    def close(self) -> None:
+        """Listen no more, and end all connections."""
+        if self.server:
+            self.server.close()
+        for writer in tuple(self.writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.writers.add(writer)
+        try:
+            while await self._one(reader, writer):
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            # The other side has left; what it asked for stays executed.
+            pass
+        except asyncio.CancelledError:
+            # The soak is over; the stream's own callback would log a
+            # cancelled handler as an error.
+            return
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _one(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        head = await reader.readuntil(b'\r\n\r\n')
+        length = _LENGTH.search(head)
+        body = await reader.readexactly(int(length[1])) if length else b''
+        trace = _first(_TRACE, head)
+        if _first(_TARGET, head) != self.name:
+            writer.write(_answer(trace, 421, b'', 'Not-Executed: 1\r\n'))
+            return True
+        path = head.split(b' ', 2)[1].decode()
+        self.note(Executed(trace, path, body, self.service))
+        await asyncio.sleep(self.rng.uniform(*_EXECUTION))
+        return self._write(writer, trace, answer_of(trace, path, body))
+
+    def _write(
+        self,
+        writer: asyncio.StreamWriter,
+        trace: str,
+        body: bytes,
+    ) -> bool:
+        right = _answer(trace, 200, body, 'Response-Signature: s\r\n')
+        if self.habit is Habit.WELL or self.rng.random() < 0.5:
+            writer.write(right)
+        elif self.habit is Habit.FAILS:
+            writer.write(_answer(trace, 500, b'no', ''))
+        elif self.habit is Habit.REPEATS:
+            writer.write(right + right)
+        elif self.habit is Habit.SPOILS:
+            writer.write(self.rng.choice((right[:-9], b'garbage\r\n\r\n')))
+            return False
+        else:
+            return False
+        return True
+
+
+def _first(pattern: re.Pattern[bytes], head: bytes) -> str:
+    found = pattern.search(head)
+    return found[1].decode() if found else ''
+
+
+def _answer(trace: str, status: int, body: bytes, extra: str) -> bytes:
+    head = (
+        f'HTTP/1.1 {status} X\r\nRequest-Id: {trace}\r\n{extra}'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
--- /dev/null
+++ b/tests/soak/_world.py
@@ -0,0 +1,178 @@
+"""The programs of a soak: entries as processes, a store, upstreams."""
+
+import asyncio
+import json
+import random
+import signal
+import sys
+from contextlib import closing
+from pathlib import Path
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+
+from tests.platform.test_decoding import CONFIGURATION, SETTINGS
+from tests.soak._promises import Witness
+from tests.soak._proxy import Proxy
+from tests.soak._upstreams import Upstream
+from worksrail.standins.objects import ObjectStore, application
+
+_ROOT = Path(__file__).resolve().parents[2]
+_PORTS = ('Front', 'Ready', 'Control', 'Directory')
+# Services by route; the unsafe route moves between its two.
+SERVICES = {'w': frozenset(('a', 'c')), 'r': frozenset(('a', 'b'))}
+# Seconds that a process may take to end once it was told to.
+_LAST_END = 30.0
+
+
+class SoakWorld:
+    """Everything that a soak starts, and ends again by its id."""
+
+    def __init__(self, folder: Path, entries: int, seed: int) -> None:
+        """Prepare; nothing runs yet."""
+        self.folder = folder
+        self.rng = random.Random(seed)
+        self.clock = asyncio.get_running_loop().time
+        self.witness = Witness(dict(SERVICES))
+        self.store = ObjectStore()
+        self.server = HTTPServer(application(self.store))
+        self.version = 7
+        self.lives = 0
+        self.hosts = [f'127.0.1.{number + 2}' for number in range(entries)]
+        self.ports = [_free_port() for _ in _PORTS]
+        self.inner = _free_port()
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.store_links: dict[str, Proxy] = {}
+        self.upstreams: list[Upstream] = []
+        self.upstream_links: list[Proxy] = []
+
+    async def open(self) -> None:
+        """Start everything."""
+        socket, port = bind_unused_port()
+        self.server.add_socket(socket)
+        self.configure('a')
+        for service in ('a', 'a', 'b', 'b', 'c'):
+            await self._add_upstream(service)
+        for host in self.hosts:
+            link = Proxy(f'127.0.0.1:{port}')
+            self.store_links[host] = await link.open()
+            await self.start(host)
+
+    async def close(self) -> None:
+        """End everything."""
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        for closable in (
+            *self.upstreams,
+            *self.upstream_links,
+            *self.store_links.values(),
+        ):
+            closable.close()
+        self.server.stop()
+
+    # -- entries
+
+    async def start(self, host: str) -> None:
+        """Start an entry."""
+        path = self.folder / f'{host}.json'
+        path.write_text(json.dumps(self._settings(host)))
+        log = (self.folder / f'{host}.log').open('ab')
+        with closing(log):
+            self.processes[host] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'worksrail.platform',
+                env={'WORKSRAIL_CONFIG': str(path), 'PATH': ''},
+                cwd=_ROOT,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, host: str, number: signal.Signals) -> None:
+        """Send a signal to an entry that runs."""
+        process = self.processes[host]
+        if process.returncode is None:
+            process.send_signal(number)
+
+    async def ended(self, host: str) -> None:
+        """Wait until the process of an entry has ended."""
+        async with asyncio.timeout(_LAST_END):
+            await self.processes[host].wait()
+
+    def front(self, host: str) -> str:
+        """Address for callers of an entry."""
+        return f'{host}:{self.ports[0]}'
+
+    def _settings(self, host: str) -> dict[str, Any]:
+        settings: dict[str, Any] = json.loads(json.dumps(SETTINGS))
+        listen = {
+            name: f'{host}:{port}'
+            for name, port in zip(_PORTS, self.ports, strict=True)
+        }
+        seeds = [f'{other}:1' for other in self.hosts[:3]]
+        store = {'Address': self.store_links[host].address}
+        return settings | {
+            'NodeName': f'front-{host}',
+            'Ip': host,
+            'InternalPortRange': [self.inner, self.inner],
+            'Seeds': seeds,
+            'Platform': store,
+            'Listen': listen,
+        }
+
+    # -- what the store holds
+
+    def configure(self, service: str) -> None:
+        """Write a new configuration, in which writes go to a service."""
+        self.version += 1
+        document: dict[str, Any] = json.loads(json.dumps(CONFIGURATION))
+        document['Version'] = f'r{self.version}'
+        write, read = document['Routes']['Rows']
+        write[7] = service
+        read[10] = []
+        rows = document['Services']['Rows']
+        third = list(rows[0])
+        third[document['Services']['Columns'].index('Name')] = 'c'
+        rows.append(third)
+        self.store.put('config', 'main', document)
+
+    def list_upstream(self, number: int, state: str) -> None:
+        """Write the entry of an upstream."""
+        upstream = self.upstreams[number]
+        info = {'Service': upstream.service, 'Zone': 'z1', 'Slots': 9}
+        self.lives += 1
+        status = {'State': state, 'Sequence': self.lives}
+        address = self.upstream_links[number].address
+        spec = {'Address': address, 'Info': info}
+        self.store.put('servers', upstream.name, spec, status)
+
+    def unlist_upstream(self, number: int) -> None:
+        """Remove the entry of an upstream."""
+        self.store.remove('servers', self.upstreams[number].name)
+
+    def rename_upstream(self, number: int) -> None:
+        """Another upstream moves in at the same address."""
+        self.lives += 1
+        self.upstreams[number].name = f'i-{self.lives}'
+
+    async def _add_upstream(self, service: str) -> None:
+        number = len(self.upstreams)
+        upstream = Upstream(
+            service,
+            f'i-first-{number}',
+            lambda one: self.witness.executed[one.trace].append(one),
+            random.Random(self.rng.random()),
+        )
+        self.upstreams.append(await upstream.open())
+        link = await Proxy(upstream.address).open()
+        self.upstream_links.append(link)
+        self.list_upstream(number, 'ready')
+
+
+def _free_port() -> int:
+    sock, port = bind_unused_port(address='127.0.0.1')
+    sock.close()
+    return port
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,158 @@
+"""The soak's checker notices planted faults; a short seed is clean."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from tests.soak._faults import Fault, steps_of
+from tests.soak._promises import (
+    Ended,
+    Executed,
+    Promise,
+    Sent,
+    Witness,
+    answer_of,
+)
+from tests.soak._proxy import Link, Proxy
+from tests.soak._soak import _PLAYERS, play_seed
+
+_WRITE = Sent('t', '/w/1', b'x', True, 'one', 10.0)
+_READ = Sent('t', '/r/1', b'', False, 'one', 10.0)
+_RIGHT = answer_of('t', '/w/1', b'x')
+_RAN = Executed('t', '/w/1', b'x', 'a')
+_SERVICES = {'w': frozenset('ac'), 'r': frozenset('ab')}
+
+
+def _broken(
+    sent: Sent,
+    executions: list[Executed],
+    status: int = 200,
+    body: bytes = _RIGHT,
+    faults: tuple[float, ...] = (),
+) -> set[Promise]:
+    witness = Witness(_SERVICES)
+    witness.sent[sent.trace] = sent
+    witness.faults.extend(faults)
+    for one in executions:
+        witness.executed[one.trace].append(one)
+    witness.ended[sent.trace] = Ended(sent.trace, status, body, 11.0)
+    return {violation.promise for violation in witness.violations()}
+
+
+@pytest.mark.parametrize(
+    ('sent', 'executions', 'end', 'promise'),
+    [
+        (_WRITE, [_RAN, _RAN], {}, Promise.AT_MOST_ONCE),
+        (_WRITE, [_RAN], {'status': 503}, Promise.TRUE_REFUSAL),
+        (_WRITE, [_RAN], {'status': 429}, Promise.TRUE_REFUSAL),
+        (_WRITE, [_RAN], {'body': _RIGHT[:-1]}, Promise.OWN_ANSWER),
+        (_WRITE, [_RAN], {'body': b''}, Promise.OWN_ANSWER),
+        (
+            _WRITE,
+            [Executed('other', '/w/1', b'x', 'a')],
+            {},
+            Promise.UNCHANGED,
+        ),
+        (_WRITE, [Executed('t', '/w/1', b'y', 'a')], {}, Promise.UNCHANGED),
+        (_WRITE, [Executed('t', '/w/2', b'x', 'a')], {}, Promise.UNCHANGED),
+        (_WRITE, [Executed('t', '/w/1', b'x', 'b')], {}, Promise.ROUTED),
+        (_WRITE, [_RAN], {'status': 0}, Promise.PLANNED_STOP),
+        (
+            _WRITE,
+            [_RAN],
+            {'status': 0, 'faults': (5.9,)},
+            Promise.PLANNED_STOP,
+        ),
+    ],
+)
+def test_planted_fault_is_noticed(
+    sent: Sent,
+    executions: list[Executed],
+    end: dict[str, object],
+    promise: Promise,
+) -> None:
+    assert _broken(sent, executions, **end) == {promise}  # type: ignore
+
+
+@pytest.mark.parametrize(
+    ('sent', 'executions', 'end'),
+    [
+        (_WRITE, [_RAN], {}),
+        (_WRITE, [], {'status': 503}),
+        (_WRITE, [_RAN], {'status': 502}),
+        (_WRITE, [_RAN], {'status': 0, 'faults': (6.1,)}),
+        (_WRITE, [], {'status': 0}),
+        (
+            _READ,
+            [Executed('t', '/r/1', b'', 'a'), Executed('t', '/r/1', b'', 'b')],
+            {'status': 503},
+        ),
+    ],
+)
+def test_what_is_allowed_breaks_nothing(
+    sent: Sent, executions: list[Executed], end: dict[str, object]
+) -> None:
+    assert not _broken(sent, executions, **end)  # type: ignore
+
+
+def test_entry_that_does_not_serve_again_is_noticed() -> None:
+    witness = Witness(_SERVICES, silent={'one'})
+    (violation,) = witness.violations()
+    assert violation.promise is Promise.RECOVERY
+
+
+def test_seed_brings_the_same_faults_again() -> None:
+    assert steps_of(5, 60) == steps_of(5, 60)
+    assert steps_of(5, 60) != steps_of(6, 60)
+    assert {step.fault for step in steps_of(5, 600)} == set(Fault)
+    assert set(_PLAYERS) == set(Fault)
+
+
+@pytest.mark.parametrize(
+    ('link', 'echo'),
+    [
+        (Link.PASSING, b'hello'),
+        (Link.SLOW, b'hello'),
+        (Link.RESET, b''),
+        (Link.SILENT, None),
+        (Link.ONE_WAY, None),
+    ],
+)
+def test_proxy(link: Link, echo: bytes | None) -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(await reader.read(100))
+        await writer.drain()
+        writer.close()
+
+    async def run() -> bytes | None:
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        proxy = await Proxy(f'127.0.0.1:{port}').open()
+        host, _, own = proxy.address.partition(':')
+        reader, writer = await asyncio.open_connection(host, int(own))
+        proxy.set(link)
+        try:
+            writer.write(b'hello')
+            async with asyncio.timeout(30 if echo is not None else 0.5):
+                return await reader.read(100)
+        except TimeoutError:
+            return None
+        except ConnectionError:
+            return b''
+        finally:
+            writer.close()
+            proxy.close()
+            server.close()
+
+    assert asyncio.run(run()) == echo
+
+
+@pytest.mark.xdist_group('processes')
+def test_short_seed_breaks_no_promise(tmp_path: Path) -> None:
+    result = asyncio.run(play_seed(20261202, 8, 2, tmp_path))
+    assert result.steps
+    assert result.served
+    assert not result.violations
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,6 +1,7 @@
 """Which idle connections are used again."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -45,8 +46,8 @@
     async def run() -> Any:
         server = Accepting()
         server.streams = []
-        socket, port = bind_unused_port(address='127.0.0.1')
-        server.add_socket(socket)
+        listening, port = bind_unused_port(address='127.0.0.1')
+        server.add_socket(listening)
         pool = Pool(f'127.0.0.1:{port}', server)
         try:
             async with asyncio.timeout(30):
@@ -122,6 +123,27 @@
     assert _play(use)
 
 
+class Resetting:
+    """Makes connections that were reset before they could be used."""
+
+    async def connect(self, *_: Any, **options: Any) -> IOStream:
+        """A closed connection."""
+        stream = IOStream(socket.socket())
+        stream.close()
+        return stream
+
+
+def test_connection_reset_at_once_is_no_connection() -> None:
+    # Found by the soak, seed 20261202: the follower of the store ended with
+    # an error, and the process with it.
+    async def use(pool: Pool) -> None:
+        pool.pool.client = Resetting()  # type: ignore[assignment]
+        with pytest.raises(OSError, match='no connection'):
+            await pool.take()
+
+    _play(use)
+
+
 def test_connection_that_the_other_side_closed_is_passed_over() -> None:
     async def use(pool: Pool) -> bool:
         first = await pool.take()
--- a/worksrail/daemon/http/_connections.py
+++ b/worksrail/daemon/http/_connections.py
@@ -154,6 +154,8 @@
             )
         except StreamClosedError as error:
             raise OSError(f'no connection to {address}') from error
+        if stream.closed():
+            raise OSError(f'no connection to {address}: reset at once')
         stream.set_nodelay(True)
         _notice_silence(stream)
         return stream
