Hide the end of a connection where the soak's proxy cuts it one way

Cause: test_proxy[ONE_WAY] failed when it ran alone: the proxy dropped bytes of the cut direction but passed the end of the connection on, which the test met or not by chance.

Change: a cut or silenced direction passes no end either.

--- a/tests/soak/_proxy.py
+++ b/tests/soak/_proxy.py
@@ -103,8 +103,13 @@
                 if self.link is Link.SLOW:
                     await asyncio.sleep(_DELAY)
                 silenced |= self.link is Link.SILENT
-                if silenced or (self.link is Link.ONE_WAY and not towards):
+                if silenced or self._cuts(towards=towards):
                     continue
                 writer.write(chunk)
                 await writer.drain()
-        writer.close()
+        # A cut hides the end of a connection as well.
+        if not (silenced or self._cuts(towards=towards)):
+            writer.close()
+
+    def _cuts(self, *, towards: bool) -> bool:
+        return self.link is Link.ONE_WAY and not towards
