--- a/worksrail/core/steering/_learning.py
+++ b/worksrail/core/steering/_learning.py
@@ -37,6 +37,7 @@
     request: SteeredRequest,
     event: AttemptEnded,
 ) -> Iterator[Effect]:
+    """Take in how an attempt ended; say what it changes."""
     name = request.upstream
     load = state.loads.of(name)
     silent = event.now - request.sent_at > SILENCE * request.expected
