Learn the distance where the reach of a zone is learned

Change: the distance is learned beside the reach, with one look-up of the upstream instead of two; the order of what is learned is the same.

--- a/worksrail/core/steering/_learning.py
+++ b/worksrail/core/steering/_learning.py
@@ -42,7 +42,6 @@
     load = state.loads.of(name)
     silent = event.now - request.sent_at > SILENCE * request.expected
     load.note_ended(event.now)
-    _learn_distance(state, name, event.connect_time)
     yield from _learn_reach(state, request, event)
     outcome = event.outcome
     if outcome in _EXECUTED:
@@ -81,6 +80,8 @@
     upstream = state.catalog.upstreams.get(request.upstream)
     if upstream is None:
         return
+    if event.connect_time:
+        distance(state, upstream.region).add(event.connect_time)
     zone = upstream.record.zone
     if event.outcome in _REACHED or event.connect_time:
         state.reach.note_reached(zone)
@@ -97,16 +98,6 @@
             )
 
 
-def _learn_distance(
-    state: SteeringState,
-    name: str,
-    connect_time: float,
-) -> None:
-    upstream = state.catalog.upstreams.get(name)
-    if connect_time and upstream:
-        distance(state, upstream.region).add(connect_time)
-
-
 def _learn_times(
     state: SteeringState,
     request: SteeredRequest,
