Let all entries name one owner for the keys of a caller

Cause: a look-up gave its ticket to the first entry of its own ranking, and entries whose last word was 'no spare slots' rank last. An entry knows its own slots at once and those of others a heartbeat late, so two entries asked at the same time named two owners, and a key sent with both tickets ran twice (test_a_key_runs_once: 2 of 6 runs alone; a probe showed spare 0 and 3 for the same entry). Change: the owner is drawn from the caller's address among the ready entries that hold seats; whoever is asked passes the request on. Test: test_all_entries_name_one_owner failed in 3 of 3 cases before, passes now; test_a_key_runs_once passed 6 of 6 runs alone.

--- a/worksrail/core/lookups.py
+++ b/worksrail/core/lookups.py
@@ -1,11 +1,12 @@
 """Look-ups: which entries a caller shall use, and why."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from worksrail.core.bundle import Drain, DrainKind, Topology
-from worksrail.core.identity import RegionName, ServiceName
+from worksrail.core.identity import Incarnation, RegionName, ServiceName
 from worksrail.core.instance import Instance
-from worksrail.core.membership import rendezvous_weight
+from worksrail.core.membership import rendezvous, rendezvous_weight
 from worksrail.core.messages import MemberRecord, MemberStatus
 from worksrail.core.requests import Ticket
 from worksrail.core.results import ResultCode
@@ -51,7 +52,7 @@
     """Generation it was made from."""
 
     ticket: Ticket
-    """Right to run non-idempotent requests at the first entry."""
+    """Right to run non-idempotent requests at the entry that owns it."""
 
 
 def look_up(
@@ -74,16 +75,15 @@
         return ResultCode.UNKNOWN_SERVICE
     home = topology.region_of_client(client, instance.place.region)
     records = _candidates(instance, now)
+    regions = _regions(instance, topology, name, home)
     entries = [
         entry
-        for region in _regions(instance, topology, name, home)
+        for region in regions
         for entry in _ranked(records, region, name, client)
     ]
-    if not entries:
+    owner = _owner(instance, regions, client, now)
+    if not entries or owner is None:
         return ResultCode.NOT_READY
-    owner = next(
-        record.who for record in records if record.who.name == entries[0].name
-    )
     expires = instance.wall + instance.settings.ticket_age
     return LookUpAnswer(
         name,
@@ -96,7 +96,49 @@
 
 
 def _candidates(instance: Instance, now: float) -> list[MemberRecord]:
-    records = list(instance.membership.open_for_work(now, instance.settings))
+    membership = instance.membership
+    return _with_own(
+        instance, membership.open_for_work(now, instance.settings), now
+    )
+
+
+def _owner(
+    instance: Instance,
+    regions: list[RegionName],
+    client: str,
+    now: float,
+) -> Incarnation | None:
+    """The entry that owns the keys of a caller.
+
+    A key that two owners know runs twice, so the choice must not rest on
+    what each entry sees a little differently, such as spare slots: that made
+    two of six pairs of look-ups name two owners.  It rests on who lives and
+    holds seats, which change seldom; an entry without a seat has no permits,
+    and would refuse what it owns.  Entries pass requests on to the owner.
+    """
+    live = _with_own(
+        instance, instance.membership.live(now, instance.settings), now
+    )
+    ready = [record for record in live if record.status is MemberStatus.READY]
+    seated = [record for record in ready if record.seats]
+    for region in regions:
+        owners = {
+            record.who.name: record.who
+            for record in seated or ready
+            if record.place.region == region
+        }
+        if owners:
+            return owners[rendezvous(client, owners)]
+    return None
+
+
+def _with_own(
+    instance: Instance,
+    others: Iterable[MemberRecord],
+    now: float,
+) -> list[MemberRecord]:
+    """Some others and this entry, if it is ready, that are not drained."""
+    records = list(others)
     own = instance.record(now)
     if own.status is MemberStatus.READY:
         records.append(own)
