Keep keys at home near their callers, as far as there is room

Change: a region keeps as many of its keys as its slots carry when all regions are used alike; the rest goes where slots are left (steering/_nearness.py). Downloads use the same order as all others: one order a key. Test: test_callers_are_served_near_them plays uneven places and counts where callers are served (a third before, over 0.7 now); shares, waves, SHIFT, sketches in tests/steering/test_nearness.py.

--- /dev/null
+++ b/tests/steering/test_nearness.py
@@ -0,0 +1,299 @@
+"""Where keys are at home: near their callers, as far as there is room."""
+
+from collections import Counter
+from dataclasses import replace
+from math import sin, tau
+
+import pytest
+
+from tests.steering.world import (
+    World,
+    configuration,
+    contact,
+    digest,
+    of_type,
+    route,
+    settings,
+    upstream,
+    zone_digest,
+)
+from worksrail.core.identity import Incarnation
+from worksrail.core.steering import SteeringState, ToldKeys, reduce
+from worksrail.core.steering._nearness import spread
+from worksrail.core.steering._sharing import KeySharing
+from worksrail.core.steering.effects import SendUpstream
+from worksrail.core.steering.events import (
+    AttemptEnded,
+    AttemptOutcome,
+    ConfigurationRead,
+    DigestReceived,
+    EvacuationsRead,
+    RequestArrived,
+    SteeredHead,
+    Ticked,
+    UpstreamsListed,
+)
+
+_EVEN = {'a': 1 / 3, 'b': 1 / 3, 'c': 1 / 3}
+_REGIONS = {'a1': 'a', 'b1': 'b', 'c1': 'c'}
+# Seconds from a request to its answer.
+_EXECUTION = 0.1
+
+
+@pytest.mark.parametrize(
+    ('demand', 'room', 'origin', 'expected'),
+    [
+        (_EVEN, _EVEN, 'a', {'a': 1}),
+        (_EVEN, {'a': 0.1, 'b': 0.4, 'c': 0.5}, 'b', {'b': 1}),
+        (
+            _EVEN,
+            {'a': 0.1, 'b': 0.4, 'c': 0.5},
+            'a',
+            {'a': 0.3, 'b': 0.2, 'c': 0.5},
+        ),
+        (_EVEN, {'b': 0.5, 'c': 0.5}, 'a', {'a': 0, 'b': 0.5, 'c': 0.5}),
+        ({'a': 1}, {'a': 0.25, 'b': 0.75}, 'a', {'a': 0.25, 'b': 0.75}),
+        ({'a': 0, 'b': 1}, {'a': 0.5, 'b': 0.5}, 'a', {'a': 1}),
+    ],
+    ids=['even', 'room', 'short', 'none of its own', 'all ask here', 'quiet'],
+)
+def test_keys_stay_as_far_as_there_is_room(
+    demand: dict[str, float],
+    room: dict[str, float],
+    origin: str,
+    expected: dict[str, float],
+) -> None:
+    found = spread(demand, room, origin)
+    assert found == pytest.approx(expected)
+    assert sum(found.values()) == pytest.approx(1)
+
+
+@pytest.mark.parametrize('shares', [(0.1, 0.4, 0.5), (0.3, 0.3, 0.4)])
+def test_regions_are_used_alike(shares: tuple[float, float, float]) -> None:
+    room = dict(zip('abc', shares, strict=True))
+    load: Counter[str] = Counter()
+    for origin, asked in _EVEN.items():
+        for region, share in spread(_EVEN, room, origin).items():
+            load[region] += asked * share
+    assert dict(load) == pytest.approx(room)
+
+
+class _Region:
+    """One entry of a region, and what its callers get."""
+
+    def __init__(self, zone: str, slots: dict[str, int]) -> None:
+        given = replace(
+            settings(zone),
+            zone=zone,
+            region=_REGIONS[zone],
+            regions=_REGIONS,
+        )
+        self.now = 100.0
+        self.state = SteeringState.from_settings(
+            given, Incarnation(zone, 1), self.now, 7
+        )
+        self.zones = {
+            f'{place}-{number}': place
+            for place, count in slots.items()
+            for number in range(count)
+        }
+        records = tuple(
+            upstream(name, zone=place) for name, place in self.zones.items()
+        )
+        for event in (
+            ConfigurationRead(self.now, configuration(1, (route(),)), 1),
+            UpstreamsListed(self.now, records, 1),
+            EvacuationsRead(self.now, frozenset(), 1),
+        ):
+            reduce(self.state, event)
+        self.requests = 0
+        self.ticks = 0
+
+    def tick(self, seconds: float) -> None:
+        """Let time pass; the other regions have as many requests."""
+        self.now += seconds
+        self.ticks += 1
+        rate = self.state.arrivals.rate(self.now)
+        for zone, region in _REGIONS.items():
+            if zone != self.state.settings.zone:
+                member = contact(zone, zone=zone, region=region, rate=rate)
+                told = zone_digest(zone, [member], self.ticks)
+                reduce(self.state, DigestReceived(self.now, told))
+        reduce(self.state, Ticked(self.now))
+
+    def ask(self, key: str) -> str:
+        """Zone of the upstream that a request goes to, once answered."""
+        self.requests += 1
+        head = SteeredHead(
+            f't{self.requests}', 'orders.example', 'GET', '/read/x', 2.0, key
+        )
+        effects = reduce(
+            self.state, RequestArrived(self.now, self.requests, head)
+        )
+        (sent,) = of_type(effects, SendUpstream)
+        self.tick(_EXECUTION)
+        reduce(
+            self.state,
+            AttemptEnded(
+                self.now,
+                self.requests,
+                sent.attempt,
+                AttemptOutcome.ANSWERED,
+                200,
+            ),
+        )
+        return self.zones[sent.upstream]
+
+    def homes(self, count: int = 400) -> dict[str, str]:
+        """Upstreams that some keys belong to."""
+        state = self.state
+        orders = {
+            key: state.affinity.order_of(
+                state.catalog,
+                state.nearness,
+                state.settings.region,
+                'orders',
+                key,
+            )
+            for key in map(str, range(count))
+        }
+        return {key: order.homes[0] for key, order in orders.items()}
+
+
+# Upstreams of three slots by zone: a tenth of them where a third asks.
+_UNEVEN = {'a1': 2, 'b1': 8, 'c1': 10}
+
+
+def test_callers_are_served_near_them() -> None:
+    # By slots alone a third of the requests stays in its region; here all of
+    # two regions do, and of the third what its tenth of the slots carries.
+    served: Counter[str] = Counter()
+    near = 0
+    for zone in _REGIONS:
+        entry = _Region(zone, _UNEVEN)
+        for number in range(300):
+            place = entry.ask(f'{zone}-{number}')
+            served[place] += 1
+            near += place == zone
+    assert near / 900 > 0.7
+    for zone, count in _UNEVEN.items():
+        assert served[zone] / 900 == pytest.approx(count / 20, abs=0.04)
+
+
+def test_entries_of_a_region_agree_on_a_key() -> None:
+    one = _Region('a1', _UNEVEN)
+    two = _Region('a1', _UNEVEN)
+    for _ in range(5):
+        one.ask('k')
+        two.tick(1.0)
+    assert one.homes() == two.homes()
+
+
+def _moved(before: dict[str, str], after: dict[str, str]) -> float:
+    changed = sum(before[key] != after[key] for key in before)
+    return changed / len(before)
+
+
+def test_homes_move_slowly_when_demand_moves() -> None:
+    # Within two seconds a region may move 0.15 of its requests at the most.
+    entry = _Region('a1', _UNEVEN)
+    before = entry.homes()
+    entry.state.nearness.demand = {'a': 0.05, 'b': 0.05, 'c': 0.9}
+    total = 0.0
+    for _ in range(20):
+        entry.tick(1.0)
+        entry.tick(1.0)
+        entry.state.nearness.demand = {'a': 0.05, 'b': 0.05, 'c': 0.9}
+        after = entry.homes()
+        assert _moved(before, after) < 0.12
+        total += _moved(before, after)
+        before = after
+    assert total > 0.6
+    assert {home[0] for home in before.values()} == {'a'}
+
+
+def test_waves_of_demand_move_no_homes() -> None:
+    entry = _Region('a1', _UNEVEN)
+    before = entry.homes()
+    for second in range(72):
+        swing = sin(tau * second / 36) * 0.55 / 3
+        entry.state.nearness.count(
+            {'a': 1 / 3 + swing, 'b': 1 / 3 - swing, 'c': 1 / 3}, entry.now
+        )
+        entry.tick(1.0)
+        assert entry.homes() == before
+
+
+def _sketches(near: range, far: range) -> KeySharing:
+    sharing = KeySharing()
+    other = KeySharing()
+    for number in near:
+        sharing.note('orders', f'k{number}', 1)
+    for number in far:
+        other.note('orders', f'k{number}', 1)
+    hashes = other.sketch('orders', [], 1)
+    sharing.take('zone b1', 'b', 'orders', hashes, 1)
+    return sharing
+
+
+@pytest.mark.parametrize(
+    ('far', 'shared'),
+    [
+        (range(200, 400), False),
+        (range(200), True),
+        (range(100, 300), True),
+        (range(198, 400), False),
+    ],
+    ids=['others', 'the same', 'half the same', 'a few the same'],
+)
+def test_regions_that_share_keys_are_noticed(
+    far: range,
+    shared: bool,
+) -> None:
+    sharing = _sketches(range(200), far)
+    assert sharing.is_shared('orders', 'a', 2) is shared
+    assert not sharing.is_shared('stock', 'a', 2)
+
+
+def test_sketch_that_is_told_no_more_is_forgotten() -> None:
+    sharing = _sketches(range(200), range(200))
+    assert not sharing.is_shared('orders', 'a', 40)
+
+
+def test_shared_keys_come_to_one_home_for_all_regions() -> None:
+    entry = _Region('a1', _UNEVEN)
+    other = _Region('b1', _UNEVEN)
+    assert entry.homes() != other.homes()
+    for second in range(40):
+        for one, region in ((entry, 'b'), (other, 'a')):
+            one.ask(f'k{second % 4}')
+            hashes = one.state.sharing.sketch('orders', [], one.now)
+            one.state.sharing.take('z', region, 'orders', hashes, one.now)
+            one.tick(1.0)
+    assert entry.homes() == other.homes()
+
+
+def test_digests_carry_the_keys_of_a_zone() -> None:
+    world = World((route(),), (upstream('1'),))
+    told = ToldKeys('orders', (1, 2, 3))
+    world.run(
+        DigestReceived(world.now, replace_keys(digest('two'), told)),
+        DigestReceived(
+            world.now,
+            replace_keys(
+                zone_digest('far', [contact('far', zone='b1', region='b')]),
+                told,
+            ),
+        ),
+    )
+    assert world.state.sharing.sketch('orders', ['two'], world.now) == (1, 2, 3)
+    assert world.state.sharing.is_shared('orders', 'a', world.now)
+
+
+def replace_keys(told: object, keys: ToldKeys) -> object:
+    """The same digest with a sketch of keys."""
+    fields = {
+        name: getattr(told, name)
+        for name in type(told).__struct_fields__  # type: ignore[attr-defined]
+    }
+    return type(told)(**(fields | {'keys': keys}))
--- a/worksrail/core/steering/__init__.py
+++ b/worksrail/core/steering/__init__.py
@@ -5,6 +5,7 @@
     Contact,
     Digest,
     EntryDigest,
+    ToldKeys,
     ZoneDigest,
 )
 from worksrail.core.steering._directory import EntryList, look_up
@@ -53,6 +54,7 @@
     'SteeringBounds',
     'SteeringState',
     'StoreNews',
+    'ToldKeys',
     'UpstreamRecord',
     'ZoneDigest',
     'look_up',
--- a/worksrail/core/steering/_affinity.py
+++ b/worksrail/core/steering/_affinity.py
@@ -1,6 +1,5 @@
 """Affinity: which upstreams a key belongs to, equal at all entries."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from math import log
 from typing import Final
@@ -9,6 +8,7 @@
 
 from worksrail.core.identity import RegionName, ServiceName
 from worksrail.core.steering._catalog import Catalog, Upstream
+from worksrail.core.steering._nearness import Nearness, Shares
 
 # Upstreams of each key, its own included, that it spills to.  An upstream
 # remembers a limited number of keys: when keys spill anywhere, each is soon
@@ -30,17 +30,6 @@
     """Upstreams that the key belongs to or spills to."""
 
 
-@dataclass(frozen=True, slots=True)
-class KeyOrders:
-    """The orders of upstreams for one key."""
-
-    everywhere: KeyOrder
-    """Ranks among all."""
-
-    by_region: KeyOrder
-    """Ranks within each region."""
-
-
 @dataclass(slots=True)
 class Affinity:
     """Ranks upstreams for each key by rendezvous hashing.
@@ -50,54 +39,73 @@
     that comes or goes only moves the keys that are its own.
     """
 
-    generation: int = -1
-    """Generation of the catalog that the ranks were made from."""
+    generation: tuple[int, int] = (-1, -1)
+    """Generations of the catalog and of the shares of regions that the ranks
+    were made from."""
 
-    orders: dict[tuple[ServiceName, str], KeyOrders] = field(
+    orders: dict[tuple[ServiceName, str], KeyOrder] = field(
         default_factory=dict
     )
     """Orders by service and key."""
 
-    def orders_of(
+    weights: dict[ServiceName, Shares] = field(default_factory=dict)
+    """Weight of a slot in each region, by service."""
+
+    def order_of(
         self,
         catalog: Catalog,
+        nearness: Nearness,
+        origin: RegionName,
         service: ServiceName,
         key: str,
-    ) -> KeyOrders:
+    ) -> KeyOrder:
         """The order of a service's upstreams for a key."""
-        if catalog.generation != self.generation:
+        generation = (catalog.generation, nearness.generation)
+        if generation != self.generation:
             self.orders.clear()
-            self.generation = catalog.generation
+            self.weights.clear()
+            self.generation = generation
         known = self.orders.get((service, key))
         if known is None:
             if len(self.orders) >= _CACHE_LIMIT:
                 self.orders.clear()
-            known = _rank(catalog.usable(service), key)
+            weights = self.weights.get(service)
+            if weights is None:
+                weights = nearness.weights(catalog, service, origin)
+                self.weights[service] = weights
+            known = _rank(tuple(catalog.usable(service)), weights, key)
             self.orders[service, key] = known
         return known
 
 
-def _rank(upstreams: Iterable[Upstream], key: str) -> KeyOrders:
-    weighed = sorted(
-        upstreams,
-        key=lambda upstream: rendezvous_score(
+def _rank(
+    upstreams: tuple[Upstream, ...],
+    weights: Shares,
+    key: str,
+) -> KeyOrder:
+    """Order upstreams: the key's own by nearness, then the others by slots.
+
+    The others are not weighed by nearness, so that keys spill to regions with
+    room when their own is short of it.
+    """
+    scores = {
+        upstream.name: rendezvous_score(
             upstream.name, upstream.record.slots, key
-        ),
+        )
+        for upstream in upstreams
+    }
+    near = {
+        upstream.name: scores[upstream.name] * weights[upstream.region]
+        for upstream in upstreams
+    }
+    own = max(near, key=lambda name: (near[name], scores[name]), default='')
+    ordered = sorted(
+        scores,
+        key=lambda name: (name == own, scores[name]),
         reverse=True,
     )
-    counts: dict[RegionName, int] = {}
-    by_region: dict[str, int] = {}
-    for upstream in weighed:
-        position = counts.get(upstream.region, 0)
-        by_region[upstream.name] = position
-        counts[upstream.region] = position + 1
-    everywhere = {upstream.name: rank for rank, upstream in enumerate(weighed)}
-    return KeyOrders(_order(everywhere), _order(by_region))
-
-
-def _order(ranks: dict[str, int]) -> KeyOrder:
-    homes = tuple(name for name, rank in ranks.items() if rank < SPILL)
-    return KeyOrder(ranks, homes)
+    ranks = {name: rank for rank, name in enumerate(ordered)}
+    return KeyOrder(ranks, tuple(ordered[:SPILL]))
 
 
 def rendezvous_score(name: str, weight: float, key: str) -> float:
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -273,12 +273,13 @@
 
 
 def _order(state: SteeringState, request: SteeredRequest) -> KeyOrder:
-    orders = state.affinity.orders_of(
-        state.catalog, request.service, request.head.key
+    return state.affinity.order_of(
+        state.catalog,
+        state.nearness,
+        state.settings.region,
+        request.service,
+        request.head.key,
     )
-    if request.route.kind is RouteKind.DOWNLOAD:
-        return orders.by_region
-    return orders.everywhere
 
 
 def _shortage(
--- a/worksrail/core/steering/_digests.py
+++ b/worksrail/core/steering/_digests.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from worksrail.core.identity import Incarnation, RegionName, ZoneName
+from worksrail.core.identity import (
+    Incarnation,
+    RegionName,
+    ServiceName,
+    ZoneName,
+)
 from worksrail.core.steering.kinds import StoreKind
 
 _KINDS: Final = tuple(StoreKind)
@@ -59,6 +64,16 @@
         return self.revisions[_KINDS.index(kind)]
 
 
+class ToldKeys(msgspec.Struct, frozen=True, array_like=True):
+    """A sketch of the keys that callers ask for at one service."""
+
+    service: ServiceName = ''
+    """The service; a digest tells one of them in turn, or none."""
+
+    hashes: tuple[int, ...] = ()
+    """The smallest hashes of its keys."""
+
+
 class EntryDigest(msgspec.Struct, frozen=True, array_like=True, tag='entry'):
     """What an entry tells its own zone some times a second."""
 
@@ -74,6 +89,9 @@
     known: tuple[str, ...]
     """Peer addresses of other entries, for those that know few."""
 
+    keys: ToldKeys = ToldKeys()
+    """Sketch of its callers' keys."""
+
 
 class ZoneDigest(msgspec.Struct, frozen=True, array_like=True, tag='zone'):
     """What the speaker of a zone tells the other zones' entries."""
@@ -96,5 +114,8 @@
     passed_on: bool = False
     """It came to this zone before, and was passed on within it."""
 
+    keys: ToldKeys = ToldKeys()
+    """Sketch of the keys that callers of all its members ask for."""
+
 
 Digest = EntryDigest | ZoneDigest
--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -5,10 +5,12 @@
 
 import msgspec
 
+from worksrail.core.identity import RegionName
 from worksrail.core.steering._digests import (
     Contact,
     Digest,
     EntryDigest,
+    ToldKeys,
     ZoneDigest,
 )
 from worksrail.core.steering.effects import (
@@ -28,6 +30,8 @@
 # Addresses of other entries that one digest carries: so many of the own zone,
 # and so many of all.
 _KNOWN_LIMIT: Final = 8
+# A digest in so many tells a sketch of keys: what regions share hardly changes.
+_KEYS_EVERY: Final = 5
 # Upstreams that a digest of one entry carries, and that of a zone.
 _IN_FLIGHT_LIMIT: Final = 60
 _ZONE_IN_FLIGHT_LIMIT: Final = 600
@@ -62,7 +66,7 @@
     if state.ready and fleet.is_speaker(own, now):
         speakers = fleet.speakers(now)
         if speakers:
-            digest = _zone_digest(state, (own, *mates))
+            digest = _zone_digest(state, (own, *mates), now)
             yield SendDigest(tuple(speakers), digest)
 
 
@@ -94,6 +98,7 @@
         return
     if digest.sender.zone == state.settings.zone:
         state.loads.take(name, digest.in_flight)
+        _take_keys(state, name, digest.sender.region, digest.keys, now)
     if fresh:
         state.greeted.add(digest.sender.peer)
         yield from _seen(state, digest.sender)
@@ -108,6 +113,8 @@
     if not state.fleet.take_zone(digest, now):
         return
     state.loads.take(_label(digest.zone), digest.in_flight)
+    region = state.settings.regions.get(digest.zone, '')
+    _take_keys(state, _label(digest.zone), region, digest.keys, now)
     for contact in digest.members:
         if contact.name not in known:
             yield from _seen(state, contact)
@@ -135,6 +142,31 @@
     )
 
 
+def _take_keys(
+    state: SteeringState,
+    teller: str,
+    region: RegionName,
+    keys: ToldKeys,
+    now: float,
+) -> None:
+    if keys.service:
+        state.sharing.take(teller, region, keys.service, keys.hashes, now)
+
+
+def _told_keys(
+    state: SteeringState,
+    tellers: list[str],
+    now: float,
+) -> ToldKeys:
+    """Sketch of the keys of this entry and of some others, now and then."""
+    services = sorted(state.sharing.own)
+    turn, rest = divmod(state.digests, _KEYS_EVERY)
+    if rest or not services:
+        return ToldKeys()
+    service = services[turn % len(services)]
+    return ToldKeys(service, state.sharing.sketch(service, tellers, now))
+
+
 def _label(zone: str) -> str:
     # Zones and entries tell of loads side by side; names must not meet.
     return f'zone {zone}'
@@ -150,12 +182,14 @@
         state.digests,
         _busiest(state.loads.own_in_flight(), _IN_FLIGHT_LIMIT),
         tuple(sorted(set(known))),
+        _told_keys(state, [], now),
     )
 
 
 def _zone_digest(
     state: SteeringState,
     members: tuple[Contact, ...],
+    now: float,
 ) -> Digest:
     mates = [member.name for member in members if member.who != state.who]
     return ZoneDigest(
@@ -164,6 +198,7 @@
         state.digests,
         members,
         _busiest(state.loads.sum_of(mates), _ZONE_IN_FLIGHT_LIMIT),
+        keys=_told_keys(state, mates, now),
     )
 
 
--- a/worksrail/core/steering/_on_time.py
+++ b/worksrail/core/steering/_on_time.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from worksrail.core.identity import RegionName
 from worksrail.core.steering._on_digests import forget_silent_zones, tell
 from worksrail.core.steering._on_store import expire_upstreams
 from worksrail.core.steering._routes import RoutingConfiguration
@@ -43,6 +44,7 @@
         state.next_upkeep_at = event.now + _UPKEEP_INTERVAL
         yield from _note_deaths(state, event.now)
         yield from keep_up(state, event.now)
+        _move_homes(state, event.now)
     if event.now >= state.next_digest_at:
         yield from tell(state, event.now)
     yield from _exit_when_done(state, event.now)
@@ -89,6 +91,27 @@
     forget_silent_zones(state, now)
 
 
+def _move_homes(state: SteeringState, now: float) -> None:
+    """Let the homes of keys follow where requests come from."""
+    nearness = state.nearness
+    if not nearness.is_due(now):
+        return
+    nearness.count(_rates(state, now), now)
+    region = state.settings.region
+    for service in tuple(nearness.shares):
+        shared = state.sharing.is_shared(service, region, now)
+        nearness.follow(state.catalog, service, region, shared=shared)
+
+
+def _rates(state: SteeringState, now: float) -> dict[RegionName, float]:
+    """Requests a second that come to the entries of each region."""
+    rates = {state.settings.region: state.arrivals.rate(now)}
+    for entry in state.fleet.alive(now):
+        region = entry.contact.region
+        rates[region] = rates.get(region, 0) + entry.contact.rate
+    return rates
+
+
 def _become_ready(state: SteeringState, now: float) -> Iterator[Effect]:
     if state.ready or state.leaving:
         return
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -16,11 +16,13 @@
     LoadTable,
     RateMeter,
 )
+from worksrail.core.steering._nearness import Nearness
 from worksrail.core.steering._news import Mirror
 from worksrail.core.steering._reach import Reach
 from worksrail.core.steering._repeats import RepeatBudget
 from worksrail.core.steering._routes import Route, RoutingConfiguration
 from worksrail.core.steering._settings import EntrySettings
+from worksrail.core.steering._sharing import KeySharing
 from worksrail.core.steering._splits import Splits
 from worksrail.core.steering._warmth import Warmth
 from worksrail.core.steering.events import (
@@ -132,6 +134,9 @@
     fleet: Fleet
     """The other entries."""
 
+    nearness: Nearness
+    """Where keys of the own region are at home."""
+
     started_at: float
     """When this incarnation began."""
 
@@ -149,6 +154,9 @@
     reach: Reach = field(default_factory=Reach)
     """Zones that cannot be reached."""
 
+    sharing: KeySharing = field(default_factory=KeySharing)
+    """Which keys regions have in common."""
+
     affinity: Affinity = field(default_factory=Affinity)
     """Order of upstreams by key."""
 
@@ -244,6 +252,7 @@
             random.Random(seed),
             Catalog(settings.regions),
             fleet,
+            Nearness.from_regions(settings.regions.values()),
             now,
             now,
         )
