Show why callers lost, by time, from the logs: worksrail losses

Change: the tool counts causes by interval, scaled by what logs left out; an answer's line says whether its caller had come back after a refusal. Test: a row for each cause, scaling, bad arguments.

--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -38,6 +38,83 @@
     assert [line['message'] for line in shown] == events
 
 
+def _line(second: int, message: str, **fields: object) -> str:
+    at = f'2026-01-01T00:00:{second:02}+00:00'
+    return json.dumps({'at': at, 'instance': 'e', 'message': message} | fields)
+
+
+def _answer(second: int, request: str, **fields: object) -> str:
+    late = {'late': 1, 'sends': 1, 'execution': 0.3, 'expected': 0.3}
+    return _line(second, 'request-answered', request=request, **(late | fields))
+
+
+def _sent(request: str, **fields: object) -> str:
+    known = {'warm': 1, 'wait': 0}
+    return _line(0, 'request-sent', request=request, **(known | fields))
+
+
+_LOSSES = {
+    'served': (_sent('a'), _answer(1, 'a', late=0), 'served in time'),
+    'returned': (
+        _sent('a', wait=1),
+        _answer(1, 'a', returned=1),
+        'late: came back after a refusal',
+    ),
+    'repeated': (_sent('a'), _answer(1, 'a', sends=2), 'late: sent more'),
+    'cold': (_sent('a', warm=0), _answer(1, 'a'), 'late: sent where'),
+    'waited': (_sent('a', wait=0.2), _answer(1, 'a'), 'late: expected to wait'),
+    'slow': (_sent('a'), _answer(1, 'a', execution=0.5), 'late: executed much'),
+    'refused': (
+        '',
+        _line(1, 'request-refused', request='a', subject='QUEUE_FULL'),
+        'refused: QUEUE_FULL',
+    ),
+    'never sent': ('', _answer(1, 'a'), 'late: otherwise'),
+}
+
+
+@pytest.mark.parametrize('case', _LOSSES)
+def test_cause_of_a_loss(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+    case: str,
+) -> None:
+    sent, end, cause = _LOSSES[case]
+    path = tmp_path / 'one.log'
+    path.write_text(f'{sent}\n{end}\n')
+    Worksrail(json=True).losses(str(path))
+    (row,) = json.loads(capsys.readouterr().out)
+    assert row[1].startswith(cause)
+    assert row[2] == 1
+
+
+def test_losses_are_scaled_by_what_was_left_out(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    path = tmp_path / 'one.log'
+    lines = [
+        _line(0, 'request-refused', request='a', subject='QUEUE_FULL'),
+        _line(0, 'request-refused', request='b', subject='NO_SLOT'),
+        _line(1, 'lines-left-out', requests={'REQUEST_REFUSED': 6}),
+        _line(5, 'request-refused', request='c', subject='NO_SLOT'),
+    ]
+    path.write_text('\n'.join(lines))
+    Worksrail(json=True).losses(str(path), every=4)
+    assert json.loads(capsys.readouterr().out) == [
+        [0, 'refused: QUEUE_FULL', 4],
+        [0, 'refused: NO_SLOT', 4],
+        [4, 'refused: NO_SLOT', 1],
+    ]
+
+
+@pytest.mark.parametrize('every', [0, -1])
+def test_interval_without_length_is_refused(every: int) -> None:
+    with pytest.raises(SystemExit) as ended:
+        Worksrail().losses(__file__, every=every)
+    assert ended.value.code == 2
+
+
 def test_missing_file_is_told(capsys: pytest.CaptureFixture[str]) -> None:
     with pytest.raises(SystemExit) as ended:
         Worksrail().logs('/nowhere/at-all.log')
--- a/worksrail/cli/main.py
+++ b/worksrail/cli/main.py
@@ -11,6 +11,7 @@
 from worksrail.cli._connection import OperatorClient
 from worksrail.cli._keys import KeyCommands
 from worksrail.cli._logs import show_logs
+from worksrail.cli._losses import show_losses
 from worksrail.cli._output import Output, invalid
 from worksrail.cli._views import (
     change_drain,
@@ -81,13 +82,16 @@
         subject: str = '',
     ) -> None:
         """Show what log files say of a request, an upstream or an entry."""
-        missing = [name for name in files if not Path(name).is_file()]
-        if missing or not files:
-            self._output.fail(
-                invalid(f'expected log files, got {", ".join(missing)}')
-            )
+        self._expect_files(files)
         show_logs(self._output, files, str(request), str(subject))
 
+    def losses(self, *files: str, every: float = 2) -> None:
+        """Show why callers lost, by interval, from log files of entries."""
+        self._expect_files(files)
+        if every <= 0:
+            self._output.fail(invalid(f'expected seconds, got {every}'))
+        show_losses(self._output, files, every)
+
     def drain(
         self,
         target: str,
@@ -110,6 +114,13 @@
         """Take a drain off the list."""
         change_drain(self._client, self._output, target, add=False)
 
+    def _expect_files(self, files: tuple[str, ...]) -> None:
+        missing = [name for name in files if not Path(name).is_file()]
+        if missing or not files:
+            self._output.fail(
+                invalid(f'expected log files, got {", ".join(missing)}')
+            )
+
 
 def main() -> None:
     """Run the tool."""
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -205,6 +205,7 @@
             ('status', event.status),
             ('route', request.route.name),
             ('late', int(_is_late(request, event.now))),
+            ('returned', int(request.returned)),
             ('after', round(event.now - request.arrived_at, 4)),
             ('execution', round(event.now - request.sent_at, 4)),
             ('expected', round(request.expected, 4)),
