--- a/tests/steering/playing.py
+++ b/tests/steering/playing.py
@@ -10,6 +10,7 @@
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import partial
 
 from tests.steering.world import World, of_type, route, upstream
 from worksrail.core.steering import UpstreamRecord
@@ -137,7 +138,7 @@
             known = key in place.warm
             usual = self.playing.warm if known else self.playing.cold
             taken = usual * self.rng.uniform(0.85, 1.15)
-            self._after(taken, lambda: self._end(place, number, attempt, key))
+            self._after(taken, partial(self._end, place, number, attempt, key))
 
     def _end(
         self,
