--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 READY := $(VENV)/.ready
 DEPLOYMENT ?= mill
 
-.PHONY: demo test lint format bench bench-decisions slopes fuzz soak docs lock generate
+.PHONY: demo test lint format bench bench-decisions policies slopes fuzz soak docs lock generate
 
 $(READY): requirements/develop.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -37,6 +37,9 @@
 bench-decisions: $(READY)
 	$(BIN)/python -m worksrail.bench.decisions
 
+policies: $(READY)
+	$(BIN)/python -m tests.steering.policies
+
 slopes: $(READY)
 	$(BIN)/python -m worksrail.bench.slopes every
 
--- a/tests/steering/playing.py
+++ b/tests/steering/playing.py
@@ -57,6 +57,23 @@
     counted_from: float = 5.0
     """Seconds that are not counted: every key is cold at first."""
 
+    burst: tuple[float, float, float] = (0, 0, 1)
+    """From when to when there are so many times the requests."""
+
+    patience: float = 2.0
+    """Seconds that callers wait, and within which they come back once."""
+
+
+# Seconds that a caller needs to come back on a new connection.
+_NEW_CONNECTION = 0.03
+
+
+@dataclass(slots=True)
+class _Caller:
+    since: float
+    key: str
+    returned: bool = False
+
 
 @dataclass(slots=True)
 class _Upstream:
@@ -83,7 +100,7 @@
         self.start = self.world.now
         self.agenda: list[tuple[float, int, Callable[[], None]]] = []
         self.planned = 0
-        self.arrived: dict[int, tuple[float, str]] = {}
+        self.arrived: dict[int, _Caller] = {}
         self.got: Counter[str] = Counter()
 
     def run(self) -> Counter[str]:
@@ -112,25 +129,44 @@
     def _arrive(self) -> None:
         if self._is_over():
             return
-        self._after(self.rng.expovariate(self.playing.rate), self._arrive)
+        self._after(self.rng.expovariate(self._rate()), self._arrive)
+        key = f'k{self.rng.randrange(self.playing.keys)}'
+        self._ask(_Caller(self.world.now, key))
+
+    def _rate(self) -> float:
+        begin, end, factor = self.playing.burst
+        if begin <= self.world.now - self.start < end:
+            return self.playing.rate * factor
+        return self.playing.rate
+
+    def _ask(self, caller: _Caller) -> None:
         self.world.requests += 1
         number = self.world.requests
-        key = f'k{self.rng.randrange(self.playing.keys)}'
-        self.arrived[number] = (self.world.now, key)
+        self.arrived[number] = caller
+        left = caller.since + self.playing.patience - self.world.now
         head = SteeredHead(
-            f't{number}', 'orders.example', 'GET', '/read/x', 2.0, key
+            f't{number}', 'orders.example', 'GET', '/read/x', left, caller.key
         )
         self._take(self.world.run(RequestArrived(self.world.now, number, head)))
 
     def _take(self, effects: list[Effect]) -> None:
-        for refused in of_type(effects, AnswerResult):
-            self._count(refused.request, 'refused')
+        for answer in of_type(effects, AnswerResult):
+            self._refused(answer)
         for sent in of_type(effects, SendUpstream):
-            key = self.arrived[sent.request][1]
+            key = self.arrived[sent.request].key
             place = self.upstreams[sent.upstream]
             place.queue.append((sent.request, sent.attempt, key))
             self._start(place)
 
+    def _refused(self, answer: AnswerResult) -> None:
+        caller = self.arrived.pop(answer.request)
+        if caller.returned or not answer.retry_after:
+            self._count(caller, 'refused')
+            return
+        caller.returned = True
+        pause = answer.retry_after + _NEW_CONNECTION
+        self._after(pause, partial(self._ask, caller))
+
     def _start(self, place: _Upstream) -> None:
         while place.queue and place.running < place.slots:
             number, attempt, key = place.queue.popleft()
@@ -153,16 +189,16 @@
         if len(place.warm) > self.playing.memory:
             place.warm.popitem(last=False)
         self._start(place)
-        late = self.world.now - self.arrived[number][0] > self.playing.target
-        self._count(number, 'late' if late else 'in time')
+        caller = self.arrived.pop(number)
+        late = self.world.now - caller.since > self.playing.target
+        self._count(caller, 'late' if late else 'in time')
         ended = AttemptEnded(
             self.world.now, number, attempt, AttemptOutcome.ANSWERED, 200
         )
         self._take(self.world.run(ended))
 
-    def _count(self, number: int, what: str) -> None:
-        at, _ = self.arrived.pop(number)
-        if at - self.start > self.playing.counted_from:
+    def _count(self, caller: _Caller, what: str) -> None:
+        if caller.since - self.start > self.playing.counted_from:
             self.got[what] += 1
 
 
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from worksrail.core.identity import RegionName, ServiceName
+from worksrail.core.identity import RegionName
 from worksrail.core.results import ResultCode
 from worksrail.core.steering._affinity import SPILL, KeyOrder
 from worksrail.core.steering._catalog import Upstream
@@ -15,31 +15,17 @@
     RoutingConfiguration,
     ServicePolicy,
 )
+from worksrail.core.steering._shortage import (
+    crowding,
+    price_of,
+    use_of_slots,
+)
+from worksrail.core.steering._waiting import patience
 from worksrail.core.steering.state import (
-    Shortage,
     SteeredRequest,
     SteeringState,
 )
 
-# Share of its slots from which an upstream counts as short of room.
-_ROOMY: Final = 0.5
-# Seconds of others' waiting that a second of work causes at an upstream all
-# of whose slots are in use.
-_CROWDING: Final = 1.0
-# Share of a service's slots in use from which slots are short everywhere, and
-# seconds of others' waiting for each second of work when all are in use.  It
-# keeps requests at warm upstreams under load: cold ones use up several times
-# as much, and a service that is full of cold work does not recover.
-_SHORT: Final = 0.4
-_SHORTAGE: Final = 3.0
-# Seconds for which the use of a service's slots is not counted anew.
-_SHORTAGE_AGE: Final = 0.05
-# Share of the target latency that an answer should take, and the least share
-# that may be spent waiting for a slot whatever the work takes.
-_ON_TIME: Final = 0.9
-_LEAST_WAIT: Final = 0.15
-# Target latencies that a request which came back after a refusal may wait.
-_RETURNED_WAIT: Final = 1.0
 # First guess of the way to another region and back, until connections teach
 # better; seconds.
 _FAR_GUESS: Final = 0.05
@@ -114,6 +100,7 @@
         key = request.head.key if request.route.affinity else ''
         service = request.service
         times = state.warmth.of(request.route, service)
+        used = use_of_slots(state, service, now)
         policy = None
         if isinstance(state.configuration, RoutingConfiguration):
             policy = state.configuration.services.get(service)
@@ -126,7 +113,7 @@
             times.loss if key else 0,
             _order(state, request) if key else _NO_ORDER,
             state.warmth.warm_at(service, key, now),
-            _shortage(state, service, now),
+            price_of(used),
             policy,
             request.route.target_latency * _FAILURE_LOSS,
         )
@@ -143,7 +130,7 @@
         own = work + distance(self.state, upstream.region).typical
         cost = wait + own + self._preference(upstream)
         cost += load.failing_now(self.now) * self.failure_loss
-        cost += work * (_crowding(used / slots) + self.shortage)
+        cost += work * (crowding(used / slots) + self.shortage)
         return Choice(upstream, cost, wait, own, queue, lost == 0)
 
     def least_elsewhere(self) -> float:
@@ -216,21 +203,6 @@
     return _other_home(scale) or ResultCode.QUEUE_FULL
 
 
-def patience(request: SteeredRequest, choice: Choice, now: float) -> float:
-    """Seconds for which a request may wait for a slot.
-
-    A request that would wait longer is better refused at once: its caller
-    can come back while an answer is still in time, and the slot serves
-    another one in time.  One that has come back already may wait longer.
-    """
-    target = request.route.target_latency
-    if request.returned:
-        left = request.deadline - now - choice.work
-        return min(left, target * _RETURNED_WAIT)
-    left = request.arrived_at + target * _ON_TIME - now - choice.work
-    return max(target * _LEAST_WAIT, left)
-
-
 def distance(state: SteeringState, region: RegionName) -> LearnedTime:
     """Seconds to a region and back."""
     known = state.distances.get(region)
@@ -256,7 +228,7 @@
 
 
 def _is_in_time(scale: _Scale, choice: Choice) -> bool:
-    return choice.wait <= patience(scale.request, choice, scale.now)
+    return choice.wait <= patience(scale.request, choice.work, scale.now)
 
 
 def _other_home(scale: _Scale) -> Choice | None:
@@ -304,36 +276,6 @@
     )
 
 
-def _shortage(
-    state: SteeringState,
-    service: ServiceName,
-    now: float,
-) -> float:
-    known = state.shortages.get(service)
-    if known is None or now - known.seen_at > _SHORTAGE_AGE:
-        known = Shortage(_use_of_slots(state, service), now)
-        state.shortages[service] = known
-    return _SHORTAGE * _excess(known.used, _SHORT)
-
-
-def _use_of_slots(state: SteeringState, service: ServiceName) -> float:
-    slots = 0
-    in_flight = 0
-    for upstream in state.catalog.usable(service):
-        slots += upstream.record.slots
-        in_flight += state.loads.of(upstream.name).in_flight
-    return in_flight / slots if slots else 1
-
-
-def _crowding(used: float) -> float:
-    return _CROWDING * _excess(used, _ROOMY)
-
-
-def _excess(used: float, roomy: float) -> float:
-    """How far a use of slots is between a roomy share and all, 0 to 1."""
-    return min(1, max(0, used - roomy) / (1 - roomy))
-
-
 def _candidates(
     scale: _Scale,
     upstreams: Iterable[Upstream],
--- /dev/null
+++ b/worksrail/core/steering/_shortage.py
@@ -0,0 +1,61 @@
+"""What it costs others that a request takes a slot.
+
+This answers cold work.  An execution on a cold key takes several times as
+long as on a warm one, so a service that sends keys to cold places when slots
+are short runs out of slots, queues, and sends more keys to cold places.  A
+price on slots, which grows with their use, keeps requests at warm upstreams.
+"""
+
+from typing import Final
+
+from worksrail.core.identity import ServiceName
+from worksrail.core.steering.state import Shortage, SteeringState
+
+# Share of its slots from which an upstream counts as short of room.
+_ROOMY: Final = 0.5
+# Seconds of others' waiting that a second of work causes at an upstream all
+# of whose slots are in use.
+_CROWDING: Final = 1.0
+# Share of a service's slots in use from which slots are short everywhere, and
+# seconds of others' waiting for each second of work when all are in use.
+_SHORT: Final = 0.4
+_SHORTAGE: Final = 3.0
+# Seconds for which the use of a service's slots is not counted anew.
+_SHORTAGE_AGE: Final = 0.05
+
+
+def use_of_slots(
+    state: SteeringState,
+    service: ServiceName,
+    now: float,
+) -> float:
+    """Requests in flight at a service over its slots; may pass 1."""
+    known = state.shortages.get(service)
+    if known is None or now - known.seen_at > _SHORTAGE_AGE:
+        known = Shortage(_counted(state, service), now)
+        state.shortages[service] = known
+    return known.used
+
+
+def price_of(used: float) -> float:
+    """Seconds of others' waiting for a second of work, by a service's use."""
+    return _SHORTAGE * _excess(used, _SHORT)
+
+
+def crowding(used: float) -> float:
+    """The same by the use of one upstream's slots."""
+    return _CROWDING * _excess(used, _ROOMY)
+
+
+def _counted(state: SteeringState, service: ServiceName) -> float:
+    slots = 0
+    in_flight = 0
+    for upstream in state.catalog.usable(service):
+        slots += upstream.record.slots
+        in_flight += state.loads.of(upstream.name).in_flight
+    return in_flight / slots if slots else 1
+
+
+def _excess(used: float, roomy: float) -> float:
+    """How far a use of slots is between a roomy share and all, 0 to 1."""
+    return min(1, max(0, used - roomy) / (1 - roomy))
