Forget sketches of those that tell no more; test what others could miss

Cause: reading the diff, sketches of entries that were replaced stayed for good, and no test noticed when an entry told no sketch, or when all of a region's upstreams went. Tests for all three.

--- a/tests/steering/test_nearness.py
+++ b/tests/steering/test_nearness.py
@@ -21,7 +21,7 @@
 from worksrail.core.steering import SteeringState, ToldKeys, reduce
 from worksrail.core.steering._nearness import spread
 from worksrail.core.steering._sharing import KeySharing
-from worksrail.core.steering.effects import SendUpstream
+from worksrail.core.steering.effects import SendDigest, SendUpstream
 from worksrail.core.steering.events import (
     AttemptEnded,
     AttemptOutcome,
@@ -31,6 +31,7 @@
     RequestArrived,
     SteeredHead,
     Ticked,
+    UpstreamsChanged,
     UpstreamsListed,
 )
 
@@ -212,6 +213,17 @@
     assert {home[0] for home in before.values()} == {'a'}
 
 
+def test_region_without_upstreams_is_served_by_the_others() -> None:
+    entry = _Region('b1', _UNEVEN)
+    assert {home[0] for home in entry.homes().values()} == {'b'}
+    gone = tuple(name for name in entry.zones if name.startswith('b1'))
+    reduce(entry.state, UpstreamsChanged(entry.now, (), gone))
+    homes = Counter(home[0] for home in entry.homes().values())
+    assert set(homes) == {'a', 'c'}
+    # By their slots, two to ten.
+    assert homes['c'] / homes['a'] > 3
+
+
 def test_waves_of_demand_move_no_homes() -> None:
     entry = _Region('a1', _UNEVEN)
     before = entry.homes()
@@ -258,6 +270,7 @@
 def test_sketch_that_is_told_no_more_is_forgotten() -> None:
     sharing = _sketches(range(200), range(200))
     assert not sharing.is_shared('orders', 'a', 40)
+    assert not sharing.told['orders']
 
 
 def test_shared_keys_come_to_one_home_for_all_regions() -> None:
@@ -290,6 +303,21 @@
     assert world.state.sharing.is_shared('orders', 'a', world.now)
 
 
+def test_entry_tells_the_keys_that_it_sees() -> None:
+    world = World((route(),), (upstream('1', slots=50),))
+    for number in range(20):
+        world.ask(key=f'k{number}')
+    told = [
+        effect.digest.keys for effect in of_type(world.wait(2.5), SendDigest)
+    ]
+    (keys,) = {one for one in told if one.service}
+    assert keys.service == 'orders'
+    assert keys.hashes == world.state.sharing.sketch('orders', [], world.now)
+    assert len(keys.hashes) == 8
+    # Most digests are spared it: what regions share hardly changes.
+    assert sum(bool(one.service) for one in told) <= len(told) / 4
+
+
 def replace_keys(told: object, keys: ToldKeys) -> object:
     """The same digest with a sketch of keys."""
     fields = {
--- a/worksrail/core/steering/_sharing.py
+++ b/worksrail/core/steering/_sharing.py
@@ -92,10 +92,13 @@
         """Whether other regions ask for the own region's keys as well."""
         near = self._own_hashes(service, now)
         far: set[int] = set()
-        for sketch in self.told.get(service, {}).values():
-            if now - sketch.told_at < _MEMORY:
-                known = near if sketch.region == origin else far
-                known.update(sketch.hashes)
+        told = self.told.get(service, {})
+        for teller, sketch in tuple(told.items()):
+            if now - sketch.told_at > _MEMORY:
+                told.pop(teller)
+                continue
+            known = near if sketch.region == origin else far
+            known.update(sketch.hashes)
         union = _smallest(near | far)
         common = near & far & set(union)
         return bool(union) and len(common) >= _IN_COMMON * len(union)
