--- a/tests/soak/_proxy.py
+++ b/tests/soak/_proxy.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum, unique
 
+from tests.soak._listening import LoopbackServer
+
 _CHUNK = 65_536
 # Seconds that each chunk waits on a slow link.
 _DELAY = 0.15
@@ -22,7 +24,7 @@
 
 
 @dataclass(slots=True)
-class Proxy:
+class Proxy(LoopbackServer):
     """Passes connections on to one target."""
 
     target: str
@@ -31,37 +33,13 @@
     link: Link = Link.PASSING
     """What happens to bytes now."""
 
-    address: str = ''
-    """Where it listens."""
-
-    server: asyncio.Server | None = None
-    """Listens."""
-
-    writers: set[asyncio.StreamWriter] = field(default_factory=set)
-    """Both sides of all open connections."""
-
-    async def open(self) -> 'Proxy':
-        """Listen at a free port."""
-        self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        host, port = self.server.sockets[0].getsockname()[:2]
-        self.address = f'{host}:{port}'
-        return self
-
     def set(self, link: Link) -> None:
         """Change what happens to bytes."""
         self.link = link
         if link is Link.RESET:
-            for writer in tuple(self.writers):
-                writer.transport.abort()
-
-    def close(self) -> None:
-        """Listen no more, and end all connections."""
-        if self.server:
-            self.server.close()
-        for writer in tuple(self.writers):
-            writer.transport.abort()
+            self.abort_all()
 
-    async def _serve(
+    async def serve(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
--- a/tests/soak/_upstreams.py
+++ b/tests/soak/_upstreams.py
@@ -4,9 +4,10 @@
 import random
 import re
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum, unique
 
+from tests.soak._listening import LoopbackServer
 from tests.soak._promises import Executed, answer_of
 
 _LENGTH = re.compile(rb'\r\nContent-Length: (\d+)', re.IGNORECASE)
@@ -28,7 +29,7 @@
 
 
 @dataclass(slots=True)
-class Upstream:
+class Upstream(LoopbackServer):
     """One upstream at one address."""
 
     service: str
@@ -46,30 +47,7 @@
     habit: Habit = Habit.WELL
     """How it answers now."""
 
-    address: str = ''
-    """Where it listens."""
-
-    server: asyncio.Server | None = None
-    """Listens."""
-
-    writers: set[asyncio.StreamWriter] = field(default_factory=set)
-    """Open connections."""
-
-    async def open(self) -> 'Upstream':
-        """Listen at a free port."""
-        self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        host, port = self.server.sockets[0].getsockname()[:2]
-        self.address = f'{host}:{port}'
-        return self
-
-    def close(self) -> None:
-        """Listen no more, and end all connections."""
-        if self.server:
-            self.server.close()
-        for writer in tuple(self.writers):
-            writer.transport.abort()
-
-    async def _serve(
+    async def serve(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
