--- a/worksrail/bench/world/_world.py
+++ b/worksrail/bench/world/_world.py
@@ -8,6 +8,7 @@
 from worksrail.bench.world._checks import Watch
 from worksrail.bench.world._clock import VirtualClock
 from worksrail.bench.world._network import NetworkFaults
+from worksrail.bench.world._platform import PlatformReader
 from worksrail.bench.world._process import Exchange, FakeProcess, Reply
 from worksrail.bench.world._requests import Outcome, RequestLog
 from worksrail.bench.world._runner import EffectRunner
@@ -17,20 +18,15 @@
 from worksrail.core.events import (
     BundleFetched,
     CallerGone,
-    DrainsSeen,
     Event,
-    HeadSeen,
-    InstanceListRead,
     RequestArrived,
-    SeatTableRead,
     StopRequested,
     Ticked,
 )
 from worksrail.core.identity import Endpoints, Incarnation, Place
 from worksrail.core.instance import Instance
 from worksrail.core.lookups import LookUpAnswer, look_up
-from worksrail.core.membership import ListedInstance, rendezvous
-from worksrail.core.messages import Heartbeat
+from worksrail.core.membership import ListedInstance
 from worksrail.core.reducer import reduce
 from worksrail.core.requests import NoTicket, RequestHead, Ticket
 from worksrail.core.results import ResultCode
@@ -123,6 +119,13 @@
     callers: int = 0
     """Callers so far."""
 
+    reader: PlatformReader = field(init=False)
+    """Reads the platform for the processes."""
+
+    def __post_init__(self) -> None:
+        """Let the reader see this world."""
+        self.reader = PlatformReader(self)
+
     @classmethod
     def from_plan(cls, plan: WorldPlan) -> 'World':
         """Make a world with all entries started and the bundle rolled."""
@@ -222,7 +225,7 @@
         self.store.change_head(
             FakeHead(number, digest, head.drain_revision, head.drains)
         )
-        self._notify_watchers()
+        self.reader.notify_watchers()
 
     def set_drains(self, targets: tuple[str, ...]) -> None:
         """Change the list of drains."""
@@ -235,7 +238,7 @@
                 targets,
             )
         )
-        self._notify_watchers()
+        self.reader.notify_watchers()
 
     # -- events
 
@@ -424,7 +427,7 @@
             return
         if not process.paused:
             self.deliver(process, lambda now: Ticked(now, _WALL + now))
-            self._platform_duties(process)
+            self.reader.work(process)
         self.clock.after(self.plan.tick, lambda: self._tick(process))
 
     def _resume(self, process: FakeProcess) -> None:
@@ -439,81 +442,6 @@
             if name not in self.store.ghosts:
                 self.store.listed.pop(name, None)
 
-    def _platform_duties(self, process: FakeProcess) -> None:
-        now = self.clock.now
-        if now >= process.next_slow_read:
-            pace = self.plan.settings.reclaim_after / 3
-            process.next_slow_read = now + pace * self.rng.uniform(*_SPREAD)
-            self._read_platform(process)
-        elif now >= process.next_quick_read:
-            process.next_quick_read = now + _QUICK_READ
-            self._quick_duties(process)
-
-    def _quick_duties(self, process: FakeProcess) -> None:
-        instance = process.instance
-        if instance.seats.read_at is None:
-            self._read_seats(process)
-        if instance.configuration.topology is None:
-            self._read_head(process)
-        if self._is_watcher(process):
-            self._read_head(process)
-        known = instance.membership.members
-        listed = instance.membership.listed or {}
-        for name in sorted(listed.keys() - known.keys() - {process.name}):
-            record = instance.record(self.clock.now)
-            if self.runner:
-                self.runner.send(process, name, Heartbeat(record))
-
-    def _is_watcher(self, process: FakeProcess) -> bool:
-        zone = process.place.zone
-        instance = process.instance
-        names = [process.name]
-        names.extend(
-            record.who.name
-            for record in instance.membership.live(
-                self.clock.now, instance.settings, process.place.region
-            )
-            if record.place.zone == zone
-        )
-        return rendezvous(f'watch/{zone}', names) == process.name
-
-    def _notify_watchers(self) -> None:
-        def notify() -> None:
-            for process in self.live():
-                if self._is_watcher(process):
-                    self._read_head(process)
-
-        self.clock.after(_NOTICE, notify)
-
-    def _read_platform(self, process: FakeProcess) -> None:
-        self._read_seats(process)
-        self._read_head(process)
-        if self.store.reaches(process.places):
-            listed = self.store.instances()
-            self.deliver(process, lambda now: InstanceListRead(now, listed))
-
-    def _read_seats(self, process: FakeProcess) -> None:
-        if self.store.reaches(process.places):
-            version, table = self.store.read_table(process.place.region)
-            self.deliver(
-                process, lambda now: SeatTableRead(now, version, table)
-            )
-
-    def _read_head(self, process: FakeProcess) -> None:
-        if not self.store.reaches(process.places):
-            return
-        head = self.store.read_head()
-        if head.generation:
-            self.deliver(
-                process,
-                lambda now: HeadSeen(now, head.generation, head.digest),
-            )
-        if head.drain_revision:
-            self.deliver(
-                process,
-                lambda now: DrainsSeen(now, head.drain_revision, head.drains),
-            )
-
     def fetched(
         self,
         process: FakeProcess,
