--- a/worksrail/core/steering/_affinity.py
+++ b/worksrail/core/steering/_affinity.py
@@ -1,4 +1,4 @@
-"""Affinity: which upstreams a key belongs to, equal at all entries."""
+"""Affinity: which upstreams a key belongs to, equal at a region's entries."""
 
 from dataclasses import dataclass, field
 from math import log
@@ -34,9 +34,10 @@
 class Affinity:
     """Ranks upstreams for each key by rendezvous hashing.
 
-    All entries get the same order, so that a key is warm at one upstream for
-    the callers of all of them, and spills to the same next one.  An upstream
-    that comes or goes only moves the keys that are its own.
+    The entries of a region get the same order, so that a key is warm at one
+    upstream for the callers of all of them, and spills to the same next one;
+    regions that share their keys get the same as well.  An upstream that comes
+    or goes only moves the keys that are its own.
     """
 
     generation: tuple[int, int] = (-1, -1)
