--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -43,6 +43,12 @@
 # Target latencies that an answer which is no success is counted for: the
 # request has lost all its worth, a late one only most of it.
 _FAILURE_LOSS: Final = 3.0
+# Share of a service's slots in use, queues included, from which a key is not
+# sent to another upstream for a queue at its own: cold work would take slots
+# from warm.  At the warm capacity 0.59 of the credit is earned with this and
+# 0.31 without, 0.96 and 0.99 at three quarters of it (virtual clock, three
+# seeds).
+_NO_ROOM: Final = 1.0
 # Times slower that a cold upstream is taken to be.
 _COLD_SLOWNESS: Final = 2.0
 
@@ -86,6 +92,7 @@
     order: KeyOrder
     served: frozenset[str]
     shortage: float
+    used: float
     policy: ServicePolicy | None
     failure_loss: float
 
@@ -114,6 +121,7 @@
             _order(state, request) if key else _NO_ORDER,
             state.warmth.warm_at(service, key, now),
             price_of(used),
+            used,
             policy,
             request.route.target_latency * _FAILURE_LOSS,
         )
@@ -239,6 +247,8 @@
     At three quarters of the warm capacity 0.005 of the requests are refused
     with this and 0.047 without (played on a virtual clock, three seeds).
     """
+    if scale.used >= _NO_ROOM:
+        return None
     known = scale.state.catalog.upstreams
     homes = [known[name] for name in scale.order.homes]
     choices = (
