--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -227,14 +227,18 @@
     The others need not be weighed when even the fastest of them, without a
     wait, would cost more: a service may have hundreds.
     """
-    known = scale.state.catalog.upstreams
-    homes = [known[name] for name in scale.order.homes]
-    best = _best(scale, _candidates(scale, homes, ejected=False))
+    best = _best(scale, _home_candidates(scale))
     if best is None or best.cost > scale.least_elsewhere():
         return None
     return best
 
 
+def _home_candidates(scale: _Scale) -> Iterator[Upstream]:
+    known = scale.state.catalog.upstreams
+    homes = [known[name] for name in scale.order.homes]
+    return _candidates(scale, homes, ejected=False)
+
+
 def _is_in_time(scale: _Scale, choice: Choice) -> bool:
     return choice.wait <= patience(scale.request, choice.work, scale.now)
 
@@ -244,17 +248,12 @@
 
     Keys are drawn unevenly: one upstream has a queue while others have free
     slots.  The answer may be late, but the key is warm there from then on.
-    At three quarters of the warm capacity 0.005 of the requests are refused
-    with this and 0.047 without (played on a virtual clock, three seeds).
+    At three quarters of the warm capacity 0.94 to 0.96 are in time with this
+    and 0.71 to 0.84 without (virtual clock, three seeds).
     """
     if scale.used >= _NO_ROOM:
         return None
-    known = scale.state.catalog.upstreams
-    homes = [known[name] for name in scale.order.homes]
-    choices = (
-        scale.weigh(upstream)
-        for upstream in _candidates(scale, homes, ejected=False)
-    )
+    choices = map(scale.weigh, _home_candidates(scale))
     in_time = (choice for choice in choices if _is_in_time(scale, choice))
     return min(in_time, key=_cost, default=None)
 
