--- a/tests/steering/policies.py
+++ b/tests/steering/policies.py
@@ -39,10 +39,6 @@
 Change = tuple[Any, str, Any]
 
 
-def _forget_served(*unused: object) -> frozenset[str]:
-    return frozenset()
-
-
 def _no_other_home(scale: object) -> None:
     return None
 
--- a/tests/steering/test_nearness.py
+++ b/tests/steering/test_nearness.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from math import sin, tau
 
+import msgspec
 import pytest
 
 from tests.steering.world import (
@@ -290,12 +291,14 @@
     world = World((route(),), (upstream('1'),))
     told = ToldKeys('orders', (1, 2, 3))
     world.run(
-        DigestReceived(world.now, replace_keys(digest('two'), told)),
+        DigestReceived(
+            world.now, msgspec.structs.replace(digest('two'), keys=told)
+        ),
         DigestReceived(
             world.now,
-            replace_keys(
+            msgspec.structs.replace(
                 zone_digest('far', [contact('far', zone='b1', region='b')]),
-                told,
+                keys=told,
             ),
         ),
     )
@@ -316,12 +319,3 @@
     assert len(keys.hashes) == 8
     # Most digests are spared it: what regions share hardly changes.
     assert sum(bool(one.service) for one in told) <= len(told) / 4
-
-
-def replace_keys(told: object, keys: ToldKeys) -> object:
-    """The same digest with a sketch of keys."""
-    fields = {
-        name: getattr(told, name)
-        for name in type(told).__struct_fields__  # type: ignore[attr-defined]
-    }
-    return type(told)(**(fields | {'keys': keys}))
