--- a/worksrail/core/steering/_load.py
+++ b/worksrail/core/steering/_load.py
@@ -187,10 +187,11 @@
 
     def take(self, teller: str, in_flight: dict[str, int]) -> None:
         """Take in what another one tells; replaces what it told before."""
-        for name, count in self.told.get(teller, {}).items():
-            self.of(name).others -= count
-        for name, count in in_flight.items():
-            self.of(name).others += count
+        before = self.told.get(teller, {})
+        for name in before.keys() | in_flight.keys():
+            change = in_flight.get(name, 0) - before.get(name, 0)
+            if change:
+                self.of(name).others += change
         self.told[teller] = in_flight
 
     def forget(self, teller: str) -> None:
