Send misdirected requests on until an upstream is there

Change: an attempt that did not meet the upstream it was meant for uses up no attempt of the route, like one that found no connection; four such attempts are made at the most. The budget of repeats counts it as before, since it arrived somewhere. An upstream that executed or rejected a request counts as before.

--- a/tests/steering/test_requests.py
+++ b/tests/steering/test_requests.py
@@ -111,6 +111,32 @@
     assert _codes(world) == [ResultCode.UPSTREAM_UNREACHABLE]
 
 
+@pytest.mark.parametrize('name', ['read', 'write'])
+def test_misdirected_request_goes_on_to_upstreams_that_are_there(
+    name: str,
+) -> None:
+    # Found on a day on which addresses changed hands: callers were refused
+    # after two upstreams that were gone, with 12 s of their time left.
+    many = tuple(upstream(str(name)) for name in range(9))
+    world = World((_READ, _WRITE), many)
+    number = world.ask(name)
+    for _ in range(2):
+        world.end(number, AttemptOutcome.OTHER_UPSTREAM)
+    assert len(set(world.sent(number))) == 3
+    world.end(number)
+    assert not _codes(world)
+
+
+def test_misdirected_requests_are_bounded_too() -> None:
+    many = tuple(upstream(str(name)) for name in range(9))
+    world = World((_READ,), many)
+    number = world.ask()
+    while number in world.state.requests:
+        world.end(number, AttemptOutcome.OTHER_UPSTREAM)
+    assert len(world.sent(number)) == 4
+    assert _codes(world) == [ResultCode.UPSTREAM_UNREACHABLE]
+
+
 def test_body_that_is_not_kept_is_not_sent_again() -> None:
     world = _world()
     number = world.ask()
--- a/worksrail/core/steering/_repeating.py
+++ b/worksrail/core/steering/_repeating.py
@@ -5,9 +5,12 @@
 from worksrail.core.steering.events import AttemptEnded, AttemptOutcome
 from worksrail.core.steering.state import SteeredRequest, SteeringState
 
-# Attempts that find no connection leave the budget and the route's attempts
-# alone; so many are made at the most.
-_CONNECT_ATTEMPTS: Final = 4
+# Attempts that do not meet the upstream they are meant for, because there is no
+# connection or another one has its address, leave the route's attempts alone;
+# so many are made at the most.  Where addresses change hands, 25 of 15,285
+# callers were refused with most of their time left otherwise (one day of a site
+# of 51 entries).
+_MISSED_ATTEMPTS: Final = 4
 NOT_EXECUTED: Final = frozenset(
     (
         AttemptOutcome.NOT_CONNECTED,
@@ -15,6 +18,9 @@
         AttemptOutcome.OTHER_UPSTREAM,
     )
 )
+_MISSED: Final = frozenset(
+    (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.OTHER_UPSTREAM)
+)
 _REPEATABLE: Final = frozenset(
     (
         AttemptOutcome.BROKE_BEFORE_ANSWER,
@@ -38,10 +44,13 @@
             return 'at most once'
     if not event.replayable:
         return 'body not kept'
+    if event.outcome in _MISSED:
+        request.sends -= 1
+        if request.attempts >= _MISSED_ATTEMPTS:
+            return 'connections'
     if event.outcome is AttemptOutcome.NOT_CONNECTED:
         # No byte left, so nothing arrived that the budget would count.
-        request.sends -= 1
-        return 'connections' if request.attempts >= _CONNECT_ATTEMPTS else ''
+        return ''
     if request.sends >= request.route.max_attempts:
         return 'attempts'
     return '' if _is_within_budget(state, request, event.now) else 'budget'
