Ask others at once when the store does not answer a reader

Cause: test_fleet_follows_though_the_store_turns_entries_away failed in one of several runs: after 1.8 s a zone lacked the change. Traced: the entries of a zone were kept in a set, so which ones a digest names depended on the hash seed of the process, and readers that are turned away waited 0.4 s for their own watch before they asked others.

Change: mates are taken in the order of their names; a reader that the store does not answer asks at once.

--- a/worksrail/core/steering/_fleet.py
+++ b/worksrail/core/steering/_fleet.py
@@ -147,7 +147,7 @@
 
     def mates(self, now: float) -> list[Contact]:
         """Other entries of the own zone that live."""
-        mates = [self.entries[name] for name in self.near]
+        mates = [self.entries[name] for name in sorted(self.near)]
         return [entry.contact for entry in mates if entry.alive(now)]
 
     def sharers(self, region: RegionName) -> list[str]:
--- a/worksrail/core/steering/_watching.py
+++ b/worksrail/core/steering/_watching.py
@@ -45,8 +45,8 @@
 # 0.1 s, 90 after 0.5 s, 76 after 1 s (virtual clock).
 _UNDECIDED: Final = 1.0
 _PATIENCE: Final = 2.0
-# Seconds for which an entry that watches may be behind others before it asks
-# them: usually its own watch tells it sooner.
+# Seconds for which an entry that watches, and is answered, may be behind others
+# before it asks them: usually its own watch tells it sooner.
 _WATCHER_LAG: Final = 0.4
 
 
@@ -159,7 +159,8 @@
         state.behind_since.pop(kind, None)
         return
     behind = now - state.behind_since.setdefault(kind, now)
-    patience = _WATCHER_LAG if state.watching else 0
+    answered = state.watching and not state.lost
+    patience = _WATCHER_LAG if answered else 0
     if behind >= patience and kind not in state.fetching:
         state.fetching.add(kind)
         zone = state.settings.zone
