Let the emulator's upstreams know a key from the start of its execution

Cause: the virtual clock's upstreams remembered a key when its first execution had ended. From the logs of 51 entries: a second request for a key that began 0.1 to 2 s after the first, while that one was under way, took the warm time in the sequences looked at (13 of 15; the other two met upstreams that are home to more keys than they remember).

Change: the key is warm as soon as its execution begins; upstreams report their load; a play may have several routes with the same keys, which are remembered for each route by itself.

--- a/tests/steering/playing.py
+++ b/tests/steering/playing.py
@@ -1,7 +1,8 @@
 """Plays a load on one entry and upstreams that queue, on a virtual clock.
 
 Upstreams execute one request a slot, queue the others in order, and remember
-the keys that they executed last: such a key is warm, and its execution short.
+the keys that they began to execute last: such a key is warm, and its execution
+short, also beside the first one that is still under way.
 Arrivals, keys and times repeat exactly with the same seed.
 """
 
@@ -18,6 +19,7 @@
 from worksrail.core.steering.events import (
     AttemptEnded,
     AttemptOutcome,
+    ReportedLoad,
     RequestArrived,
     SteeredHead,
     Ticked,
@@ -49,7 +51,10 @@
     """Seconds within which callers want their answers."""
 
     memory: int = 50
-    """Keys that an upstream remembers."""
+    """Keys that an upstream remembers, those of each route by themselves."""
+
+    routes: int = 1
+    """Routes, each as frequent as the next; each has all keys."""
 
     seed: int = 1
     """Seed of arrivals."""
@@ -71,6 +76,7 @@
 @dataclass(slots=True)
 class _Caller:
     since: float
+    route: str
     key: str
     returned: bool = False
 
@@ -95,7 +101,11 @@
         self.playing = playing
         self.rng = random.Random(playing.seed)
         named = tuple(records)
-        self.world = World((route(target_latency=playing.target),), named)
+        routes = [
+            route(f'read{number}', target_latency=playing.target)
+            for number in range(playing.routes)
+        ]
+        self.world = World(routes, named)
         self.upstreams = {one.name: _Upstream(one.slots) for one in named}
         self.start = self.world.now
         self.agenda: list[tuple[float, int, Callable[[], None]]] = []
@@ -131,7 +141,8 @@
             return
         self._after(self.rng.expovariate(self._rate()), self._arrive)
         key = f'k{self.rng.randrange(self.playing.keys)}'
-        self._ask(_Caller(self.world.now, key))
+        name = f'read{self.rng.randrange(self.playing.routes)}'
+        self._ask(_Caller(self.world.now, name, key))
 
     def _rate(self) -> float:
         begin, end, factor = self.playing.burst
@@ -144,8 +155,9 @@
         number = self.world.requests
         self.arrived[number] = caller
         left = caller.since + self.playing.patience - self.world.now
+        target = f'/{caller.route}/x'
         head = SteeredHead(
-            f't{number}', 'orders.example', 'GET', '/read/x', left, caller.key
+            f't{number}', 'orders.example', 'GET', target, left, caller.key
         )
         self._take(self.world.run(RequestArrived(self.world.now, number, head)))
 
@@ -153,9 +165,10 @@
         for answer in of_type(effects, AnswerResult):
             self._refused(answer)
         for sent in of_type(effects, SendUpstream):
-            key = self.arrived[sent.request].key
+            caller = self.arrived[sent.request]
             place = self.upstreams[sent.upstream]
-            place.queue.append((sent.request, sent.attempt, key))
+            remembered = f'{caller.route} {caller.key}'
+            place.queue.append((sent.request, sent.attempt, remembered))
             self._start(place)
 
     def _refused(self, answer: AnswerResult) -> None:
@@ -172,28 +185,28 @@
             number, attempt, key = place.queue.popleft()
             place.running += 1
             known = key in place.warm
+            place.warm[key] = None
+            place.warm.move_to_end(key)
+            if len(place.warm) > self.playing.memory:
+                place.warm.popitem(last=False)
             usual = self.playing.warm if known else self.playing.cold
             taken = usual * self.rng.uniform(0.85, 1.15)
-            self._after(taken, partial(self._end, place, number, attempt, key))
+            self._after(taken, partial(self._end, place, number, attempt))
 
     def _end(
         self,
         place: _Upstream,
         number: int,
         attempt: int,
-        key: str,
     ) -> None:
         place.running -= 1
-        place.warm[key] = None
-        place.warm.move_to_end(key)
-        if len(place.warm) > self.playing.memory:
-            place.warm.popitem(last=False)
         self._start(place)
         caller = self.arrived.pop(number)
         late = self.world.now - caller.since > self.playing.target
         self._count(caller, 'late' if late else 'in time')
+        told = ReportedLoad(place.running, len(place.queue), place.slots)
         ended = AttemptEnded(
-            self.world.now, number, attempt, AttemptOutcome.ANSWERED, 200
+            self.world.now, number, attempt, AttemptOutcome.ANSWERED, 200, told
         )
         self._take(self.world.run(ended))
 
