Draw the homes of keys for each route by itself

Hypothesis: requests are late on calm seconds because few upstreams are home to many keys. Keys of two routes that have the same name were drawn to the same upstream, though what upstreams remember is kept for each route: of 70 first executions on a second route after a cold one on the first, 62 took the cold time again.

Change: the key that homes, warmth and sketches rest on is route and key.

Test: four routes with the same 33 keys on the virtual clock, in time 0.90 to 0.93 before, 0.98 to 1.00 after. test_first_executions_of_keys asks for 60 keys instead of 30, since with the new names the first 30 met five of six upstreams.

--- a/tests/steering/test_choice.py
+++ b/tests/steering/test_choice.py
@@ -211,7 +211,7 @@
     world = World((route(target_latency=0.4),), _SIX)
     cold = 0.6
     used = set()
-    for number in range(30):
+    for number in range(60):
         request = world.ask(key=f'k{number}')
         used.update(world.sent(request))
         world.wait(cold)
--- a/tests/steering/test_load.py
+++ b/tests/steering/test_load.py
@@ -29,6 +29,30 @@
     assert got['refused'] < refused
 
 
+@pytest.mark.parametrize('seed', _SEEDS)
+def test_keys_of_several_routes_are_spread_as_well(seed: int) -> None:
+    # Four routes with the same 33 keys, which upstreams remember for each route
+    # by itself: 12 of the 132.  With the homes of a key the same on all routes
+    # 0.90 to 0.93 are in time, since a few upstreams are home to more than they
+    # remember while a third of the slots are in use; with homes for each route
+    # and key 0.98 to 1.00.
+    load = Playing(
+        60,
+        33,
+        routes=4,
+        memory=12,
+        cold=2.44,
+        warm=0.73,
+        target=1.5,
+        patience=12,
+        seconds=30,
+        counted_from=8,
+        seed=seed,
+    )
+    got = shares_of(load, upstreams=24, slots=9)
+    assert got['in time'] > 0.965
+
+
 _SHORT = {
     'at the warm capacity': Playing(290, 96),
     'few keys remembered': Playing(180, 96, memory=14),
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -101,7 +101,7 @@
         now: float,
     ) -> '_Scale':
         """Look up what the decision needs."""
-        key = request.head.key if request.route.affinity else ''
+        key = request.affinity_key
         service = request.service
         times = state.warmth.of(request.route, service)
         used = use_of_slots(state, service, now)
@@ -277,7 +277,7 @@
         state.nearness,
         state.settings.region,
         request.service,
-        request.head.key,
+        request.affinity_key,
     )
 
 
--- a/worksrail/core/steering/_learning.py
+++ b/worksrail/core/steering/_learning.py
@@ -108,7 +108,7 @@
     name = request.upstream
     load = state.loads.of(name)
     taken = event.now - request.sent_at
-    key = request.head.key if request.route.affinity else ''
+    key = request.affinity_key
     known = not key or name in state.warmth.warm_at(
         request.service, key, event.now
     )
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -78,8 +78,8 @@
         event.now + allowed,
     )
     request.returned = _has_returned(state, request)
-    if route.affinity and event.head.key:
-        state.sharing.note(request.service, event.head.key, event.now)
+    if request.affinity_key:
+        state.sharing.note(request.service, request.affinity_key, event.now)
     state.requests[event.request] = request
     yield from place(state, request, event.now)
 
