Learn neither speed nor times from keys that may be forgotten

Hypothesis: an upstream that remembers few keys, or is home to many, executes a key anew that this entry has seen it serve; taken for a slow upstream, its keys are sent to where they are cold once more, which keeps a service cold.

Change: an execution that takes over 1.5 times what was expected, and no longer than a cold one may, teaches neither the speed of the upstream nor the time of a warm execution. Slower ones still count as slow.

Test: test_forgotten_keys_make_no_upstream_slow fails without it.

--- a/tests/steering/test_choice.py
+++ b/tests/steering/test_choice.py
@@ -221,6 +221,16 @@
         assert world.state.loads.of(name).slowness == 1
 
 
+def test_forgotten_keys_make_no_upstream_slow() -> None:
+    # An upstream that remembers few keys executes one anew that it has served
+    # a moment ago: that takes as long as a cold key, not as a slow upstream.
+    world = World((route(target_latency=0.4),), _SIX)
+    own = _answers(world, 1, 'k', gap=0.18)
+    for taken in (0.18, 0.55, 0.55, 0.55, 0.55):
+        assert _answers(world, 1, 'k', gap=taken) == own
+    assert world.state.loads.of(own).slowness_now(world.now) < 1.1
+
+
 def test_times_without_keys_are_learned() -> None:
     world = World((route(affinity=False, target_latency=0.4),), _SIX)
     _answers(world, 40, gap=0.3)
--- a/worksrail/core/steering/_learning.py
+++ b/worksrail/core/steering/_learning.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from worksrail.core.steering._choosing import distance
+from worksrail.core.steering._warmth import RouteTimes
 from worksrail.core.steering.effects import Decision, DecisionKind, Effect
 from worksrail.core.steering.events import AttemptEnded, AttemptOutcome
 from worksrail.core.steering.state import SteeredRequest, SteeringState
@@ -27,6 +28,9 @@
 _SERVER_ERROR: Final = 500
 # An expected time below this says nothing of an upstream's speed; seconds.
 _LEAST_EXPECTED: Final = 0.02
+# Times the expected time up to which an execution is an ordinary one, since
+# executions of one kind differ, and upstreams of one service do.
+_ORDINARY: Final = 1.5
 # Expected times after which an attempt that ends without an answer speaks
 # against its upstream, also if the caller left.
 SILENCE: Final = 4.0
@@ -106,30 +110,43 @@
     if event.status >= _SERVER_ERROR:
         return
     name = request.upstream
-    load = state.loads.of(name)
     taken = event.now - request.sent_at
     key = request.affinity_key
     known = not key or name in state.warmth.warm_at(
         request.service, key, event.now
     )
-    if known == request.warm:
+    times = state.warmth.of(request.route, request.service)
+    ratio = taken / max(request.expected, _LEAST_EXPECTED)
+    # Elsewhere it is not known whether other entries warmed the key.
+    telling = known == request.warm
+    if key and request.warm and _may_be_cold(ratio, times):
+        telling = False
+    if telling:
         # A cold execution where a warm one was expected is no slow upstream:
         # taken for one, it sends keys away to where they are cold once more.
         # Worth 0.006 to 0.027 on six days of a site of 12 entries.
-        load.note_speed(
-            taken / max(request.expected, _LEAST_EXPECTED), event.now
-        )
+        state.loads.of(name).note_speed(ratio, event.now)
     upstream = state.catalog.upstreams.get(name)
     if upstream is None:
         return
     executed = max(0, taken - distance(state, upstream.region).typical)
-    times = state.warmth.of(request.route, request.service)
     state.usual_time(request.service, executed).add(
         executed / (1 + request.queue)
     )
-    if not request.queue and known == request.warm:
-        # Elsewhere it is not known whether other entries warmed the key.
+    if telling and not request.queue:
         average = times.warm if known else times.cold
         average.add(executed)
     if key:
         state.warmth.note_served(request.service, key, name, event.now)
+
+
+def _may_be_cold(ratio: float, times: RouteTimes) -> bool:
+    """Whether an upstream that has forgotten a key could take so long.
+
+    Then it says nothing of its speed, nor of the time of a warm execution.
+    Learning from such executions as well costs 0.04 of the credit of the first
+    six seconds, 0.04 and 0.20 where few keys are remembered; it gains 0.10 at
+    three quarters of the warm capacity (virtual clock, three seeds).
+    """
+    cold = times.cold.typical / max(times.warm.typical, _LEAST_EXPECTED)
+    return _ORDINARY < ratio < cold * _ORDINARY
