--- a/tests/steering/test_fleet.py
+++ b/tests/steering/test_fleet.py
@@ -1,6 +1,7 @@
 """The other entries: digests, look-ups, stops."""
 
 import asyncio
+import random
 import socket
 import zlib
 
@@ -180,7 +181,12 @@
         )
         for number in range(entries)
     ]
-    in_flight = {f'i-{number:08x}': 2 for number in range(upstreams)}
+    # Identifiers of upstreams are drawn, and hardly shrink.
+    rng = random.Random(entries)
+    in_flight = {
+        f'i-{rng.randrange(16**10):010x}': rng.randrange(1, 9)
+        for _ in range(upstreams)
+    }
     return zone_digest('front-north-0', members, 1, in_flight)
 
 
@@ -194,9 +200,9 @@
     assert len(packed) <= len(msgspec.msgpack.encode(told))
 
 
-def test_digest_of_a_large_zone_takes_a_third_of_its_bytes() -> None:
-    told = _zone_of(22, 400)
-    assert len(pack_digest(told)) < len(msgspec.msgpack.encode(told)) / 3
+def test_digest_of_a_large_zone_takes_half_of_its_bytes() -> None:
+    told = _zone_of(22, 180)
+    assert len(pack_digest(told)) < len(msgspec.msgpack.encode(told)) / 2
 
 
 @pytest.mark.parametrize(
