Give the emulator's callers a module of their own, and undo its circle

bench/world/_world.py had grown to 484 lines with three jobs, and imported the runner of effects, which imported it.

--- a/worksrail/bench/scenarios/_actions.py
+++ b/worksrail/bench/scenarios/_actions.py
@@ -231,10 +231,12 @@
         entries = [one.name for one in world.live()]
         for number in range(count):
             key = f'race-{world.clock.now}-{number}'
-            first = world.request(service, region, write=True, key=key)
+            first = world.callers.request(service, region, write=True, key=key)
             other = world.rng.choice(entries)
             if first.key:
-                world.request(service, region, write=True, key=key, entry=other)
+                world.callers.request(
+                    service, region, write=True, key=key, entry=other
+                )
 
     return do
 
@@ -245,8 +247,8 @@
     def do(world: World) -> None:
         for number in range(count):
             key = f'again-{world.clock.now}-{number}'
-            world.request(service, region, write=True, key=key)
-            cached = world.answers.get((service, region))
+            world.callers.request(service, region, write=True, key=key)
+            cached = world.callers.answers.get((service, region))
             ticket = cached[1].ticket if cached else None
             again = partial(_request_again, world, service, region, key, ticket)
             for delay in (1, 10):
@@ -262,7 +264,7 @@
     key: str,
     ticket: Ticket | None,
 ) -> None:
-    world.request(service, region, write=True, key=key, ticket=ticket)
+    world.callers.request(service, region, write=True, key=key, ticket=ticket)
 
 
 def _place_of(world: World, name: str) -> Place:
--- a/worksrail/bench/world/__init__.py
+++ b/worksrail/bench/world/__init__.py
@@ -8,10 +8,11 @@
 from worksrail.bench.world._checks import Violation, Watch
 from worksrail.bench.world._clock import VirtualClock
 from worksrail.bench.world._network import NetworkFaults
+from worksrail.bench.world._plan import WorldPlan
 from worksrail.bench.world._requests import Outcome, RequestLog
 from worksrail.bench.world._store import FakeStore
 from worksrail.bench.world._upstreams import FakeUpstream
-from worksrail.bench.world._world import World, WorldPlan
+from worksrail.bench.world._world import World
 
 __all__ = (
     'FakeStore',
--- a/worksrail/bench/world/_clock.py
+++ b/worksrail/bench/world/_clock.py
@@ -4,9 +4,13 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Final
 
 Action = Callable[[], None]
 
+# Wall-clock time, in seconds, at which the virtual clock stands at zero.
+WALL: Final = 1_000_000.0
+
 
 @dataclass(slots=True)
 class VirtualClock:
--- a/worksrail/bench/world/_world.py
+++ b/worksrail/bench/world/_world.py
@@ -3,14 +3,15 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Final
 
+from worksrail.bench.world._callers import Callers
 from worksrail.bench.world._checks import Watch
-from worksrail.bench.world._clock import VirtualClock
+from worksrail.bench.world._clock import WALL, VirtualClock
 from worksrail.bench.world._network import NetworkFaults
+from worksrail.bench.world._plan import WorldPlan, places_of
 from worksrail.bench.world._platform import PlatformReader
 from worksrail.bench.world._process import Exchange, FakeProcess, Reply
-from worksrail.bench.world._requests import Outcome, RequestLog
+from worksrail.bench.world._requests import RequestLog
 from worksrail.bench.world._runner import EffectRunner
 from worksrail.bench.world._store import FakeHead, FakeStore
 from worksrail.bench.world._upstreams import FakeUpstream
@@ -25,47 +26,9 @@
 )
 from worksrail.core.identity import Endpoints, Incarnation, Place
 from worksrail.core.instance import Instance
-from worksrail.core.lookups import LookUpAnswer, look_up
 from worksrail.core.membership import ListedInstance
 from worksrail.core.reducer import reduce
-from worksrail.core.requests import NoTicket, RequestHead, Ticket
-from worksrail.core.results import ResultCode
-from worksrail.core.settings import CoreSettings
-
-_WALL: Final = 1_000_000.0
-_QUICK_READ: Final = 0.4
-_SPREAD: Final = (0.5, 1.5)
-_NOTICE: Final = 0.01
-_CALLER_DELAY: Final = 0.004
-
-
-@dataclass(frozen=True, slots=True)
-class WorldPlan:
-    """What a world consists of."""
-
-    bundle: Bundle
-    """The first bundle."""
-
-    settings: CoreSettings
-    """Times and limits of the instances."""
-
-    service_times: dict[str, float]
-    """Median execution time by service."""
-
-    entries_per_region: int = 3
-    """Entry instances of each region."""
-
-    seed: int = 1
-    """Seed of everything random."""
-
-    tick: float = 0.05
-    """Seconds between two ticks of an instance."""
-
-    cold: tuple[float, int] = (1, 0)
-    """Cold factor of upstreams and executions until they are warm."""
-
-    queue_limit: int = 16
-    """Requests that wait at an upstream before it sheds."""
+from worksrail.core.requests import RequestHead
 
 
 @dataclass(slots=True)
@@ -105,26 +68,19 @@
     runner: EffectRunner | None = None
     """Runs the effects."""
 
-    answers: dict[tuple[str, str], tuple[float, LookUpAnswer]] = field(
-        default_factory=dict
-    )
-    """Look-up answers that callers have cached."""
-
-    clients: dict[str, str] = field(default_factory=dict)
-    """Address of a caller of each region."""
-
     incarnations: int = 0
     """Last incarnation number given."""
 
-    callers: int = 0
-    """Callers so far."""
-
     reader: PlatformReader = field(init=False)
     """Reads the platform for the processes."""
 
+    callers: Callers = field(init=False)
+    """Send requests."""
+
     def __post_init__(self) -> None:
-        """Let the reader see this world."""
+        """Let the reader and the callers see this world."""
         self.reader = PlatformReader(self)
+        self.callers = Callers(self)
 
     @classmethod
     def from_plan(cls, plan: WorldPlan) -> 'World':
@@ -142,7 +98,7 @@
         world.runner = EffectRunner(world)
         world.add_upstreams(plan.bundle)
         world.roll(plan.bundle)
-        for place in _places(plan):
+        for place in places_of(plan):
             world.start(*place)
         return world
 
@@ -260,46 +216,6 @@
             for effect in effects:
                 self.runner.run(process, effect)
 
-    # -- callers
-
-    def request(
-        self,
-        service: str,
-        home: str,
-        *,
-        write: bool = False,
-        entry: str = '',
-        key: str = '',
-        ticket: Ticket | None = None,
-        timeout: float | None = None,
-        path: str = '/',
-    ) -> Outcome:
-        """Send one request as a caller of a region would."""
-        self.callers += 1
-        trace = f'r{self.callers}'
-        chosen_key = key or trace if write else key
-        outcome = Outcome(trace, service, home, chosen_key, self.clock.now)
-        self.log.outcomes[trace] = outcome
-        answer = self._cached_look_up(service, home)
-        if answer is None:
-            return outcome
-        host = self.plan.bundle.services
-        name = next(one.host for one in host if one.name == service)
-        right = ticket or answer.ticket
-        head = RequestHead(
-            trace,
-            name,
-            'POST' if write else 'GET',
-            path,
-            self._client(home),
-            timeout,
-            right if write else NoTicket.NOT_GIVEN,
-            chosen_key,
-        )
-        target = entry or self._entry(answer, write=write)
-        self.clock.after(_CALLER_DELAY, lambda: self._arrive(target, head))
-        return outcome
-
     def load(
         self,
         service: str,
@@ -310,18 +226,8 @@
         writes: float = 0,
         entry: str = '',
     ) -> None:
-        """Send requests with exponential gaps until a time."""
-        if self.clock.now >= end:
-            return
-        write = self.rng.random() < writes
-        self.request(service, home, write=write, entry=entry)
-        gap = self.rng.expovariate(rate)
-        self.clock.after(
-            gap,
-            lambda: self.load(
-                service, home, rate, end, writes=writes, entry=entry
-            ),
-        )
+        """Let callers of a region send requests until a time."""
+        self.callers.load(service, home, rate, end, writes=writes, entry=entry)
 
     def run_until(self, end: float) -> None:
         """Let time pass."""
@@ -338,95 +244,15 @@
         process.exchanges[number] = Exchange(head.trace, reply)
         self.deliver(
             process,
-            lambda now: RequestArrived(now, _WALL + now, number, head),
+            lambda now: RequestArrived(now, WALL + now, number, head),
         )
         return number
 
-    # -- helpers
-
-    def _arrive(self, target: str, head: RequestHead) -> None:
-        process = self.processes.get(target)
-        if process is None or process.dead:
-            # A refused connection: the caller looks up again and goes on.
-            self._again(head)
-            return
-
-        def reply(code: ResultCode, retry_after: float) -> None:
-            self.clock.after(
-                _CALLER_DELAY,
-                lambda: self.log.answered(
-                    head.trace, code, self.clock.now, retry_after
-                ),
-            )
-
-        self.arrive_at(process, head, reply)
-
-    def _again(self, head: RequestHead) -> None:
-        outcome = self.log.outcomes[head.trace]
-        self.answers.pop((outcome.service, outcome.home), None)
-        answer = self._cached_look_up(outcome.service, outcome.home)
-        if answer is None:
-            return
-        target = answer.entries[0].name
-        process = self.processes.get(target)
-        if process is None or process.dead:
-            return
-        ticket = head.ticket
-        fresh = answer.ticket if isinstance(ticket, Ticket) else ticket
-        again = RequestHead(
-            head.trace,
-            head.host,
-            head.method,
-            head.path,
-            head.client,
-            head.timeout,
-            fresh,
-            head.key,
-        )
-        self._arrive(target, again)
-
-    def _cached_look_up(self, service: str, home: str) -> LookUpAnswer | None:
-        cached = self.answers.get((service, home))
-        if cached and cached[0] > self.clock.now:
-            return cached[1]
-        ready = [
-            process
-            for process in self.live()
-            if not process.paused and process.instance.configuration.topology
-        ]
-        ready.sort(key=lambda one: one.place.region != home)
-        near = [one for one in ready if one.place.region == home] or ready
-        if not near:
-            return None
-        process = self.rng.choice(near)
-        now = self.clock.now
-        process.instance.wall = max(process.instance.wall, _WALL + now)
-        answer = look_up(process.instance, self._client(home), service, now)
-        if isinstance(answer, ResultCode):
-            return None
-        self.answers[service, home] = (now + answer.max_age, answer)
-        return answer
-
-    def _entry(self, answer: LookUpAnswer, *, write: bool) -> str:
-        if write:
-            return answer.entries[0].name
-        best = answer.entries[0].region
-        near = [one.name for one in answer.entries if one.region == best]
-        return self.rng.choice(near)
-
-    def _client(self, region: str) -> str:
-        if not self.clients:
-            zones = {zone.name: zone.region for zone in self.plan.bundle.zones}
-            for block in self.plan.bundle.client_blocks:
-                address = block.block.partition('/')[0]
-                self.clients.setdefault(zones[block.zone], address)
-        return self.clients.get(region, '')
-
     def _tick(self, process: FakeProcess) -> None:
         if process.dead:
             return
         if not process.paused:
-            self.deliver(process, lambda now: Ticked(now, _WALL + now))
+            self.deliver(process, lambda now: Ticked(now, WALL + now))
             self.reader.work(process)
         self.clock.after(self.plan.tick, lambda: self._tick(process))
 
@@ -467,18 +293,3 @@
 
 def _caller_gone(number: int) -> Callable[[float], Event]:
     return lambda now: CallerGone(now, number)
-
-
-def _places(plan: WorldPlan) -> list[tuple[str, Place]]:
-    places: list[tuple[str, Place]] = []
-    for region in plan.bundle.regions:
-        zones = [
-            zone.name
-            for zone in plan.bundle.zones
-            if zone.region == region.name
-        ]
-        for index in range(plan.entries_per_region):
-            zone = zones[index % len(zones)]
-            name = f'{zone}-{index // len(zones) + 1}'
-            places.append((name, Place(zone, region.name)))
-    return places
