Revert digests every 0.4 s in large zones: they save no processor time

The hypothesis that datagrams take most of the time is wrong, and deaths were noticed a second later. test_fleet_goes_on asks for everyone to be seen after 4 s again.

--- a/tests/steering/test_large_fleet.py
+++ b/tests/steering/test_large_fleet.py
@@ -14,8 +14,6 @@
 _MOST_READERS = 4
 # Seconds within which a change is in force everywhere, as operators ask.
 _IN_FORCE = 4
-# Seconds within which nobody is unseen, lost datagrams or not.
-_ALL_SEEN = 15
 
 
 def _power_off(world: FleetWorld) -> None:
@@ -93,9 +91,5 @@
     assert min(readers.values()) >= 1
     assert max(readers.values()) <= _MOST_READERS
     names = set(world.states)
-    for _ in range(_ALL_SEEN - _IN_FORCE):
-        if all(world.known(name) == names - {name} for name in names):
-            break
-        world.wait(1)
-    else:
-        pytest.fail('some entry is not seen by all others')
+    for name in names:
+        assert world.known(name) == names - {name}
--- a/tests/steering/test_zones.py
+++ b/tests/steering/test_zones.py
@@ -56,41 +56,6 @@
     assert counts[1] <= 5 * (2.5 + 0.8 * 12) + 2
 
 
-@pytest.mark.parametrize(('members', 'most'), [(8, 50), (22, 75), (44, 125)])
-def test_datagrams_to_an_entry_grow_slowly(members: int, most: int) -> None:
-    # With a digest every 0.2 s whatever the zone: 118 a second and entry at 22
-    # in each of nine zones, 205 at 44.
-    zones = {
-        f'{region}{number}': members for region in 'abc' for number in '123'
-    }
-    world = FleetWorld(zones, {zone: zone[0] for zone in zones})
-    world.wait(4)
-    world.sent.clear()
-    world.wait(2)
-    within = [sent for (one, other), sent in world.sent.items() if one == other]
-    assert sum(within) / len(world.states) / 2 < most
-
-
-def test_loads_are_known_soon_in_a_large_zone() -> None:
-    world = FleetWorld({'a1': 22, 'b1': 22}, _REGIONS)
-    world.wait(4)
-    for state in world.states.values():
-        state.loads.of('u').own = 1
-    world.wait(1.4)
-    assert {world.believed(name, 'u') for name in world.states} == {44}
-
-
-def test_death_is_noticed_in_a_large_zone() -> None:
-    world = FleetWorld({'a1': 22, 'b1': 22}, _REGIONS)
-    world.wait(4)
-    for name in ('a1-3', 'a1-7', 'a1-11'):
-        world.stop(name)
-    world.wait(3.4)
-    names = set(world.states)
-    for name in names:
-        assert world.known(name) == names - {name}
-
-
 def test_zone_is_heard_on_when_its_speaker_dies() -> None:
     world = FleetWorld({'a1': 4, 'b1': 2}, _REGIONS)
     world.wait(5)
--- a/worksrail/core/steering/_fleet.py
+++ b/worksrail/core/steering/_fleet.py
@@ -16,21 +16,12 @@
 from worksrail.core.membership import rendezvous_weight
 from worksrail.core.steering._digests import Contact, EntryDigest, ZoneDigest
 
-# Seconds between two digests of an entry: in a small zone, where fresher ones
-# brought no more in trials, and in a large one, where a death and a change must
-# be known within few seconds all the same.
-_SHORTEST_INTERVAL: Final = 0.2
-_LONGEST_INTERVAL: Final = 0.4
-# Entries of a zone besides the own one from which the interval grows with their
-# number: with 22 entries in each of nine zones an entry hears 64 datagrams a
-# second, each of which wakes it, instead of 103 at 0.2 s (virtual clock).
-_FEW_MATES: Final = 10
-# Intervals without a digest after which an entry of the own zone counts as
-# dead: five digests, so that single lost datagrams do not matter.
-_MISSED_DIGESTS: Final = 5.5
-# Seconds more for entries of other zones, which one speaker tells of every
-# 400 ms: when it dies, its zone needs the time above until another one speaks.
-_FAR_MARGIN: Final = 0.7
+# Seconds without a digest after which an entry of the own zone counts as
+# dead: five digests of 200 ms, so that single lost datagrams do not matter.
+_DEAD_AFTER: Final = 1.1
+# The same for entries of other zones, which one speaker tells of every 400 ms:
+# when it dies, its zone needs the time above until another one speaks.
+_FAR_DEAD_AFTER: Final = 1.8
 # Seconds for which a dead entry is told of us, so that it finds the others
 # again when it returns at the same address while the store is away.
 _REMEMBER: Final = 120.0
@@ -42,25 +33,6 @@
 _GREETED: Final = 8
 
 
-def digest_interval(mates: int) -> float:
-    """Seconds between two digests of an entry that has so many mates.
-
-    >>> digest_interval(2), digest_interval(20)
-    (0.2, 0.4)
-    """
-    interval = _SHORTEST_INTERVAL * max(1, mates / _FEW_MATES)
-    return min(_LONGEST_INTERVAL, interval)
-
-
-def silence_of(mates: int) -> float:
-    """Seconds after which silence means death among so many mates.
-
-    >>> round(silence_of(2), 3), round(silence_of(20), 3)
-    (1.1, 2.2)
-    """
-    return _MISSED_DIGESTS * digest_interval(mates)
-
-
 @dataclass(slots=True)
 class Entry:
     """Another entry, as this one knows it."""
@@ -74,12 +46,13 @@
     number: int = 0
     """Number of its last digest; zero if only its speaker told of it."""
 
-    silence: float = silence_of(1)
-    """Seconds without a word after which it counts as dead."""
+    near: bool = True
+    """It is of the own zone and tells of itself."""
 
     def alive(self, now: float) -> bool:
         """Whether it was heard lately."""
-        return now - self.heard_at < self.silence
+        limit = _DEAD_AFTER if self.near else _FAR_DEAD_AFTER
+        return now - self.heard_at < limit
 
     def takes_requests(self, now: float) -> bool:
         """Whether callers may be sent there."""
@@ -96,14 +69,9 @@
     heard_at: float
     """When that came."""
 
-    @property
-    def silence(self) -> float:
-        """Seconds without a word after which its entries count as dead."""
-        return silence_of(len(self.digest.members)) + _FAR_MARGIN
-
     def alive(self, now: float) -> bool:
         """Whether it was heard lately."""
-        return now - self.heard_at < self.silence
+        return now - self.heard_at < _FAR_DEAD_AFTER
 
 
 @dataclass(slots=True)
@@ -143,12 +111,9 @@
         if known and known.alive(now) and not _follows(digest, known):
             return False
         near = sender.zone == self.zone
+        self.entries[sender.name] = Entry(sender, now, digest.number, near)
         if near:
             self.near.add(sender.name)
-        silence = silence_of(len(self.near))
-        if not near:
-            silence += _FAR_MARGIN
-        self.entries[sender.name] = Entry(sender, now, digest.number, silence)
         self.learn(sender.peer, now)
         for address in digest.known:
             if address != self.peer:
@@ -163,12 +128,9 @@
         if known and known.digest.speaker == digest.speaker:
             if digest.number <= known.digest.number:
                 return False
-        far = FarZone(digest, now)
-        self.zones[digest.zone] = far
+        self.zones[digest.zone] = FarZone(digest, now)
         for contact in digest.members:
-            self.entries[contact.name] = Entry(
-                contact, now, silence=far.silence
-            )
+            self.entries[contact.name] = Entry(contact, now, near=False)
             self.learn(contact.peer, now)
         if known and known.digest.speaker == digest.speaker:
             self._bury(known.digest, digest, now)
@@ -307,7 +269,7 @@
         for contact in before.members:
             entry = self.entries.get(contact.name)
             if entry and contact.name not in named:
-                entry.heard_at = min(entry.heard_at, now - entry.silence)
+                entry.heard_at = min(entry.heard_at, now - _FAR_DEAD_AFTER)
 
 
 def _draw(addresses: list[str], most: int, rng: random.Random) -> list[str]:
--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -13,7 +13,6 @@
     ToldKeys,
     ZoneDigest,
 )
-from worksrail.core.steering._fleet import digest_interval
 from worksrail.core.steering.effects import (
     MANY,
     Decision,
@@ -24,6 +23,8 @@
 from worksrail.core.steering.events import DigestReceived
 from worksrail.core.steering.state import SteeringState
 
+# Seconds between two digests: fresher ones brought no more in trials.
+_DIGEST_INTERVAL: Final = 0.2
 # Seconds between two digests of a zone to the others.  They cross zones and
 # regions, whose bytes are dear, and what is in flight there changes slowly.
 _ZONE_DIGEST_INTERVAL: Final = 0.4
@@ -58,9 +59,9 @@
 def tell(state: SteeringState, now: float) -> Iterator[SendDigest]:
     """Tell the own zone, and the other zones if this entry speaks."""
     state.digests += 1
+    state.next_digest_at = now + _DIGEST_INTERVAL
     fleet = state.fleet
     mates = fleet.mates(now)
-    state.next_digest_at = now + digest_interval(len(mates))
     receivers = {contact.peer for contact in mates}
     receivers.update(state.greeted, fleet.newcomers(now, state.rng))
     state.greeted.clear()
