Add limits that all entries share, kept by one owner each

A quota is a bound over all entries, in touch or not, while a small customer's whole quota is less than one request a second and entry.

Change: core/limits keeps each limit as a token bucket at one owner, drawn by rendezvous hashing among the live entries. While much is left, entries admit at once and report afterwards; when it runs short they ask the owner first. Nothing uses them yet.

--- /dev/null
+++ b/worksrail/core/limits/__init__.py
@@ -0,0 +1,39 @@
+"""Limits that all entries share, as a customer's quota.
+
+Each limit has one owner among the entries that live, drawn by rendezvous
+hashing, which keeps its token bucket.  While much is left, entries admit at
+once and report afterwards; once it runs short they ask the owner first.
+"""
+
+from worksrail.core.limits._bucket import SharedLimit, TokenBucket
+from worksrail.core.limits._messages import (
+    LimitHandover,
+    LimitMessage,
+    LimitReply,
+    LimitReport,
+    LimitStanding,
+)
+from worksrail.core.limits._shared import (
+    Addressed,
+    Admission,
+    Members,
+    Settled,
+    SharedLimits,
+    Verdict,
+)
+
+__all__ = (
+    'Addressed',
+    'Admission',
+    'LimitHandover',
+    'LimitMessage',
+    'LimitReply',
+    'LimitReport',
+    'LimitStanding',
+    'Members',
+    'Settled',
+    'SharedLimit',
+    'SharedLimits',
+    'TokenBucket',
+    'Verdict',
+)
--- /dev/null
+++ b/worksrail/core/limits/_accounts.py
@@ -0,0 +1,75 @@
+"""An entry's side of one shared limit."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from worksrail.core._meters import RateMeter
+from worksrail.core.limits._bucket import SharedLimit, TokenBucket
+
+# Seconds over which an entry averages how much of a limit it uses.
+_USUAL_TIME: Final = 10.0
+# Share of a limit that entries without word from its owner may use together,
+# and that owners leave to entries which they cannot hear.  Customers ask for
+# this share of their quota on the mean, as operators set it.
+SILENT_SHARE: Final = 0.6
+# How much more than its usual use an entry admits without the owner's word,
+# and how many at once: each of a large fleet may be without it.
+_LEEWAY: Final = 1.25
+_AT_ONCE: Final = 1.0
+
+
+@dataclass(slots=True)
+class Account:
+    """What one entry knows of one limit, and has used of it."""
+
+    ample: bool = True
+    """It may admit before it reports."""
+
+    used: int = 0
+    """Admissions that were not reported yet."""
+
+    denied_until: float = 0
+    """Until when the owner need not be asked again."""
+
+    retry_at: float = 0
+    """When the owner expects to have a token for a denied caller."""
+
+    probing: bool = False
+    """The owner is silent and shall be tried again."""
+
+    usual: RateMeter = field(
+        default_factory=lambda: RateMeter(seconds=_USUAL_TIME)
+    )
+    """How much of the limit is used here."""
+
+    allowance: TokenBucket | None = None
+    """What may be admitted without the owner's word; None while it answers."""
+
+    def take_used(self) -> int:
+        """Admissions that were not reported yet; they count as reported."""
+        used = self.used
+        self.used = 0
+        return used
+
+    def begin_silence(
+        self,
+        limit: SharedLimit,
+        entries: int,
+        now: float,
+    ) -> TokenBucket:
+        """The owner does not answer: go on with a small allowance.
+
+        It is what this entry used lately or an equal part of what all that
+        are cut off may use together, whichever is more.
+        """
+        if self.allowance is None:
+            equal = limit.rate * SILENT_SHARE / max(1, entries)
+            rate = max(equal, self.usual.rate(now) * _LEEWAY)
+            capacity = _AT_ONCE + rate
+            self.allowance = TokenBucket(rate, capacity, _AT_ONCE, now)
+        return self.allowance
+
+    def end_silence(self) -> None:
+        """The owner answers, or is another one."""
+        self.allowance = None
+        self.probing = False
