--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -5,9 +5,16 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 from tornado.httputil import HTTPHeaders
 
+from worksrail.core.customers import (
+    Customer,
+    NoCustomer,
+    Quota,
+    digest_of_key,
+)
 from worksrail.core.steering import EntryList, Route, RouteKind
 from worksrail.core.steering.events import ReportedLoad
 from worksrail.platform import (
@@ -120,6 +127,112 @@
     assert decoded.limits.idle_time == 15
 
 
+_TENANT_COLUMNS = [
+    'Name',
+    'ApiKeys',
+    'Priority',
+    'RatePerS',
+    'Burst',
+    'AllowedRegions',
+]
+
+
+def _with_customers(*rows: list[Any]) -> dict[str, Any]:
+    tenants = {'Columns': _TENANT_COLUMNS, 'Rows': list(rows)}
+    return CONFIGURATION | {'Tenants': tenants}
+
+
+def test_customers() -> None:
+    decoded = decode_configuration(
+        _with_customers(
+            ['acme', ['k-1', 'k-2'], 0, 10, 5, ['here']],
+            ['bare', [], None, None, None, None],
+            ['free', ['k-3'], None, 0, 7, []],
+        )
+    )
+    assert decoded.customers is not None
+    acme = decoded.customers.holder_of(digest_of_key(b'k-2'))
+    assert isinstance(acme, Customer)
+    assert (acme.name, acme.priority, acme.regions) == ('acme', 0, {'here'})
+    assert acme.quota == Quota(10, 5)
+    bare = decoded.customers.customers['bare']
+    assert (bare.keys, bare.priority, bare.quota) == ((), None, None)
+    assert decoded.customers.customers['free'].quota is None
+    unknown = decoded.customers.holder_of(digest_of_key(b'k-4'))
+    assert unknown is NoCustomer.UNKNOWN_KEY
+
+
+def test_without_customers_nobody_needs_a_key() -> None:
+    assert decode_configuration(CONFIGURATION).customers is None
+    none = decode_configuration(_with_customers()).customers
+    assert none is not None
+    assert not none.customers
+
+
+_SECRET = 'a-very-secret-key'
+
+
+@pytest.mark.parametrize(
+    'rows',
+    [
+        [['a', [_SECRET], 0, 1, 1, []], ['b', [_SECRET], 0, 1, 1, []]],
+        [['a', [_SECRET], 0, -1, 1, []]],
+        [['a', [_SECRET], 0, 1, -1, []]],
+        [['a', [_SECRET], 0, float('nan'), 1, []]],
+        [['a', [_SECRET], 'first', 1, 1, []]],
+        [['a', [_SECRET, 7], 0, 1, 1, []]],
+        [['a', _SECRET, 0, 1, 1, []]],
+        [['', [_SECRET], 0, 1, 1, []]],
+        [['a', [_SECRET]]],
+    ],
+)
+def test_malformed_customers_are_turned_down_without_a_word_of_keys(
+    rows: list[list[Any]],
+) -> None:
+    with pytest.raises(MalformedDocumentError) as raised:
+        decode_configuration(_with_customers(*rows))
+    assert _SECRET not in str(raised.value)
+
+
+def test_keys_are_kept_nowhere() -> None:
+    decoded = decode_configuration(
+        _with_customers(['a', [_SECRET], 0, 1, 1, []])
+    )
+    assert _SECRET not in repr(decoded)
+    assert _SECRET.encode() not in msgspec.msgpack.encode(decoded)
+    headers = HTTPHeaders({'Credential': _SECRET})
+    head = PlatformCallers().read_head('GET', '/x', headers)
+    assert head is not None
+    assert _SECRET not in repr(head)
+    assert head.key_digest == digest_of_key(_SECRET.encode())
+
+
+def test_public_route() -> None:
+    document = copy.deepcopy(CONFIGURATION)
+    document['Routes']['Columns'] = [*_COLUMNS, 'Public']
+    rows = document['Routes']['Rows']
+    document['Routes']['Rows'] = [[*rows[0], True], [*rows[1], False]]
+    decoded = decode_configuration(document)
+    assert [
+        found.public
+        for found in (
+            decoded.match('h.example', '/w/'),
+            decoded.match('h.example', '/r/'),
+        )
+        if isinstance(found, Route)
+    ] == [True, False]
+
+
+@pytest.mark.parametrize('customer', ['acme', ''])
+def test_upstream_is_told_the_customer_and_no_key(customer: str) -> None:
+    headers = HTTPHeaders({'credential': _SECRET, 'tenant': 'forged', 'A': 'b'})
+    headers.add('Tenant', 'forged twice')
+    PlatformUpstreams().mark_request(headers, 'i-1', 1.5, customer)
+    assert 'Credential' not in headers
+    assert headers.get_list('Tenant') == ([customer] if customer else [])
+    assert headers['A'] == 'b'
+
+
 def _row(column: str, found: Any) -> tuple[list[Any], Any]:
     return ['Routes', 'Rows', 0, _COLUMNS.index(column)], found
 
@@ -184,6 +297,96 @@
         decode_upstream('i-1', spec, {'State': 'ready'})
 
 
+def _upstream() -> dict[str, Any]:
+    return {
+        'Address': '10.0.0.9:80',
+        'Info': {'Service': 'a', 'Version': 'v1', 'Zone': 'z1', 'Slots': 9},
+        'Status': {'State': 'ready', 'Sequence': 4, 'ColdRemainingS': 0},
+    }
+
+
+_FIELDS = (
+    ('Address',),
+    ('Info',),
+    ('Info', 'Service'),
+    ('Info', 'Version'),
+    ('Info', 'Zone'),
+    ('Info', 'Slots'),
+    ('Status',),
+    ('Status', 'State'),
+    ('Status', 'Sequence'),
+    ('Status', 'ColdRemainingS'),
+)
+_WRONG: dict[str, Any] = {
+    'absent': ...,
+    'null': None,
+    'list': [],
+    'table': {'a': 1},
+    'flag': True,
+    'negative': -1,
+    'not a number': float('nan'),
+    'unreadable': '\ufffd\ufffd',
+}
+
+
+@pytest.mark.parametrize('fault', _WRONG)
+@pytest.mark.parametrize('path', _FIELDS, ids='.'.join)
+def test_upstream_of_another_writer(path: tuple[str, ...], fault: str) -> None:
+    wrong = _WRONG[fault]
+    spec: Any = _upstream()
+    part = spec
+    for step in path[:-1]:
+        part = part[step]
+    if wrong is ...:
+        part.pop(path[-1])
+    else:
+        part[path[-1]] = wrong
+    if isinstance(wrong, str) and path[-1] in {'Service', 'Version', 'Zone'}:
+        # A text that only the configuration can judge.
+        decode_upstream('i-1', spec, None)
+        return
+    with pytest.raises(MalformedDocumentError):
+        decode_upstream('i-1', spec, None)
+
+
+@pytest.mark.parametrize('state', ['warming', 'Ready', 'READY', 'gone', ''])
+def test_state_that_is_not_named(state: str) -> None:
+    spec = _upstream()
+    spec['Status']['State'] = state
+    with pytest.raises(MalformedDocumentError):
+        decode_upstream('i-1', spec, None)
+
+
+@pytest.mark.parametrize(
+    'address',
+    ['10.0.0.9', ':80', '10.0.0.9:', '10.0.0.9:x', '10.0.0.9:0', 'a:99999'],
+)
+def test_address_that_leads_nowhere(address: str) -> None:
+    with pytest.raises(MalformedDocumentError):
+        decode_upstream('i-1', _upstream() | {'Address': address}, None)
+
+
+@pytest.mark.parametrize('slots', [0, -3, 2.5])
+def test_upstream_without_slots(slots: float) -> None:
+    spec = _upstream()
+    spec['Info']['Slots'] = slots
+    with pytest.raises(MalformedDocumentError):
+        decode_upstream('i-1', spec, None)
+
+
+def test_upstream_that_tells_its_start() -> None:
+    untold = decode_upstream('i-1', _upstream(), None)
+    told = decode_upstream('i-1', _upstream() | {'born': 17}, None)
+    assert (untold.name, untold.listed_as, untold.born) == ('i-1', 'i-1', 0)
+    assert (told.name, told.listed_as, told.born) == ('i-1@17', 'i-1', 17)
+
+
+@pytest.mark.parametrize('born', ['17', 1.5, True, -1])
+def test_start_of_another_type(born: Any) -> None:
+    with pytest.raises(MalformedDocumentError):
+        decode_upstream('i-1', _upstream() | {'born': born}, None)
+
+
 def test_settings() -> None:
     decoded = decode_settings(SETTINGS)
     assert decoded.addresses.peer == '10.1.0.35:7660'
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -14,14 +14,14 @@
 from worksrail.daemon.steered import StoreFault
 from worksrail.platform import PlatformStore
 from worksrail.platform._fields import Fields
-from worksrail.platform._store import _Builder
+from worksrail.platform._store import _Builder, _document
 from worksrail.standins.objects import ObjectStore, StoreMood, application
 
 
 def entry(name: str, state: str = 'ready', sequence: int = 1) -> Any:
     """Description and status of an upstream's entry."""
     description = {'Service': 'a', 'Version': 'v1', 'Zone': 'z1', 'Slots': 3}
-    spec = {'Address': f'10.0.0.1:{name}', 'Info': description}
+    spec = {'Address': f'10.0.0.1:80{name}', 'Info': description}
     return spec, {'State': state, 'Sequence': sequence, 'ColdRemainingS': 0}
 
 
@@ -173,6 +173,101 @@
     assert news.configuration is None
 
 
+_UNUSABLE = {
+    'nothing': (None, None),
+    'a text': ('\ufffd', None),
+    'no status': ({'Address': '10.0.0.1:1', 'Info': {}}, None),
+    'another state': entry('5', state='warming'),
+    'an unreadable address': (entry('5')[0] | {'Address': '\x00'}, None),
+}
+
+
+@pytest.mark.parametrize('fault', _UNUSABLE)
+def test_unusable_entry_among_good_ones(fault: str) -> None:
+    async def use(store: ObjectStore, client: PlatformStore) -> Any:
+        for name in ('1', '2', '3', '4', '6'):
+            store.put('servers', name, *entry(name))
+        # The last one of a page, which the next page follows.
+        store.put('servers', '3', *_UNUSABLE[fault])
+        store.put('servers', '5', *_UNUSABLE[fault])
+        return await client.read_all(StoreKind.UPSTREAMS)
+
+    news = _run(use)
+    assert [record.name for record in news.records] == ['1', '2', '4', '6']
+    assert len(news.faults) == 2
+
+
+@pytest.mark.parametrize('fault', _UNUSABLE)
+def test_entry_that_becomes_unusable_is_withdrawn(fault: str) -> None:
+    async def use(store: ObjectStore, client: PlatformStore) -> Any:
+        store.put('servers', '1', *entry('1'))
+        store.put('servers', '2', *entry('2'))
+        since = store.revision
+        store.put('servers', '1', *_UNUSABLE[fault])
+        return await client.watch(StoreKind.UPSTREAMS, since, 20)
+
+    news = _run(use)
+    assert news.removed == ('1',)
+    assert not news.records
+    assert len(news.faults) == 1
+
+
+@pytest.mark.parametrize(
+    ('changes', 'listed', 'removed'),
+    [
+        ('-+', ('1',), ()),
+        ('-+-', (), ('1',)),
+        ('?+', ('1',), ()),
+        ('+?', (), ('1',)),
+        ('+?-', (), ('1',)),
+    ],
+)
+def test_last_change_of_an_entry_counts(
+    changes: str, listed: tuple[str, ...], removed: tuple[str, ...]
+) -> None:
+    async def use(store: ObjectStore, client: PlatformStore) -> Any:
+        store.put('servers', '1', *entry('1'))
+        since = store.revision
+        for number, change in enumerate(changes, 2):
+            if change == '-':
+                store.remove('servers', '1')
+            elif change == '+':
+                store.put('servers', '1', *entry('1', sequence=number))
+            else:
+                store.put('servers', '1', *_UNUSABLE['another state'])
+        return await client.watch(StoreKind.UPSTREAMS, since, 20)
+
+    news = _run(use)
+    assert tuple(record.name for record in news.records) == listed
+    assert news.removed == removed
+
+
+def test_zone_that_is_taken_back_at_once_is_not_evacuated() -> None:
+    async def use(store: ObjectStore, client: PlatformStore) -> Any:
+        store.put('evacuations', 'z1', {})
+        store.remove('evacuations', 'z1')
+        return await client.watch(StoreKind.EVACUATIONS, 0, 20)
+
+    news = _run(use)
+    assert not news.zones
+    assert news.removed == ('z1',)
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'{"items": [], "AsOf": 3, "HasMore": false, "odd": "\xff\xfe"}',
+        b'{"items": [], "AsOf": 3, "HasMore": false, "odd": "\x01\n"}',
+        b'{"items": [7, "x", null], "AsOf": 3, "HasMore": false}',
+    ],
+)
+def test_unreadable_bytes_are_no_fault_of_the_store(body: bytes) -> None:
+    page = Fields.from_value(_document(body), 'page')
+    builder = _Builder(StoreKind.UPSTREAMS)
+    assert not builder.add_page(page)
+    assert builder.news().revision == 3
+
+
 def test_configuration_is_read() -> None:
     async def use(store: ObjectStore, client: PlatformStore) -> Any:
         store.put('config', 'other', {})
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -1,6 +1,7 @@
 """Real entries on the users' platform, against stand-ins, on loopback."""
 
 import asyncio
+import itertools
 import json
 import signal
 import sys
@@ -56,12 +57,17 @@
         routes['Routes']['Rows'][1][10] = []
         self.store.put('config', 'main', routes)
         for service in ('a', 'b'):
-            info = {'Service': service, 'Zone': 'z1', 'Slots': 3}
+            info = {
+                'Service': service,
+                'Version': 'v1',
+                'Zone': 'z1',
+                'Slots': 3,
+            }
             self.store.put(
                 'servers',
                 f'i-{service}',
                 {'Address': self.upstream.address, 'Info': info},
-                {'State': 'ready', 'Sequence': 1},
+                {'State': 'ready', 'Sequence': 1, 'ColdRemainingS': 0},
             )
 
     async def start(self, host: str) -> None:
@@ -268,3 +274,54 @@
     code, errors = asyncio.run(run())
     assert code == 2
     assert json.loads(errors)['result'] == 6001
+
+
+def _customers(*keys: str) -> dict[str, Any]:
+    """Configuration of one customer with some keys; reads are for it."""
+    document: dict[str, Any] = json.loads(json.dumps(CONFIGURATION))
+    document['Routes']['Rows'][1][10] = []
+    columns = ['Name', 'ApiKeys', 'RatePerS', 'Burst']
+    row = ['acme', list(keys), 0, 0]
+    document['Tenants'] = {'Columns': columns, 'Rows': [row]}
+    return document
+
+
+def test_keys_of_customers_and_what_becomes_of_them(tmp_path: Path) -> None:
+    secrets = ('k-first-secret', 'k-second-secret')
+    numbers = itertools.count()
+
+    async def ask(platform: Platform, host: str, trace: str, key: str) -> int:
+        head = _REQUEST.format(trace=trace)[:-2]
+        text = f'{head}Credential: {key}\r\nTenant: forged\r\n\r\n'
+        return (await platform.ask(host, platform.ports[0], text))[0]
+
+    async def all_answer(platform: Platform, key: str, status: int) -> bool:
+        answers = [
+            await ask(platform, host, f't{next(numbers)}', key)
+            for host in platform.entries
+        ]
+        return set(answers) == {status}
+
+    async def use(platform: Platform) -> None:
+        document = _customers(*secrets) | {'Version': 'r8'}
+        platform.store.put('config', 'main', document)
+        await platform.until(lambda: all_answer(platform, 'secret', 401))
+        assert await all_answer(platform, secrets[0], 200)
+        platform.upstream.heads.clear()
+        assert await all_answer(platform, secrets[1], 200)
+        for head in platform.upstream.heads:
+            assert b'\r\nTenant: acme\r\n' in head
+            assert b'forged' not in head
+            assert b'secret' not in head
+        assert platform.upstream.heads
+        document = _customers(secrets[1]) | {'Version': 'r9'}
+        platform.store.put('config', 'main', document)
+        await platform.until(lambda: all_answer(platform, secrets[0], 401))
+        assert await all_answer(platform, secrets[1], 200)
+        for host in platform.entries:
+            _, metrics = await platform.get(host, 9464, '/metrics')
+            assert 'secret' not in metrics
+
+    platform = _play(tmp_path, use)
+    for host in platform.entries:
+        assert 'secret' not in platform.log(host)
--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -142,9 +142,18 @@
     def list_upstream(self, number: int, state: str) -> None:
         """Write the entry of an upstream."""
         upstream = self.upstreams[number]
-        info = {'Service': upstream.service, 'Zone': 'z1', 'Slots': 9}
+        info = {
+            'Service': upstream.service,
+            'Version': 'v1',
+            'Zone': 'z1',
+            'Slots': 9,
+        }
         self.lives += 1
-        status = {'State': state, 'Sequence': self.lives}
+        status = {
+            'State': state,
+            'Sequence': self.lives,
+            'ColdRemainingS': 0,
+        }
         address = self.upstream_links[number].address
         spec = {'Address': address, 'Info': info}
         self.store.put('servers', upstream.name, spec, status)
--- /dev/null
+++ b/tests/steering/test_customers.py
@@ -0,0 +1,372 @@
+"""Customers: keys, regions, priorities, quotas and their changes."""
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from tests.steering.world import (
+    World,
+    configuration,
+    contact,
+    customer,
+    of_type,
+    route,
+    upstream,
+)
+from worksrail.core.customers import Customer, Quota, digest_of_key
+from worksrail.core.limits import Addressed, LimitReply, LimitStanding
+from worksrail.core.results import ResultCode
+from worksrail.core.steering import (
+    EntryDigest,
+    SteeringBounds,
+    StoreNews,
+    limit_of,
+    news_since,
+)
+from worksrail.core.steering.effects import (
+    AnswerResult,
+    Decision,
+    SendLimitMessage,
+    SendUpstream,
+)
+from worksrail.core.steering.events import (
+    AttemptOutcome,
+    CallerGone,
+    ConfigurationRead,
+    DigestReceived,
+    LimitMessageReceived,
+    StoreLost,
+)
+from worksrail.core.steering.kinds import StoreKind
+
+_UPSTREAMS = (upstream('1'), upstream('2', zone='b1'))
+_ROUTES = (
+    route('read'),
+    route('open', public=True),
+    route('home', regions=frozenset('b')),
+)
+_CUSTOMERS = (
+    customer('acme', 'old', 'new', priority=0),
+    customer('here', 'h', regions=frozenset('a')),
+    customer('there', 't', regions=frozenset('b')),
+    customer('small', 's', quota=Quota(2, 3)),
+)
+
+
+def _world(*customers: Customer, **options: Any) -> World:
+    named = customers or _CUSTOMERS
+    return World(_ROUTES, _UPSTREAMS, customers=named, **options)
+
+
+def _ask(world: World, name: str, key: str) -> int:
+    digest = digest_of_key(key.encode()) if key else ''
+    return world.ask(name, key_digest=digest)
+
+
+def _answers(world: World, number: int) -> list[ResultCode]:
+    return [
+        effect.code
+        for effect in of_type(world.effects, AnswerResult)
+        if effect.request == number
+    ]
+
+
+def _named(world: World, number: int) -> list[str]:
+    return [
+        effect.customer
+        for effect in of_type(world.effects, SendUpstream)
+        if effect.request == number
+    ]
+
+
+@pytest.mark.parametrize(
+    ('name', 'key', 'named'),
+    [
+        ('read', 'old', 'acme'),
+        ('read', 'new', 'acme'),
+        ('open', '', ''),
+        ('open', 'wrong', ''),
+        ('open', 'old', 'acme'),
+    ],
+)
+def test_request_is_sent_in_the_name_of_its_customer(
+    name: str, key: str, named: str
+) -> None:
+    world = _world()
+    number = _ask(world, name, key)
+    assert _named(world, number) == [named]
+
+
+@pytest.mark.parametrize(
+    ('name', 'key', 'code'),
+    [
+        ('read', '', ResultCode.UNKNOWN_KEY),
+        ('read', 'wrong', ResultCode.UNKNOWN_KEY),
+        ('home', 'h', ResultCode.NO_COMMON_REGION),
+    ],
+)
+def test_request_that_may_not_be_served(
+    name: str, key: str, code: ResultCode
+) -> None:
+    world = _world()
+    # The entry reads the store and is up to date.
+    world.state.watching = True
+    number = _ask(world, name, key)
+    assert _answers(world, number) == [code]
+    assert not _named(world, number)
+    assert not world.state.requests
+
+
+def test_without_customers_nobody_needs_a_key() -> None:
+    world = World(_ROUTES, _UPSTREAMS)
+    assert _named(world, _ask(world, 'read', '')) == ['']
+
+
+@pytest.mark.parametrize(
+    ('name', 'key', 'expected'),
+    [('read', 'h', '1'), ('read', 't', '2'), ('home', 'old', '2')],
+)
+def test_regions_of_customer_and_route_bind(
+    name: str, key: str, expected: str
+) -> None:
+    world = _world()
+    for _ in range(8):
+        number = _ask(world, name, key)
+        assert world.sent(number) == [expected]
+        world.end(number)
+
+
+def test_key_of_a_bound_customer_has_a_home_where_it_may_be_served() -> None:
+    # Without one it is cold at another upstream each time.
+    upstreams = [
+        upstream(str(number), zone='b1' if number < 4 else 'a1')
+        for number in range(24)
+    ]
+    world = World(_ROUTES, upstreams, customers=_CUSTOMERS)
+    for key in ('k1', 'k2', 'k3', 'k4', 'k5', 'k6'):
+        digest = digest_of_key(b't')
+        places = set()
+        for _ in range(6):
+            number = world.ask('read', key, key_digest=digest)
+            places.update(world.sent(number))
+            world.end(number)
+        assert len(places) == 1
+
+
+def test_priority_of_a_customer_goes_before_its_route() -> None:
+    world = _world()
+    numbers = [_ask(world, 'read', key) for key in ('old', 'h')]
+    ranks = [world.state.requests[number].priority for number in numbers]
+    assert ranks == [0, 1]
+
+
+# -- changes
+
+
+def test_key_that_is_taken_away_is_refused_at_once() -> None:
+    world = _world()
+    assert _named(world, _ask(world, 'read', 'old'))
+    changed = configuration(2, _ROUTES, 0, [customer('acme', 'new')])
+    world.run(ConfigurationRead(world.now, changed, 2))
+    world.state.watching = True
+    refused = _ask(world, 'read', 'old')
+    assert _answers(world, refused) == [ResultCode.UNKNOWN_KEY]
+    assert _named(world, _ask(world, 'read', 'new')) == ['acme']
+
+
+def test_key_that_was_taken_away_never_comes_back_by_an_older_version() -> None:
+    world = _world()
+    without = configuration(3, _ROUTES, 0, [customer('acme', 'new')])
+    world.run(ConfigurationRead(world.now, without, 3))
+    older = configuration(2, _ROUTES, 0, _CUSTOMERS)
+    world.run(ConfigurationRead(world.now, older, 4))
+    world.state.watching = True
+    refused = _ask(world, 'read', 'old')
+    assert _answers(world, refused) == [ResultCode.UNKNOWN_KEY]
+
+
+def _lose_the_store(world: World) -> None:
+    world.state.watching = True
+    world.run(
+        StoreLost(world.now, StoreKind.CONFIGURATION, 'silent', world.now)
+    )
+
+
+def _hear(world: World, **changes: Any) -> None:
+    told = contact('two', **changes)
+    world.run(DigestReceived(world.now, EntryDigest(told, 1, {}, ())))
+
+
+def _fall_behind(world: World) -> None:
+    _hear(world, revisions=(9, 9, 9))
+    world.wait(0.2)
+
+
+def _hear_one_that_lost_it_too(world: World) -> None:
+    _lose_the_store(world)
+    _hear(world, store_lost=True)
+
+
+@pytest.mark.parametrize(
+    'happens', [_lose_the_store, _fall_behind, _hear_one_that_lost_it_too]
+)
+def test_entry_that_may_be_behind_calls_no_key_unknown(happens: Any) -> None:
+    world = _world()
+    happens(world)
+    number = _ask(world, 'read', 'added-just-now')
+    (answer,) = [
+        effect
+        for effect in of_type(world.effects, AnswerResult)
+        if effect.request == number
+    ]
+    assert answer.code is ResultCode.KEY_UNCERTAIN
+    assert answer.retry_after > 0
+    # Without any key there is nothing to be uncertain of.
+    none = _ask(world, 'read', '')
+    assert _answers(world, none) == [ResultCode.UNKNOWN_KEY]
+
+
+def test_entry_that_lives_beside_one_that_reads_is_up_to_date() -> None:
+    world = _world()
+    _lose_the_store(world)
+    _hear(world)
+    number = _ask(world, 'read', 'wrong')
+    assert _answers(world, number) == [ResultCode.UNKNOWN_KEY]
+
+
+def test_fresh_entry_calls_no_key_unknown() -> None:
+    world = _world(settle=0.1)
+    number = _ask(world, 'read', 'wrong')
+    assert _answers(world, number) == [ResultCode.KEY_UNCERTAIN]
+
+
+def test_customers_go_from_entry_to_entry() -> None:
+    world = _world()
+    told = news_since(world.state, StoreKind.CONFIGURATION, 0, world.now)
+    payload = msgspec.msgpack.encode(told)
+    assert msgspec.msgpack.decode(payload, type=StoreNews) == told
+
+
+def test_decisions_tell_no_key() -> None:
+    world = _world()
+    for key in ('old', 'wrong', 's', 's', 's', 's', 's', 's'):
+        _ask(world, 'read', key)
+    told = repr(of_type(world.effects, Decision))
+    for key in ('old', 'new', 'wrong'):
+        assert digest_of_key(key.encode()) not in told
+
+
+# -- quotas
+
+
+def test_quota_is_refused_with_the_time_of_the_next_token() -> None:
+    world = _world(settle=3)
+    numbers = [_ask(world, 'read', 's') for _ in range(6)]
+    refused = [
+        effect
+        for effect in of_type(world.effects, AnswerResult)
+        if effect.code is ResultCode.QUOTA_REACHED
+    ]
+    assert [effect.request for effect in refused] == numbers[3:]
+    assert all(0.4 < effect.retry_after < 2.1 for effect in refused)
+    assert refused[0].retry_after < refused[-1].retry_after
+    world.wait(0.6)
+    assert _named(world, _ask(world, 'read', 's')) == ['small']
+
+
+def test_other_customers_do_not_feel_it() -> None:
+    world = _world()
+    for _ in range(6):
+        _ask(world, 'read', 's')
+    assert not world.state.limits.accounts.get('quota here')
+    assert _named(world, _ask(world, 'read', 'h')) == ['here']
+
+
+def test_request_that_was_not_executed_does_not_count() -> None:
+    world = _world(customer('small', 's', quota=Quota(1, 2)), settle=3)
+    for _ in range(5):
+        number = _ask(world, 'read', 's')
+        while number in world.state.requests:
+            world.end(number, AttemptOutcome.NOT_EXECUTED)
+    assert _named(world, _ask(world, 'read', 's')) == ['small']
+
+
+def test_quota_that_is_lowered_binds_at_once() -> None:
+    world = _world(customer('small', 's', quota=Quota(100, 100)))
+    assert _named(world, _ask(world, 'read', 's'))
+    lower = [customer('small', 's', quota=Quota(1, 1))]
+    changed = configuration(2, _ROUTES, 0, lower)
+    world.run(ConfigurationRead(world.now, changed, 2))
+    numbers = [_ask(world, 'read', 's') for _ in range(4)]
+    served = [number for number in numbers if _named(world, number)]
+    assert len(served) == 1
+
+
+@pytest.mark.parametrize(
+    ('overage', 'slack', 'capacity'),
+    [(0, 0, 10), (0.1, 20, 10 + 0.2 * (0.1 * 60 + 20)), (0.5, 0, 16)],
+)
+def test_part_of_what_is_tolerated_is_given_to_callers(
+    overage: float, slack: float, capacity: float
+) -> None:
+    bounds = SteeringBounds(quota_overage=overage, quota_slack=slack)
+    limit = limit_of(Quota(10, 10), bounds)
+    assert (limit.rate, limit.capacity) == (10, pytest.approx(capacity))
+
+
+def _waiting() -> tuple[World, int, int]:
+    """A request whose quota another entry owns and is asked for."""
+    names = iter(f'c{number}' for number in range(100))
+    for name in names:
+        world = _world(customer(name, 'k', quota=Quota(5, 5)))
+        _hear(world)
+        world.wait(0.2)
+        if world.state.limits._owner_of(f'quota {name}') == 'two':
+            break
+    reply = LimitReply(0, {f'quota {name}': LimitStanding(0, False, 0)})
+    world.run(LimitMessageReceived(world.now, reply))
+    number = _ask(world, 'read', 'k')
+    (sent,) = of_type(world.effects, SendLimitMessage)
+    assert sent.receiver == '10.9.0.2:two'
+    return world, number, sent.message.number  # type: ignore[union-attr]
+
+
+@pytest.mark.parametrize('granted', [0, 1])
+def test_request_waits_for_the_owner_of_its_quota(granted: int) -> None:
+    world, number, report = _waiting()
+    assert not _named(world, number)
+    name = world.state.requests[number].customer_name
+    standing = LimitStanding(granted, False, 0.5)
+    reply = LimitReply(report, {f'quota {name}': standing})
+    world.run(LimitMessageReceived(world.now, reply))
+    assert _named(world, number) == [name] * granted
+    refused = [ResultCode.QUOTA_REACHED] * (1 - granted)
+    assert _answers(world, number) == refused
+
+
+def test_caller_that_leaves_while_its_quota_is_asked_for() -> None:
+    world, number, report = _waiting()
+    name = world.state.requests[number].customer_name
+    world.run(CallerGone(world.now, number))
+    standing = LimitStanding(1, False, 0)
+    reply = LimitReply(report, {f'quota {name}': standing})
+    world.run(LimitMessageReceived(world.now, reply))
+    assert not _named(world, number)
+    assert not world.state.requests
+    # The exchange with the caller ends, and its token is given back.
+    assert len(_answers(world, number)) == 1
+    assert world.state.limits.accounts[f'quota {name}'].used == -1
+
+
+def test_nobody_is_told_of_limits_where_there_are_none() -> None:
+    world = World(_ROUTES, _UPSTREAMS)
+    _hear(world)
+    _ask(world, 'read', '')
+    world.wait(1)
+    assert not of_type(world.effects, SendLimitMessage)
+    assert not [
+        one
+        for one in world.state.limits.take_outputs()
+        if isinstance(one, Addressed)
+    ]
--- a/tests/steering/test_fleet.py
+++ b/tests/steering/test_fleet.py
@@ -36,8 +36,8 @@
 from worksrail.core.steering.events import DigestReceived, StopRequested
 from worksrail.daemon.steered._digests import (
     DigestPort,
-    pack_digest,
-    unpack_digest,
+    pack_message,
+    unpack_message,
 )
 from worksrail.daemon.steered._engine import SteeringEngine
 
@@ -195,14 +195,14 @@
     entries: int, upstreams: int
 ) -> None:
     told = _zone_of(entries, upstreams)
-    packed = pack_digest(told)
-    assert unpack_digest(packed) == told
+    packed = pack_message(told)
+    assert unpack_message(packed) == told
     assert len(packed) <= len(msgspec.msgpack.encode(told))
 
 
 def test_digest_of_a_large_zone_takes_half_of_its_bytes() -> None:
     told = _zone_of(22, 180)
-    assert len(pack_digest(told)) < len(msgspec.msgpack.encode(told)) / 2
+    assert len(pack_message(told)) < len(msgspec.msgpack.encode(told)) / 2
 
 
 @pytest.mark.parametrize(
@@ -211,7 +211,7 @@
 )
 def test_datagram_that_is_no_digest(payload: bytes) -> None:
     with pytest.raises(ValueError, match=r'.'):
-        unpack_digest(payload)
+        unpack_message(payload)
 
 
 def test_digests_cross_real_sockets() -> None:
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import Any, TypeVar
 
+from worksrail.core.customers import Customer, CustomerTable, digest_of_key
 from worksrail.core.identity import Incarnation
 from worksrail.core.steering import (
     CallerLimits,
@@ -62,16 +63,26 @@
     version: int,
     routes: Iterable[Route],
     cold_rate: float = 0,
+    customers: Iterable[Customer] | None = None,
 ) -> RoutingConfiguration:
     """A configuration of the services ``orders`` and ``stock``."""
     services = [
         ServicePolicy(name, 100, 3, cold_rate) for name in ('orders', 'stock')
     ]
+    table = None
+    if customers is not None:
+        table = CustomerTable.from_customers(customers)
     return RoutingConfiguration.from_routes(
-        version, routes, services, CallerLimits()
+        version, routes, services, CallerLimits(), table
     )
 
 
+def customer(name: str, *keys: str, **changes: Any) -> Customer:
+    """A customer with some keys."""
+    digests = tuple(digest_of_key(key.encode()) for key in keys)
+    return Customer(name, digests, **changes)
+
+
 def upstream(name: str, **changes: Any) -> UpstreamRecord:
     """An upstream of the service ``orders`` in zone ``a1``."""
     fields: dict[str, Any] = {
@@ -157,6 +168,7 @@
         self.now = 100.0
         cold_rate = options.pop('cold_rate', 0)
         settle = options.pop('settle', 0.6)
+        customers = options.pop('customers', None)
         self.state = SteeringState.from_settings(
             settings(**options), Incarnation('one', 1), self.now, 7
         )
@@ -165,7 +177,9 @@
         self.run(
             ConfigurationRead(
                 self.now,
-                configuration(1, tuple(routes) or (route(),), cold_rate),
+                configuration(
+                    1, tuple(routes) or (route(),), cold_rate, customers
+                ),
                 1,
             ),
             UpstreamsListed(self.now, tuple(upstreams), 1),
--- a/worksrail/core/results.py
+++ b/worksrail/core/results.py
@@ -156,6 +156,18 @@
     UNKNOWN_ROUTE = _not_run(
         2011, 404, 'No route has this host and path.', _FIX_REQUEST
     )
+    UNKNOWN_KEY = _not_run(
+        2012,
+        401,
+        'No customer holds this API key, or none was sent.',
+        'Send a key that is in force; a retry alone will not help.',
+    )
+    NO_COMMON_REGION = _not_run(
+        2013,
+        403,
+        'No region may serve both this customer and this route.',
+        'Ask the operators; a retry alone will not help.',
+    )
     NO_SLOT = _not_run(
         2101, 503, 'No upstream slot became free in time.', _RETRY_LATER
     )
@@ -187,6 +199,15 @@
         'The entry it goes to could not be reached; nothing was sent.',
         _RETRY_LATER,
     )
+    QUOTA_REACHED = _not_run(
+        2111, 429, 'The quota of the customer is used up.', _RETRY_LATER
+    )
+    KEY_UNCERTAIN = _not_run(
+        2112,
+        503,
+        'The key is not known here, but this entry may be behind.',
+        _RETRY_LATER,
+    )
     ALREADY_RUN = ResultDefinition(
         3001,
         Certainty.RUN,
--- a/worksrail/core/steering/__init__.py
+++ b/worksrail/core/steering/__init__.py
@@ -1,6 +1,11 @@
 """Steering with discovered upstreams: routes, choice, repeats, recovery."""
 
-from worksrail.core.steering._catalog import Catalog, UpstreamRecord
+from worksrail.core.steering._admitting import limit_of
+from worksrail.core.steering._catalog import (
+    Catalog,
+    UpstreamRecord,
+    name_of_life,
+)
 from worksrail.core.steering._digests import (
     Contact,
     Digest,
@@ -11,9 +16,11 @@
 from worksrail.core.steering._directory import EntryList, look_up
 from worksrail.core.steering._news import StoreNews
 from worksrail.core.steering._reducer import reduce
+from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._routes import (
     CallerLimits,
     NoRoute,
+    NotConfigured,
     Route,
     RouteKind,
     RoutingConfiguration,
@@ -27,11 +34,7 @@
     SteeringBounds,
 )
 from worksrail.core.steering._watching import news_since
-from worksrail.core.steering.state import (
-    NotConfigured,
-    SteeredRequest,
-    SteeringState,
-)
+from worksrail.core.steering.state import SteeringState
 
 __all__ = (
     'CallerLimits',
@@ -57,7 +60,9 @@
     'ToldKeys',
     'UpstreamRecord',
     'ZoneDigest',
+    'limit_of',
     'look_up',
+    'name_of_life',
     'news_since',
     'reduce',
 )
--- a/worksrail/core/steering/_affinity.py
+++ b/worksrail/core/steering/_affinity.py
@@ -20,6 +20,8 @@
 _HASHES: Final = float('18446744073709551616')
 
 
+Regions = frozenset[RegionName]
+_ALL_REGIONS: Final[Regions] = frozenset()
 Homes = tuple[str, ...]
 """The upstreams that a key belongs to, its own first, then those it spills to.
 
@@ -42,8 +44,10 @@
     """Generations of the catalog and of the shares of regions that the ranks
     were made from."""
 
-    homes: dict[tuple[ServiceName, str], Homes] = field(default_factory=dict)
-    """Homes by service and key."""
+    homes: dict[tuple[ServiceName, str, Regions], Homes] = field(
+        default_factory=dict
+    )
+    """Homes by service, key, and the regions that may serve the request."""
 
     weights: dict[ServiceName, Shares] = field(default_factory=dict)
     """Weight of a slot in each region, by service."""
@@ -55,14 +59,20 @@
         origin: RegionName,
         service: ServiceName,
         key: str,
+        regions: Regions = _ALL_REGIONS,
     ) -> Homes:
-        """The upstreams of a service that a key belongs to."""
+        """The upstreams of a service that a key belongs to.
+
+        Where only some regions may serve a request, its key belongs to
+        upstreams of these: it would be a stranger at all of them otherwise,
+        and executed cold at one after the other.
+        """
         generation = (catalog.generation, nearness.generation)
         if generation != self.generation:
             self.homes.clear()
             self.weights.clear()
             self.generation = generation
-        known = self.homes.get((service, key))
+        known = self.homes.get((service, key, regions))
         if known is None:
             if len(self.homes) >= _CACHE_LIMIT:
                 self.homes.clear()
@@ -70,8 +80,13 @@
             if weights is None:
                 weights = nearness.weights(catalog, service, origin)
                 self.weights[service] = weights
-            known = _draw(tuple(catalog.usable(service)), weights, key)
-            self.homes[service, key] = known
+            usable = tuple(
+                upstream
+                for upstream in catalog.usable(service)
+                if not regions or upstream.region in regions
+            )
+            known = _draw(usable, weights, key)
+            self.homes[service, key, regions] = known
         return known
 
 
@@ -87,7 +102,7 @@
     """
     scores = {
         upstream.name: rendezvous_score(
-            upstream.name, upstream.record.slots, key
+            upstream.record.listed_as, upstream.record.slots, key
         )
         for upstream in upstreams
     }
--- a/worksrail/core/steering/_catalog.py
+++ b/worksrail/core/steering/_catalog.py
@@ -12,12 +12,25 @@
 _RETURN_TIME: Final = 2.1
 
 
+def name_of_life(identifier: str, born: int) -> str:
+    """Name of one life of an upstream.
+
+    An upstream may start again under its identifier.  It remembers nothing
+    then, so all that is known or told of its earlier life, as load, warmth or
+    failures, must not be taken for this one's.
+
+    >>> name_of_life('i-1', 0), name_of_life('i-1', 17)
+    ('i-1', 'i-1@17')
+    """
+    return f'{identifier}@{born}' if born else identifier
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamRecord:
     """One upstream as discovery lists it."""
 
     name: str
-    """Identifier of this life of the upstream."""
+    """Name of this life of the upstream."""
 
     service: ServiceName
     """Service it belongs to."""
@@ -40,6 +53,17 @@
     cold_time: float = 0
     """Seconds for which it stayed cold when the record was written."""
 
+    identifier: str = ''
+    """Identifier over all its lives; empty if that is its name."""
+
+    born: int = 0
+    """When this life began, Unix milliseconds; zero if it does not say."""
+
+    @property
+    def listed_as(self) -> str:
+        """Identifier that discovery lists it under."""
+        return self.identifier or self.name
+
 
 @dataclass(slots=True)
 class Upstream:
@@ -79,7 +103,10 @@
     """Region of each zone."""
 
     upstreams: dict[str, Upstream] = field(default_factory=dict)
-    """Upstreams by identifier."""
+    """Upstreams by the names of their lives."""
+
+    lives: dict[str, str] = field(default_factory=dict)
+    """Name of the present life by identifier."""
 
     services: dict[ServiceName, list[Upstream]] = field(default_factory=dict)
     """Usable upstreams by service; draining ones are left out."""
@@ -129,11 +156,11 @@
         """Take in a complete list."""
         listed = set()
         for record in records:
-            listed.add(record.name)
+            listed.add(record.listed_as)
             self._take(record, now)
-        for name in tuple(self.upstreams):
-            if name not in listed:
-                self._miss(name, now)
+        for identifier in tuple(self.lives):
+            if identifier not in listed:
+                self._miss(identifier, now)
         self._index()
 
     def change(
@@ -142,11 +169,14 @@
         removed: Iterable[str],
         now: float,
     ) -> None:
-        """Take in what has changed since the last list or change."""
+        """Take in what has changed since the last list or change.
+
+        What was removed is named by identifier.
+        """
         for record in records:
             self._take(record, now)
-        for name in removed:
-            self._miss(name, now)
+        for identifier in removed:
+            self._miss(identifier, now)
         self._index()
 
     def evacuate(self, zones: frozenset[ZoneName]) -> None:
@@ -170,7 +200,7 @@
             if upstream.missing_until <= now
         ]
         for name in gone:
-            self.upstreams.pop(name)
+            self._drop(self.upstreams[name])
         if gone:
             self._index()
         return gone
@@ -179,8 +209,22 @@
         """Upstreams of a service that may get requests."""
         return iter(self.services.get(service, ()))
 
+    def listed(self, identifier: str) -> Upstream | None:
+        """The present life of an upstream, if it is known."""
+        return self.upstreams.get(self.lives.get(identifier, ''))
+
+    def _drop(self, upstream: Upstream) -> None:
+        self.upstreams.pop(upstream.name)
+        self.lives.pop(upstream.record.listed_as)
+
     def _take(self, record: UpstreamRecord, now: float) -> None:
-        known = self.upstreams.get(record.name)
+        known = self.listed(record.listed_as)
+        if known and known.name != record.name:
+            if record.born < known.record.born:
+                # A late report of an earlier life.
+                return
+            self._drop(known)
+            known = None
         if known and record.sequence < known.record.sequence:
             # An older report; it only proves that the entry is listed.
             known.missing_until = inf
@@ -190,6 +234,7 @@
             region = self.regions.get(record.zone, '')
             known = Upstream(record, region, cold_until)
             self.upstreams[record.name] = known
+            self.lives[record.listed_as] = record.name
             return
         if record.address != known.record.address:
             known.misdirected = False
@@ -198,15 +243,15 @@
         known.record = record
         known.missing_until = inf
 
-    def _miss(self, name: str, now: float) -> None:
-        upstream = self.upstreams.get(name)
+    def _miss(self, identifier: str, now: float) -> None:
+        upstream = self.listed(identifier)
         if upstream is None:
             return
         limit = self.returned_at + _RETURN_TIME
         if self.away:
             limit = inf
         if upstream.record.draining or limit <= now:
-            self.upstreams.pop(name)
+            self._drop(upstream)
         else:
             upstream.missing_until = min(upstream.missing_until, limit)
 
@@ -216,6 +261,9 @@
             record = upstream.record
             if record.draining or upstream.misdirected:
                 continue
+            if record.zone not in self.regions:
+                # Nobody can say how far away it is, or who may use it.
+                continue
             if record.zone not in self.evacuated:
                 services.setdefault(record.service, []).append(upstream)
         self.services = services
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -10,6 +10,7 @@
 from worksrail.core.steering._catalog import Upstream
 from worksrail.core.steering._cold import sharers_of
 from worksrail.core.steering._load import FASTEST, LearnedTime
+from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._routes import (
     RouteKind,
     RoutingConfiguration,
@@ -21,10 +22,7 @@
     use_of_slots,
 )
 from worksrail.core.steering._waiting import patience
-from worksrail.core.steering.state import (
-    SteeredRequest,
-    SteeringState,
-)
+from worksrail.core.steering.state import SteeringState
 
 # First guess of the way to another region and back, until connections teach
 # better; seconds.
@@ -147,7 +145,7 @@
         """Whether the upstream may get this request now."""
         if upstream.name in self.request.tried:
             return False
-        regions = self.request.route.regions
+        regions = self.request.regions
         if regions and upstream.region not in regions:
             return False
         if upstream.cold_until <= self.now or self.policy is None:
@@ -278,6 +276,7 @@
         state.settings.region,
         request.service,
         request.affinity_key,
+        request.regions,
     )
 
 
--- a/worksrail/core/steering/_fleet.py
+++ b/worksrail/core/steering/_fleet.py
@@ -8,6 +8,7 @@
 """
 
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from heapq import nlargest
 from typing import Final
@@ -141,6 +142,11 @@
         if address and address != self.peer:
             self.addresses[address] = now
 
+    def learn_all(self, addresses: Iterable[str], now: float) -> None:
+        """Remember addresses at which entries may be."""
+        for address in addresses:
+            self.learn(address, now)
+
     def alive(self, now: float) -> list[Entry]:
         """Entries that were heard lately."""
         return [entry for entry in self.entries.values() if entry.alive(now)]
--- a/worksrail/core/steering/_learning.py
+++ b/worksrail/core/steering/_learning.py
@@ -4,10 +4,11 @@
 from typing import Final
 
 from worksrail.core.steering._choosing import distance
+from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._warmth import RouteTimes
 from worksrail.core.steering.effects import Decision, DecisionKind, Effect
 from worksrail.core.steering.events import AttemptEnded, AttemptOutcome
-from worksrail.core.steering.state import SteeredRequest, SteeringState
+from worksrail.core.steering.state import SteeringState
 
 # Seconds after which a connection that was not made has met silence: an
 # upstream that is down, on an instance that is up, refuses sooner.
--- a/worksrail/core/steering/_load.py
+++ b/worksrail/core/steering/_load.py
@@ -3,7 +3,6 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from math import exp
 from typing import Final
 
 # How much one answer moves the learned figures.
@@ -21,8 +20,6 @@
 # many seconds on top, is taken to be silent: its machine may have no power.
 _SILENT_TIMES: Final = 3.0
 _SILENT_SLACK: Final = 0.4
-# Seconds over which the rate of arrivals is averaged.
-_RATE_TIME: Final = 2.0
 # Bounds of the learned slowness.
 FASTEST: Final = 0.25
 _SLOWEST: Final = 30.0
@@ -134,26 +131,6 @@
         return True
 
 
-@dataclass(slots=True)
-class RateMeter:
-    """A moving average of how many things happen in a second."""
-
-    smoothed: float = 0
-    """Things a second, as of ``noted_at``."""
-
-    noted_at: float = 0
-    """When the last thing happened."""
-
-    def note(self, now: float) -> None:
-        """One more thing happens."""
-        self.smoothed = self.rate(now) + 1 / _RATE_TIME
-        self.noted_at = now
-
-    def rate(self, now: float) -> float:
-        """Things a second."""
-        return self.smoothed * exp((self.noted_at - now) / _RATE_TIME)
-
-
 @dataclass(slots=True)
 class LearnedTime:
     """A moving average of times, in seconds."""
--- a/worksrail/core/steering/_news.py
+++ b/worksrail/core/steering/_news.py
@@ -36,7 +36,7 @@
     """Zones to be evacuated."""
 
     removed: tuple[str, ...] = ()
-    """Names of objects that were removed."""
+    """Names of objects that were removed; identifiers of upstreams."""
 
     faults: tuple[str, ...] = ()
     """Objects that could not be decoded, and what was expected."""
@@ -59,7 +59,8 @@
     """Revision up to which each kind is known; zero: not at all."""
 
     changed: dict[str, int] = field(default_factory=dict)
-    """Revision at which each upstream changed last, or was removed."""
+    """Revision at which each upstream changed last, or was removed, by
+    identifier."""
 
     floor: int = 0
     """Revision from which ``changed`` is complete."""
@@ -87,16 +88,17 @@
 
     def upstreams_since(self, catalog: Catalog, since: int) -> StoreNews:
         """What has changed of upstreams since a revision."""
-        known = catalog.upstreams
         revision = self.revisions[StoreKind.UPSTREAMS]
         if since <= 0 or since < self.floor:
-            records = tuple(upstream.record for upstream in known.values())
+            known = catalog.upstreams.values()
+            records = tuple(upstream.record for upstream in known)
             return StoreNews(revision, records=records, complete=True)
         changed = [name for name, at in self.changed.items() if at > since]
+        listed = [catalog.listed(name) for name in changed]
         return StoreNews(
             revision,
-            records=tuple(
-                known[name].record for name in changed if name in known
+            records=tuple(upstream.record for upstream in listed if upstream),
+            removed=tuple(
+                name for name in changed if name not in catalog.lives
             ),
-            removed=tuple(name for name in changed if name not in known),
         )
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -3,7 +3,11 @@
 from collections.abc import Iterator
 from typing import Final
 
+from worksrail.core.customers import Customer, NoCustomer
+from worksrail.core.identity import RegionName
 from worksrail.core.results import ResultCode
+from worksrail.core.steering._admitting import admit
+from worksrail.core.steering._identifying import allowed_regions, identify
 from worksrail.core.steering._learning import learn
 from worksrail.core.steering._placing import (
     place,
@@ -12,6 +16,7 @@
     version_of,
 )
 from worksrail.core.steering._repeating import NOT_EXECUTED, denial_of
+from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._routes import (
     NoRoute,
     Route,
@@ -30,7 +35,7 @@
     CallerGone,
     RequestArrived,
 )
-from worksrail.core.steering.state import SteeredRequest, SteeringState
+from worksrail.core.steering.state import SteeringState
 
 # Seconds after the request to stop from which new requests are refused, as a
 # share of the grace period.
@@ -55,33 +60,22 @@
 ) -> Iterator[Effect]:
     """Match a request to its route and place it, or refuse it."""
     state.arrivals.note(event.now)
-    route = _route(state, event)
-    if isinstance(route, ResultCode):
-        retry_after = retry_pause(state) if _comes_back(route) else 0
+    request = _recognised(state, event)
+    if isinstance(request, ResultCode):
+        retry_after = retry_pause(state) if _comes_back(request) else 0
         yield Decision(
             DecisionKind.REQUEST_REFUSED,
-            route.name,
+            request.name,
             event.request,
             (('version', version_of(state)),),
         )
-        yield AnswerResult(event.request, route, retry_after)
+        yield AnswerResult(event.request, request, retry_after)
         return
-    allowed = route.timeout
-    if event.head.time_left is not None:
-        allowed = min(allowed, event.head.time_left)
-    request = SteeredRequest(
-        event.request,
-        event.head,
-        route,
-        state.splits.choose(route),
-        event.now,
-        event.now + allowed,
-    )
     request.returned = _has_returned(state, request)
     if request.affinity_key:
         state.sharing.note(request.service, request.affinity_key, event.now)
     state.requests[event.request] = request
-    yield from place(state, request, event.now)
+    yield from admit(state, request, event.now)
 
 
 def on_caller_gone(
@@ -137,13 +131,53 @@
     yield from place(state, request, event.now)
 
 
-def _route(
+def _recognised(
     state: SteeringState,
     event: RequestArrived,
-) -> Route | ResultCode:
+) -> SteeredRequest | ResultCode:
+    """The request with its route and customer, or why it is refused."""
     configuration = state.configuration
     if not isinstance(configuration, RoutingConfiguration):
         return ResultCode.NOT_READY
+    route = _route(state, configuration, event)
+    if isinstance(route, ResultCode):
+        return route
+    customer = identify(state, configuration, route, event.head, event.now)
+    if isinstance(customer, ResultCode):
+        return customer
+    regions = allowed_regions(route, customer)
+    if isinstance(regions, ResultCode):
+        return regions
+    return _begun(state, event, route, customer, regions)
+
+
+def _begun(
+    state: SteeringState,
+    event: RequestArrived,
+    route: Route,
+    customer: Customer | NoCustomer,
+    regions: frozenset[RegionName],
+) -> SteeredRequest:
+    allowed = route.timeout
+    if event.head.time_left is not None:
+        allowed = min(allowed, event.head.time_left)
+    return SteeredRequest(
+        event.request,
+        event.head,
+        route,
+        state.splits.choose(route),
+        event.now,
+        event.now + allowed,
+        customer,
+        regions,
+    )
+
+
+def _route(
+    state: SteeringState,
+    configuration: RoutingConfiguration,
+    event: RequestArrived,
+) -> Route | ResultCode:
     if state.exited:
         # Connections are being closed: what still arrives was never begun.
         return ResultCode.ENTRY_LEAVING
@@ -219,4 +253,8 @@
 
 
 def _comes_back(code: ResultCode) -> bool:
-    return code in {ResultCode.NOT_READY, ResultCode.ENTRY_LEAVING}
+    return code in {
+        ResultCode.NOT_READY,
+        ResultCode.ENTRY_LEAVING,
+        ResultCode.KEY_UNCERTAIN,
+    }
--- a/worksrail/core/steering/_on_store.py
+++ b/worksrail/core/steering/_on_store.py
@@ -2,12 +2,15 @@
 
 from collections.abc import Iterable, Iterator
 
+from worksrail.core.steering._admitting import limits_of
 from worksrail.core.steering._catalog import UpstreamRecord
 from worksrail.core.steering._routes import RoutingConfiguration
 from worksrail.core.steering.effects import (
     MANY,
+    CancelAttempt,
     Decision,
     DecisionKind,
+    DropConnections,
     Effect,
 )
 from worksrail.core.steering.events import (
@@ -42,6 +45,8 @@
             return
     state.configuration = event.configuration
     state.splits.forget_all()
+    limits = limits_of(event.configuration, state.settings.bounds)
+    state.limits.follow(limits, event.now)
     yield Decision(DecisionKind.CONFIGURATION_APPLIED, str(version))
 
 
@@ -62,7 +67,7 @@
     event: UpstreamsChanged,
 ) -> Iterator[Effect]:
     """Take in changes of upstreams."""
-    changed = [record.name for record in event.records]
+    changed = [record.listed_as for record in event.records]
     state.mirror.note_changes((*changed, *event.removed), event.revision)
     before = _beliefs(state, event.now)
     state.catalog.change(event.records, event.removed, event.now)
@@ -138,8 +143,9 @@
     now: float,
 ) -> Iterator[Effect]:
     after = _beliefs(state, now)
-    for name in before.keys() - after.keys():
+    for name in sorted(before.keys() - after.keys()):
         yield Decision(DecisionKind.UPSTREAM_GONE, name)
+        yield from _end_life(state, before[name][0])
     known: list[Decision] = []
     cold: list[Decision] = []
     for name, (record, is_cold) in after.items():
@@ -157,6 +163,30 @@
     state.cold.forget(warm | (before.keys() - after.keys()))
 
 
+def _end_life(
+    state: SteeringState,
+    record: UpstreamRecord,
+) -> Iterator[Effect]:
+    """Give up on an earlier life of an upstream that has started again.
+
+    What is out there is answered no more: it ends at once, and goes elsewhere
+    if it may be repeated, instead of waiting until its deadline.
+    """
+    successor = state.catalog.listed(record.listed_as)
+    if successor is None:
+        return
+    yield Decision(
+        DecisionKind.UPSTREAM_RESTARTED,
+        successor.name,
+        inputs=(('before', record.name),),
+    )
+    yield DropConnections(record.address)
+    for request in state.requests.values():
+        if request.upstream == record.name:
+            request.moving = True
+            yield CancelAttempt(request.number)
+
+
 def _few_or_count(
     decisions: list[Decision],
     many: DecisionKind,
--- a/worksrail/core/steering/_on_time.py
+++ b/worksrail/core/steering/_on_time.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from worksrail.core.identity import RegionName
+from worksrail.core.steering._admitting import tend_limits
 from worksrail.core.steering._on_digests import (
     forget_silent_zones,
     tell,
@@ -43,10 +44,7 @@
     yield from _become_ready(state, event.now)
     yield from move_from_silent(state, event.now)
     if event.now >= state.next_upkeep_at:
-        state.next_upkeep_at = event.now + _UPKEEP_INTERVAL
-        yield from _note_deaths(state, event.now)
-        yield from keep_up(state, event.now)
-        _move_homes(state, event.now)
+        yield from _look_around(state, event.now)
     if event.now >= state.next_digest_at:
         yield from tell(state, event.now)
     yield from _exit_when_done(state, event.now)
@@ -74,9 +72,19 @@
         return
     for name in tuple(state.loads.told):
         state.loads.forget(name)
+    state.limits.note_pause(now)
     yield Decision(DecisionKind.PAUSED, inputs=(('seconds', round(gap, 3)),))
 
 
+def _look_around(state: SteeringState, now: float) -> Iterator[Effect]:
+    """See who lives and who knows more of the store, and follow it."""
+    state.next_upkeep_at = now + _UPKEEP_INTERVAL
+    yield from _note_deaths(state, now)
+    yield from keep_up(state, now)
+    _move_homes(state, now)
+    yield from tend_limits(state, now)
+
+
 def _note_deaths(state: SteeringState, now: float) -> Iterator[Effect]:
     dead, forgotten = state.fleet.expire(now)
     for name in dead:
--- a/worksrail/core/steering/_placing.py
+++ b/worksrail/core/steering/_placing.py
@@ -5,6 +5,7 @@
 
 from worksrail.core.results import ResultCode
 from worksrail.core.steering._choosing import Choice, choose
+from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._routes import RoutingConfiguration
 from worksrail.core.steering.effects import (
     AnswerResult,
@@ -13,7 +14,7 @@
     Effect,
     SendUpstream,
 )
-from worksrail.core.steering.state import SteeredRequest, SteeringState
+from worksrail.core.steering.state import SteeringState
 
 # Seconds for which an answer is awaited beyond the time that the upstream
 # was given: its own word that the time is over has to come back.
@@ -26,6 +27,11 @@
 _RETRY_SPREAD: Final = (0.5, 1.5)
 
 
+def quota_name(customer: str) -> str:
+    """Name of the shared limit that keeps a customer's quota."""
+    return f'quota {customer}'
+
+
 def place(
     state: SteeringState,
     request: SteeredRequest,
@@ -69,10 +75,11 @@
     yield SendUpstream(
         request.number,
         request.attempts,
-        upstream.name,
+        upstream.record.listed_as,
         upstream.record.address,
         request.deadline,
         request.deadline + _ANSWER_MARGIN,
+        request.customer_name,
     )
     yield Decision(
         kind,
@@ -97,23 +104,32 @@
     request: SteeredRequest,
     code: ResultCode,
     now: float,
+    *,
+    pause: float = 0,
 ) -> Iterator[Effect]:
-    """End a request that no upstream shall get (any more)."""
+    """End a request that no upstream shall get (any more).
+
+    Its caller shall come back after a pause, a usual one if none is given.
+    """
     state.requests.pop(request.number)
     kind = DecisionKind.REQUEST_REFUSED
-    retry_after = retry_pause(state)
+    retry_after = pause or retry_pause(state)
     if request.maybe_executed:
         # Only what was never executed may be called refused.
         kind = DecisionKind.REQUEST_FAILED
         code = ResultCode.UPSTREAM_BROKE
         retry_after = 0
+    elif request.admitted:
+        state.limits.give_back(quota_name(request.customer_name))
     yield Decision(
         kind,
         code.name,
         request.number,
         (
             ('service', request.service),
+            ('customer', request.customer_name),
             ('after', round(now - request.arrived_at, 4)),
+            ('retry_after', retry_after),
             ('version', version_of(state)),
         ),
     )
--- a/worksrail/core/steering/_reducer.py
+++ b/worksrail/core/steering/_reducer.py
@@ -8,6 +8,7 @@
 from typing import Any, Final
 
 from worksrail.core.steering import (
+    _admitting,
     _on_digests,
     _on_requests,
     _on_store,
@@ -22,6 +23,7 @@
     DigestReceived,
     EvacuationsRead,
     Event,
+    LimitMessageReceived,
     NewsFetched,
     NewsMissed,
     RequestArrived,
@@ -41,6 +43,7 @@
     NewsFetched: _watching.on_fetched,
     NewsMissed: _watching.on_missed,
     DigestReceived: _on_digests.on_digest,
+    LimitMessageReceived: _admitting.on_limit_message,
     StopRequested: _on_time.on_stop,
     ConfigurationRead: _on_store.on_configuration,
     UpstreamsListed: _on_store.on_listed,
--- a/worksrail/core/steering/_repeating.py
+++ b/worksrail/core/steering/_repeating.py
@@ -2,8 +2,9 @@
 
 from typing import Final
 
+from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering.events import AttemptEnded, AttemptOutcome
-from worksrail.core.steering.state import SteeredRequest, SteeringState
+from worksrail.core.steering.state import SteeringState
 
 # Attempts that do not meet the upstream they are meant for, because there is no
 # connection or another one has its address, leave the route's attempts alone;
--- a/worksrail/core/steering/_routes.py
+++ b/worksrail/core/steering/_routes.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
+from worksrail.core.customers import CustomerTable
 from worksrail.core.identity import RegionName, ServiceName
 
 
@@ -24,6 +25,13 @@
     UNKNOWN_PATH = 'no route of the host has a prefix of this path'
 
 
+@unique
+class NotConfigured(Enum):
+    """Sentinel: there is no configuration yet."""
+
+    NEVER_READ = 'no configuration was read so far'
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceWeight:
     """One part of a traffic split."""
@@ -72,6 +80,9 @@
     regions: frozenset[RegionName]
     """Regions that may serve it; empty means all."""
 
+    public: bool = False
+    """Callers need no key."""
+
     @property
     def idempotent(self) -> bool:
         """Whether a request may be executed more than once."""
@@ -128,6 +139,9 @@
     limits: CallerLimits
     """Limits on callers."""
 
+    customers: CustomerTable | None = None
+    """Who may call; None means anybody, without a key."""
+
     @classmethod
     def from_routes(
         cls,
@@ -135,13 +149,14 @@
         routes: Iterable[Route],
         services: Iterable[ServicePolicy],
         limits: CallerLimits,
+        customers: CustomerTable | None = None,
     ) -> 'RoutingConfiguration':
         """Index routes and services."""
         by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
             by_host.setdefault(route.host, {})[route.prefix] = route
         by_name = {service.name: service for service in services}
-        return cls(version, by_host, by_name, limits)
+        return cls(version, by_host, by_name, limits, customers)
 
     def match(self, host: str, target: str) -> Route | NoRoute:
         """Find the route with the longest prefix of a request target.
--- a/worksrail/core/steering/_settings.py
+++ b/worksrail/core/steering/_settings.py
@@ -47,6 +47,15 @@
     store_history: float = 30
     """Seconds for which the store keeps what has changed, as a rule."""
 
+    quota_window: float = 5
+    """Sliding window over which a customer's requests are counted."""
+
+    quota_overage: float = 0
+    """Share of a quota by which it may be passed within a window."""
+
+    quota_slack: float = 0
+    """Requests by which it may be passed besides."""
+
 
 @dataclass(frozen=True, slots=True)
 class EntryAddresses:
--- a/worksrail/core/steering/_silence.py
+++ b/worksrail/core/steering/_silence.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from worksrail.core.steering._learning import SILENCE
+from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._routes import RouteKind
 from worksrail.core.steering.effects import (
     CancelAttempt,
@@ -10,7 +11,7 @@
     DecisionKind,
     Effect,
 )
-from worksrail.core.steering.state import SteeredRequest, SteeringState
+from worksrail.core.steering.state import SteeringState
 
 
 def move_from_silent(state: SteeringState, now: float) -> Iterator[Effect]:
--- a/worksrail/core/steering/_waiting.py
+++ b/worksrail/core/steering/_waiting.py
@@ -7,7 +7,7 @@
 
 from typing import Final
 
-from worksrail.core.steering.state import SteeredRequest
+from worksrail.core.steering._request import SteeredRequest
 
 # Share of the target latency that an answer should take, and the least share
 # that may be spent waiting for a slot whatever the work takes.  0.75 instead
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -4,6 +4,8 @@
 from enum import Enum, unique
 from typing import Final
 
+from worksrail.core.customers import CustomerName
+from worksrail.core.limits import LimitMessage
 from worksrail.core.results import ResultCode
 from worksrail.core.steering._digests import Digest
 from worksrail.core.steering.events import RequestNumber
@@ -32,6 +34,9 @@
     give_up_at: float
     """When this entry stops to wait for the answer."""
 
+    customer: CustomerName = ''
+    """Whose request it is, for the upstream to know; empty if nobody's."""
+
 
 @dataclass(frozen=True, slots=True)
 class AnswerResult:
@@ -66,6 +71,25 @@
     """What to tell."""
 
 
+@dataclass(frozen=True, slots=True)
+class SendLimitMessage:
+    """Tell another entry of a shared limit; the datagram may be lost."""
+
+    receiver: str
+    """Its peer address."""
+
+    message: LimitMessage
+    """What to tell."""
+
+
+@dataclass(frozen=True, slots=True)
+class DropConnections:
+    """Close idle connections: whoever accepted them has ended."""
+
+    address: str
+    """Where they lead; IP number and port."""
+
+
 @dataclass(frozen=True, slots=True)
 class FollowStore:
     """Begin or cease to read the store."""
@@ -116,6 +140,7 @@
     UPSTREAMS_KNOWN = 'many upstreams listed at once'
     UPSTREAM_DRAINING = 'upstream drains'
     UPSTREAM_GONE = 'upstream gone'
+    UPSTREAM_RESTARTED = 'upstream started again under its identifier'
     UPSTREAM_COLD = 'upstream cold'
     UPSTREAMS_COLD = 'many upstreams cold at once'
     UPSTREAM_EJECTED = 'upstream left alone for its failures'
@@ -165,6 +190,8 @@
     | AnswerResult
     | CancelAttempt
     | SendDigest
+    | SendLimitMessage
+    | DropConnections
     | FollowStore
     | ListStore
     | FetchNews
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -6,7 +6,9 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
+from worksrail.core.customers import KeyDigest
 from worksrail.core.identity import ZoneName
+from worksrail.core.limits import LimitMessage
 from worksrail.core.steering._catalog import UpstreamRecord
 from worksrail.core.steering._digests import Digest
 from worksrail.core.steering._news import StoreNews
@@ -67,6 +69,9 @@
     key: str
     """Affinity key; empty if there is none."""
 
+    key_digest: KeyDigest = ''
+    """Digest of the caller's API key; empty if none came."""
+
 
 @dataclass(frozen=True, slots=True)
 class Ticked:
@@ -205,6 +210,17 @@
     """What it told."""
 
 
+@dataclass(frozen=True, slots=True)
+class LimitMessageReceived:
+    """Another entry told of a limit that all entries share."""
+
+    now: float
+    """Monotonic time in seconds."""
+
+    message: LimitMessage
+    """What it told."""
+
+
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
     """A request came from a caller."""
@@ -278,6 +294,7 @@
     | NewsFetched
     | NewsMissed
     | DigestReceived
+    | LimitMessageReceived
     | RequestArrived
     | CallerGone
     | AttemptEnded
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -1,35 +1,29 @@
 """The whole state of an entry with discovered upstreams, by its owners."""
 
 import random
-from collections.abc import Iterable
 from dataclasses import dataclass, field
-from enum import Enum, unique
 from math import inf
 from typing import Final
 
+from worksrail.core._meters import RateMeter
 from worksrail.core.identity import Incarnation, RegionName, ServiceName
+from worksrail.core.limits import SharedLimits
 from worksrail.core.steering._affinity import Affinity
 from worksrail.core.steering._catalog import Catalog
 from worksrail.core.steering._cold import ColdLimits
 from worksrail.core.steering._fleet import Fleet
-from worksrail.core.steering._load import (
-    LearnedTime,
-    LoadTable,
-    RateMeter,
-)
+from worksrail.core.steering._load import LearnedTime, LoadTable
 from worksrail.core.steering._nearness import Nearness
 from worksrail.core.steering._news import Mirror
 from worksrail.core.steering._reach import Reach
 from worksrail.core.steering._repeats import RepeatBudget
-from worksrail.core.steering._routes import Route, RoutingConfiguration
+from worksrail.core.steering._request import SteeredRequest
+from worksrail.core.steering._routes import NotConfigured, RoutingConfiguration
 from worksrail.core.steering._settings import EntrySettings
 from worksrail.core.steering._sharing import KeySharing
 from worksrail.core.steering._splits import Splits
 from worksrail.core.steering._warmth import Warmth
-from worksrail.core.steering.events import (
-    RequestNumber,
-    SteeredHead,
-)
+from worksrail.core.steering.events import RequestNumber
 from worksrail.core.steering.kinds import StoreKind
 
 # Seconds for which a fresh entry may not have heard of all others: it serves,
@@ -39,91 +33,6 @@
 _SETTLING: Final = 0.5
 
 
-@unique
-class NotConfigured(Enum):
-    """Sentinel: there is no configuration yet."""
-
-    NEVER_READ = 'no configuration was read so far'
-
-
-@dataclass(slots=True)
-class SteeredRequest:
-    """A request under way."""
-
-    number: RequestNumber
-    """Number of the arrival."""
-
-    head: SteeredHead
-    """What is known of it."""
-
-    route: Route
-    """Route that it matched on arrival."""
-
-    service: ServiceName
-    """Part of the route that it goes to."""
-
-    arrived_at: float
-    """When it came."""
-
-    deadline: float
-    """When its upstream must stop, and it gets its final answer."""
-
-    returned: bool = False
-    """The caller seems to have come back after a refusal."""
-
-    counted: bool = False
-    """The request was counted for the budget of repeats."""
-
-    attempts: int = 0
-    """Attempts begun, those that found no connection included."""
-
-    sends: int = 0
-    """Upstreams that it was sent to."""
-
-    upstream: str = ''
-    """Upstream of the attempt under way; empty between attempts."""
-
-    last_upstream: str = ''
-    """Upstream of the attempt that ended last."""
-
-    sent_at: float = 0
-    """When the last attempt began."""
-
-    expected: float = 0
-    """Seconds which that attempt was expected to take."""
-
-    queue: float = 0
-    """Requests that were ahead of it there, for each slot."""
-
-    warm: bool = False
-    """Whether its key was expected to be warm there."""
-
-    tried: set[str] = field(default_factory=set)
-    """Upstreams that it shall not go to again."""
-
-    moving: bool = False
-    """Its attempt was cut off here because the upstream is silent."""
-
-    maybe_executed: bool = False
-    """An upstream may have executed it."""
-
-    caller_gone: bool = False
-    """The caller has left."""
-
-    @property
-    def affinity_key(self) -> str:
-        """What an upstream remembers of it; empty if that makes no difference.
-
-        An upstream that has executed a key on one route is cold for the same
-        key on another one (first executions on a second route took the cold
-        time in 62 of 70 cases that were logged), so these are kept apart: a key
-        of two routes would draw both to one upstream and leave others empty.
-        """
-        if not self.route.affinity or not self.head.key:
-            return ''
-        return f'{self.route.name}|{self.head.key}'
-
-
 @dataclass(frozen=True, slots=True)
 class Shortage:
     """How much of a service's slots is in use."""
@@ -157,6 +66,9 @@
     nearness: Nearness
     """Where keys of the own region are at home."""
 
+    limits: SharedLimits
+    """Limits that all entries share."""
+
     started_at: float
     """When this incarnation began."""
 
@@ -272,7 +184,7 @@
     ) -> 'SteeringState':
         """Begin an incarnation that knows its settings only."""
         fleet = Fleet(who.name, settings.zone, settings.addresses.peer)
-        _learn_all(fleet, settings.seeds, now)
+        fleet.learn_all(settings.seeds, now)
         return cls(
             settings,
             who,
@@ -280,6 +192,7 @@
             Catalog(settings.regions),
             fleet,
             Nearness.from_regions(settings.regions.values()),
+            SharedLimits(who, settings.addresses.peer, now, settings.seeds),
             now,
             now,
         )
@@ -312,8 +225,3 @@
             budget = RepeatBudget(self.settings.bounds)
             self.budgets[service] = budget
         return budget
-
-
-def _learn_all(fleet: Fleet, addresses: Iterable[str], now: float) -> None:
-    for address in addresses:
-        fleet.learn(address, now)
--- a/worksrail/daemon/http/_connections.py
+++ b/worksrail/daemon/http/_connections.py
@@ -133,6 +133,11 @@
         # without one a request would be lost on a dead connection.
         stream.set_close_callback(_noticed)
 
+    def drop(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for idle in self.idle.pop(address, ()):
+            idle.stream.close()
+
     def close(self) -> None:
         """Close all idle connections."""
         for waiting in self.idle.values():
--- a/worksrail/daemon/steered/_adapter.py
+++ b/worksrail/daemon/steered/_adapter.py
@@ -10,6 +10,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from worksrail.core.customers import CustomerName
 from worksrail.core.identity import RegionName, ZoneName
 from worksrail.core.steering import (
     EntryList,
@@ -83,8 +84,12 @@
         headers: HTTPHeaders,
         upstream: str,
         time_left: float,
+        customer: CustomerName,
     ) -> None:
-        """Name the upstream that is meant, and the seconds it has."""
+        """Name the upstream, the seconds it has, and whose request it is.
+
+        The caller's key goes no further.
+        """
 
     def read_answer(self, status: int, headers: HTTPHeaders) -> UpstreamAnswer:
         """Read the head of an answer."""
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -24,11 +24,13 @@
     AnswerResult,
     CancelAttempt,
     Decision,
+    DropConnections,
     ExitProcess,
     FetchNews,
     FollowStore,
     ListStore,
     SendDigest,
+    SendLimitMessage,
     SendUpstream,
 )
 from worksrail.core.steering.events import StopRequested
@@ -147,7 +149,9 @@
             SendUpstream: self.requests.send_upstream,
             AnswerResult: self.requests.answer_result,
             CancelAttempt: self.requests.cancel,
+            DropConnections: self.requests.drop_connections,
             SendDigest: self.digests.send,
+            SendLimitMessage: self.digests.send_limit_message,
             FollowStore: self.follow,
             ListStore: self.list_store,
             FetchNews: news.fetch,
--- a/worksrail/daemon/steered/_digests.py
+++ b/worksrail/daemon/steered/_digests.py
@@ -1,4 +1,4 @@
-"""Digests between entries: small datagrams, each of which may be lost."""
+"""Messages between entries: small datagrams, each of which may be lost."""
 
 import asyncio
 import zlib
@@ -8,9 +8,10 @@
 import msgspec
 from logbook import Logger
 
-from worksrail.core.steering import Digest
-from worksrail.core.steering.effects import SendDigest
-from worksrail.core.steering.events import DigestReceived
+from worksrail.core.limits import LimitHandover, LimitReply, LimitReport
+from worksrail.core.steering import EntryDigest, ZoneDigest
+from worksrail.core.steering.effects import SendDigest, SendLimitMessage
+from worksrail.core.steering.events import DigestReceived, LimitMessageReceived
 from worksrail.daemon.steered._engine import SteeringEngine
 
 _LOG: Final = Logger('worksrail.peers')
@@ -23,32 +24,37 @@
 _COMPRESSED: Final = b'x'
 # Bytes that a digest may grow to, so that no datagram can fill the memory.
 _LONGEST: Final = 1_000_000
-_DECODER: Final = msgspec.msgpack.Decoder(Digest)
+PeerMessage = (
+    EntryDigest | ZoneDigest | LimitReport | LimitReply | LimitHandover
+)
+"""What one datagram holds."""
 
+_DECODER: Final = msgspec.msgpack.Decoder(PeerMessage)
 
-def pack_digest(digest: Digest) -> bytes:
-    """Bytes of a digest, compressed if that is worth it."""
-    payload = msgspec.msgpack.encode(digest)
+
+def pack_message(message: PeerMessage) -> bytes:
+    """Bytes of a message, compressed if that is worth it."""
+    payload = msgspec.msgpack.encode(message)
     if len(payload) < _WORTH_COMPRESSING:
         return payload
     return zlib.compress(payload, _LEVEL)
 
 
-def unpack_digest(payload: bytes) -> Digest:
-    """The digest in some bytes; raises ``ValueError`` if there is none."""
+def unpack_message(payload: bytes) -> PeerMessage:
+    """The message in some bytes; raises ``ValueError`` if there is none."""
     if payload.startswith(_COMPRESSED):
         try:
             payload = zlib.decompressobj().decompress(payload, _LONGEST)
         except zlib.error as error:
             raise ValueError(
-                f'expected a compressed digest: {error}'
+                f'expected a compressed message: {error}'
             ) from error
     return _DECODER.decode(payload)
 
 
 @dataclass(slots=True)
 class DigestPort(asyncio.DatagramProtocol):
-    """Sends and receives digests at the peer address."""
+    """Sends and receives messages at the peer address."""
 
     engine: SteeringEngine
     """Takes the events."""
@@ -76,15 +82,19 @@
         self.transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
-        """Make an event of a digest."""
+        """Make an event of a message."""
         try:
-            digest = unpack_digest(data)
+            message = unpack_message(data)
         except ValueError as error:
             _LOG.warning(
-                'malformed digest', extra={'peer': addr[0], 'why': str(error)}
+                'malformed message', extra={'peer': addr[0], 'why': str(error)}
             )
             return
-        self.engine.dispatch(DigestReceived(self.engine.now(), digest))
+        now = self.engine.now()
+        if isinstance(message, EntryDigest | ZoneDigest):
+            self.engine.dispatch(DigestReceived(now, message))
+        else:
+            self.engine.dispatch(LimitMessageReceived(now, message))
 
     def error_received(self, exc: Exception) -> None:
         """A datagram could not be sent; the next one may."""
@@ -92,9 +102,16 @@
 
     def send(self, effect: SendDigest) -> None:
         """Send a digest to some entries."""
+        payload = pack_message(effect.digest)
+        for receiver in effect.receivers:
+            self._send(payload, receiver)
+
+    def send_limit_message(self, effect: SendLimitMessage) -> None:
+        """Tell another entry of a shared limit."""
+        self._send(pack_message(effect.message), effect.receiver)
+
+    def _send(self, payload: bytes, receiver: str) -> None:
         if self.transport is None:
             return
-        payload = pack_digest(effect.digest)
-        for receiver in effect.receivers:
-            host, _, port = receiver.partition(':')
-            self.transport.sendto(payload, (host, int(port)))
+        host, _, port = receiver.partition(':')
+        self.transport.sendto(payload, (host, int(port)))
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -10,6 +10,7 @@
 from worksrail.core.steering.effects import (
     AnswerResult,
     CancelAttempt,
+    DropConnections,
     SendUpstream,
 )
 from worksrail.core.steering.events import (
@@ -146,6 +147,10 @@
         if exchange:
             exchange.cancel()
 
+    def drop_connections(self, effect: DropConnections) -> None:
+        """Close idle connections to an address."""
+        self.upstreams.drop(effect.address)
+
     def trace_of(self, number: int) -> str:
         """The caller's identifier of a request."""
         exchange = self.exchanges.get(number)
@@ -196,7 +201,10 @@
             if body.size or 'Transfer-Encoding' in exchange.headers:
                 headers['Content-Length'] = str(body.size)
         self.adapter.upstreams.mark_request(
-            headers, effect.upstream, effect.deadline - self.engine.now()
+            headers,
+            effect.upstream,
+            effect.deadline - self.engine.now(),
+            effect.customer,
         )
         start = httputil.RequestStartLine(
             exchange.start.method, exchange.start.path, _HTTP
--- a/worksrail/platform/_dialect.py
+++ b/worksrail/platform/_dialect.py
@@ -7,6 +7,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from worksrail.core.customers import CustomerName, KeyDigest, digest_of_key
 from worksrail.core.results import ResultCode
 from worksrail.core.steering import EntryList
 from worksrail.core.steering.events import ReportedLoad, SteeredHead
@@ -65,6 +66,7 @@
             target,
             time_left,
             _affinity(headers),
+            _key_digest(headers),
         )
 
     def is_readiness(self, target: str) -> bool:
@@ -100,11 +102,16 @@
         headers: HTTPHeaders,
         upstream: str,
         time_left: float,
+        customer: CustomerName,
     ) -> None:
-        """Name the upstream that is meant, and the milliseconds it has."""
+        """Name the upstream, the milliseconds it has, and the customer."""
         milliseconds = max(1, int(time_left * _MILLISECONDS))
         headers[names.DEADLINE] = str(milliseconds)
         headers[names.TARGET] = upstream
+        headers.pop(names.API_KEY, None)
+        headers.pop(names.CUSTOMER, None)
+        if customer:
+            headers[names.CUSTOMER] = customer
 
     def read_answer(self, status: int, headers: HTTPHeaders) -> UpstreamAnswer:
         """Read the head of an answer."""
@@ -129,6 +136,12 @@
     return morsel.value if morsel else ''
 
 
+def _key_digest(headers: HTTPHeaders) -> KeyDigest:
+    key = headers.get(names.API_KEY)
+    # Headers are decoded byte by byte.
+    return digest_of_key(key.encode('latin-1')) if key else ''
+
+
 def _load(text: str) -> ReportedLoad | None:
     counts = [part.strip() for part in text.split(',')]
     if len(counts) != 3 or not all(part.isdigit() for part in counts):
--- a/worksrail/platform/_fields.py
+++ b/worksrail/platform/_fields.py
@@ -34,23 +34,48 @@
         """A text that must be there and not be empty."""
         found = self.table.get(name)
         if not isinstance(found, str) or not found:
-            raise self._fault(name, 'a text')
+            raise self.fault(name, 'a text')
         return found
 
     def whole(self, name: str, default: int | None = None) -> int:
         """A whole number."""
         found = self.table.get(name, default)
         if not isinstance(found, int) or isinstance(found, bool):
-            raise self._fault(name, 'a whole number')
+            raise self.fault(name, 'a whole number')
+        return found
+
+    def whole_from(
+        self,
+        name: str,
+        least: int,
+        default: int | None = None,
+    ) -> int:
+        """A whole number, no lower than the least."""
+        found = self.whole(name, default)
+        if found < least:
+            raise self.fault(name, f'a whole number from {least} on')
         return found
 
     def number(self, name: str, default: float | None = None) -> float:
         """A number."""
         found = self.table.get(name, default)
         if not isinstance(found, int | float) or isinstance(found, bool):
-            raise self._fault(name, 'a number')
+            raise self.fault(name, 'a number')
         return float(found)
 
+    def number_between(
+        self,
+        name: str,
+        least: float,
+        below: float,
+        default: float | None = None,
+    ) -> float:
+        """A number in a range; not a number is in none."""
+        found = self.number(name, default)
+        if not least <= found < below:
+            raise self.fault(name, f'a number from {least} to {below}')
+        return found
+
     def flag(self, name: str) -> bool:
         """True or false; false when it is missing."""
         return self.table.get(name) is True
@@ -59,9 +84,9 @@
         """A list of texts; empty when it is missing."""
         found = self.table.get(name) or []
         if not isinstance(found, list):
-            raise self._fault(name, 'a list')
+            raise self.fault(name, 'a list')
         if not all(isinstance(entry, str) for entry in found):
-            raise self._fault(name, 'a list of texts')
+            raise self.fault(name, 'a list of texts')
         return tuple(found)
 
     def part(self, name: str) -> 'Fields':
@@ -74,7 +99,7 @@
         columns = encoded.texts('Columns')
         rows = encoded.table.get('Rows')
         if not isinstance(rows, list):
-            raise self._fault(name, 'rows')
+            raise self.fault(name, 'rows')
         for number, row in enumerate(rows):
             where = f'{self.where}.{name}[{number}]'
             if not isinstance(row, list) or len(row) != len(columns):
@@ -85,7 +110,8 @@
             present = {key: found for key, found in pairs if found is not None}
             yield Fields(present, where)
 
-    def _fault(self, name: str, expected: str) -> MalformedDocumentError:
+    def fault(self, name: str, expected: str) -> MalformedDocumentError:
+        """What to raise if a field is not what it should be."""
         return MalformedDocumentError(
             f'expected {expected} as {name} at {self.where}'
         )
--- a/worksrail/platform/_names.py
+++ b/worksrail/platform/_names.py
@@ -22,6 +22,10 @@
 NOT_EXECUTED: Final = 'Not-Executed'
 # Executing and waiting requests and slots, separated by commas.
 LOAD: Final = 'Server-Load'
+# A caller's API key, and nothing else.
+API_KEY: Final = 'Credential'
+# Name of the customer that holds the key; for upstreams, set by entries only.
+CUSTOMER: Final = 'Tenant'
 RETRY_AFTER: Final = 'Retry-After'
 CONTENT_ENCODING: Final = 'Content-Encoding'
 
--- a/worksrail/platform/_objects.py
+++ b/worksrail/platform/_objects.py
@@ -1,7 +1,15 @@
 """Objects of the platform's store, decoded into the product's types."""
 
+from math import inf
 from typing import Any, Final
 
+from worksrail.core.customers import (
+    Customer,
+    CustomerTable,
+    Quota,
+    SharedKeyError,
+    digest_of_key,
+)
 from worksrail.core.steering import (
     CallerLimits,
     Route,
@@ -10,6 +18,7 @@
     ServicePolicy,
     ServiceWeight,
     UpstreamRecord,
+    name_of_life,
 )
 from worksrail.platform._fields import Fields, MalformedDocumentError
 
@@ -18,7 +27,9 @@
     'unsafe': RouteKind.AT_MOST_ONCE,
     'download': RouteKind.DOWNLOAD,
 }
-_DRAINING: Final = 'draining'
+# Whether an upstream in a state takes no new requests.
+_DRAINS: Final = {'ready': False, 'draining': True}
+_HIGHEST_PORT: Final = 65_535
 _DEFAULT_TIMEOUT: Final = 60.0
 _DEFAULT_ATTEMPTS: Final = 2
 
@@ -34,6 +45,7 @@
         routes,
         services,
         _limits(fields.part('Limits')),
+        _customers(fields),
     )
 
 
@@ -49,22 +61,72 @@
 
 
 def decode_upstream(name: str, spec: Any, status: Any) -> UpstreamRecord:
-    """Decode one entry of the upstreams; its name is the upstream's id."""
+    """Decode one entry of the upstreams; its name is the upstream's id.
+
+    Others may have written it: an entry that lacks a field, or whose state is
+    not one of those known, raises ``MalformedDocumentError``.
+    """
     fields = Fields.from_value(spec, f'servers/{name}')
     description = fields.part('Info')
+    # Only its presence is checked: no decision rests on it.
+    description.text('Version')
     # The state may stand beside the description or in the object's status.
     report = Fields.from_value(
         fields.table.get('Status') or status, f'servers/{name} status'
     )
+    # Unix milliseconds of the start; not told on every deployment.
+    born = fields.whole_from('born', 0, 0)
     return UpstreamRecord(
-        name,
+        name_of_life(name, born),
         description.text('Service'),
-        fields.text('Address'),
+        _address(fields),
         description.text('Zone'),
-        description.whole('Slots'),
-        report.text('State') == _DRAINING,
-        report.whole('Sequence', 0),
-        report.number('ColdRemainingS', 0),
+        description.whole_from('Slots', 1),
+        _drains(report),
+        report.whole_from('Sequence', 0),
+        report.number_between('ColdRemainingS', 0, inf),
+        name,
+        born,
+    )
+
+
+def _address(fields: Fields) -> str:
+    address = fields.text('Address')
+    host, _, port = address.rpartition(':')
+    if not host or not (port.isascii() and port.isdigit()):
+        raise fields.fault('Address', 'an IP number and a port')
+    if not 0 < int(port) <= _HIGHEST_PORT:
+        raise fields.fault('Address', 'a port that exists')
+    return address
+
+
+def _drains(report: Fields) -> bool:
+    drains = _DRAINS.get(report.text('State'))
+    if drains is None:
+        raise report.fault('State', 'a known state')
+    return drains
+
+
+def _customers(fields: Fields) -> CustomerTable | None:
+    if fields.table.get('Tenants') is None:
+        return None
+    customers = [_customer(row) for row in fields.rows('Tenants')]
+    try:
+        return CustomerTable.from_customers(customers)
+    except SharedKeyError as error:
+        raise MalformedDocumentError(f'{error} at {fields.where}') from error
+
+
+def _customer(row: Fields) -> Customer:
+    priority = row.whole('Priority') if 'Priority' in row.table else None
+    rate = row.number_between('RatePerS', 0, inf, 0)
+    burst = row.number_between('Burst', 0, inf, 0)
+    return Customer(
+        row.text('Name'),
+        tuple(digest_of_key(key.encode()) for key in row.texts('ApiKeys')),
+        frozenset(row.texts('AllowedRegions')),
+        priority,
+        Quota(rate, burst) if rate else None,
     )
 
 
@@ -96,6 +158,7 @@
         row.whole('MaxAttempts', _DEFAULT_ATTEMPTS),
         row.flag('SessionAffinity'),
         frozenset(row.texts('AllowedRegions')),
+        row.flag('Public'),
     )
 
 
--- a/worksrail/platform/_settings.py
+++ b/worksrail/platform/_settings.py
@@ -113,6 +113,9 @@
         region_shift=bounds.number('MaxRegionShift', usual.region_shift),
         cold_factor=bounds.number('ColdLoadFactor', usual.cold_factor),
         cold_extra=bounds.number('ColdSlack', usual.cold_extra),
+        quota_window=bounds.number('QuotaWindowS', usual.quota_window),
+        quota_overage=bounds.number('QuotaOverage', usual.quota_overage),
+        quota_slack=bounds.number('QuotaSlack', usual.quota_slack),
         store_history=fields.part('Platform').number(
             'HistoryS', usual.store_history
         ),
--- a/worksrail/platform/_store.py
+++ b/worksrail/platform/_store.py
@@ -47,17 +47,26 @@
     kind: StoreKind
     revision: int = 0
     configuration: RoutingConfiguration | None = None
-    records: list[UpstreamRecord] = field(default_factory=list)
-    zones: list[str] = field(default_factory=list)
-    removed: list[str] = field(default_factory=list)
+    records: dict[str, UpstreamRecord] = field(default_factory=dict)
+    zones: dict[str, None] = field(default_factory=dict)
+    removed: dict[str, None] = field(default_factory=dict)
     faults: list[str] = field(default_factory=list)
 
     def add(self, found: Any, *, gone: bool = False) -> None:
-        """Take in an object; one that makes no sense is a fault."""
+        """Take in an object; one that makes no sense is a fault.
+
+        What an object was before counts no more, whatever it has become.
+        """
+        name = _name_of(found)
+        self.records.pop(name, None)
+        self.zones.pop(name, None)
+        self.removed.pop(name, None)
         try:
             self._add(Fields.from_value(found, self.kind.value), gone=gone)
         except MalformedDocumentError as error:
             self.faults.append(str(error))
+            if name and self.kind is StoreKind.UPSTREAMS:
+                self.removed[name] = None
 
     def add_page(self, page: Fields) -> str:
         """Take in a page; gives the name to go on after, or nothing."""
@@ -70,7 +79,8 @@
             self.add(entry)
         if not page.flag('HasMore'):
             return ''
-        return str(entries[-1]['Metadata']['Name'])
+        names_told = [name for name in map(_name_of, entries) if name]
+        return names_told[-1]
 
     def add_events(self, answer: Fields) -> None:
         """Take in what a watch told."""
@@ -84,7 +94,7 @@
         return StoreNews(
             self.revision,
             self.configuration,
-            tuple(self.records),
+            tuple(self.records.values()),
             tuple(self.zones),
             tuple(self.removed),
             tuple(self.faults),
@@ -93,16 +103,31 @@
     def _add(self, found: Fields, *, gone: bool) -> None:
         name = found.part('Metadata').text('Name')
         if gone:
-            self.removed.append(name)
+            self.removed[name] = None
         elif self.kind is StoreKind.EVACUATIONS:
-            self.zones.append(name)
+            self.zones[name] = None
         elif self.kind is StoreKind.UPSTREAMS:
             spec, status = found.table.get('Spec'), found.table.get('Status')
-            self.records.append(decode_upstream(name, spec, status))
+            self.records[name] = decode_upstream(name, spec, status)
         elif name == names.CONFIGURATION_NAME:
             self.configuration = decode_configuration(found.table.get('Spec'))
 
 
+def _name_of(found: Any) -> str:
+    """Name of an object, or nothing if it cannot be read."""
+    try:
+        name = found['Metadata']['Name']
+    except (LookupError, TypeError):
+        return ''
+    return name if isinstance(name, str) else ''
+
+
+def _document(body: bytes) -> Any:
+    # Others may have written bytes that are no text into one object; the
+    # others in the same answer must not be lost for it.
+    return json.loads(body.decode(errors='replace'), strict=False)
+
+
 @dataclass(slots=True)
 class PlatformStore:
     """Reads and watches the platform's objects.
@@ -190,9 +215,8 @@
             refused = collector.status in _REFUSALS
             return StoreFault.REFUSED if refused else StoreFault.MALFORMED
         try:
-            document = json.loads(collector.body)
-            return Fields.from_value(document, 'answer')
-        except ValueError:
+            return Fields.from_value(_document(collector.body), 'answer')
+        except (ValueError, RecursionError):
             return StoreFault.MALFORMED
 
     def _outgoing(
