--- /dev/null
+++ b/tests/platform/test_metrics.py
@@ -0,0 +1,51 @@
+"""What an entry counts."""
+
+import pytest
+
+from worksrail.core.steering.effects import Decision, DecisionKind
+from worksrail.daemon.steered._metrics import SteeringMetrics
+
+
+def _refused(customer: str, result: str = 'QUOTA_REACHED') -> Decision:
+    return Decision(
+        DecisionKind.REQUEST_REFUSED, result, 1, (('customer', customer),)
+    )
+
+
+def _series(metrics: SteeringMetrics) -> dict[str, float]:
+    return {
+        sample.labels['customer']: sample.value
+        for family in metrics.over_quota.collect()
+        for sample in family.samples
+        if sample.name.endswith('_total')
+    }
+
+
+def test_refusals_are_counted_by_customer() -> None:
+    metrics = SteeringMetrics.create()
+    for customer in ('a', 'b', 'a'):
+        metrics.count(_refused(customer))
+    metrics.count(_refused('a', 'QUEUE_FULL'))
+    assert _series(metrics) == {'a': 2, 'b': 1}
+
+
+@pytest.mark.parametrize('count', [51, 2000])
+def test_many_customers_make_no_more_series(count: int) -> None:
+    metrics = SteeringMetrics.create()
+    for number in range(count):
+        metrics.count(_refused(f'c{number}'))
+    series = _series(metrics)
+    assert len(series) == 51
+    assert series['others'] == count - 50
+    assert sum(series.values()) == count
+
+
+def test_unusable_objects_are_counted_by_kind() -> None:
+    metrics = SteeringMetrics.create()
+    metrics.count_unusable('upstreams')
+    (family,) = metrics.unusable.collect()
+    assert [
+        (sample.labels, sample.value)
+        for sample in family.samples
+        if sample.name.endswith('_total')
+    ] == [({'kind': 'upstreams'}, 1)]
--- a/tests/steering/policies.py
+++ b/tests/steering/policies.py
@@ -32,6 +32,7 @@
     'busy 220/s': {'rate': 220},
     'full 290/s': {'rate': 290},
     'burst 2.2x': {'rate': 150, 'burst': (7, 10, 2.2)},
+    'burst 3x for 8 s': {'rate': 120, 'burst': (7, 15, 3)},
     'few keys kept': {'rate': 180, 'memory': 14},
     'start, cold': {'rate': 150, 'counted_from': 0, 'seconds': 3},
 }
@@ -45,12 +46,17 @@
 
 _VARIANTS: Final[dict[str, Sequence[Change]]] = {
     'as it is': (),
+    'returned callers always wait a whole target': (
+        (_waiting, '_RETURNED_WAIT_LONG', 1.0),
+    ),
     'returned callers wait 0.2 of the target': (
         (_waiting, '_RETURNED_WAIT', 0.2),
     ),
     'returned callers wait half of the target': (
         (_waiting, '_RETURNED_WAIT', 0.5),
     ),
+    'shortages count as long after 0.3 s': ((_waiting, '_LONG_SHORTAGE', 0.3),),
+    'shortages count as long after 1.5 s': ((_waiting, '_LONG_SHORTAGE', 1.5),),
     'retry after 0.1 s': ((_placing, '_SHORTEST_RETRY', 0.1),),
     'retry after 0.4 s': ((_placing, '_SHORTEST_RETRY', 0.4),),
     'no other home': ((_choosing, '_other_home', _no_other_home),),
--- a/worksrail/_lazy.py
+++ b/worksrail/_lazy.py
@@ -12,7 +12,6 @@
     >>> loader_of('shapes', {'sqrt': 'math'})('sqrt')(9)
     3.0
     """
-
     return partial(_load, package, homes)
 
 
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -132,7 +132,14 @@
             requests,
             DigestPort(engine),
             tuple(
-                Follower(engine, store, kind, turn=turn) for kind in StoreKind
+                Follower(
+                    engine,
+                    store,
+                    kind,
+                    turn=turn,
+                    count_unusable=metrics.count_unusable,
+                )
+                for kind in StoreKind
             ),
             turn,
             DecisionLog(requests.trace_of, metrics),
--- a/worksrail/daemon/steered/_following.py
+++ b/worksrail/daemon/steered/_following.py
@@ -84,6 +84,12 @@
     turn: asyncio.Event = field(default_factory=asyncio.Event)
     """Set while it is this entry's duty to read the store."""
 
+    count_unusable: Callable[[str], object] = str
+    """Counts objects that cannot be used, by kind."""
+
+    told: frozenset[str] = frozenset()
+    """Faults of the last news that had any; each is logged once."""
+
     async def run(self) -> None:
         """Follow until cancelled."""
         self._go_on()
@@ -158,10 +164,14 @@
 
     def _note_faults(self, news: StoreNews) -> None:
         for fault in news.faults:
-            _LOG.warning(
-                'object cannot be used; what is in force stays',
-                extra={'kind': self.kind.value, 'problem': fault},
-            )
+            self.count_unusable(self.kind.value)
+            if fault not in self.told:
+                _LOG.warning(
+                    'object cannot be used',
+                    extra={'kind': self.kind.value, 'problem': fault},
+                )
+        if news.faults:
+            self.told = frozenset(news.faults)
 
     def _dispatch(self, news: StoreNews, now: float, *, listed: bool) -> None:
         if self.kind is StoreKind.UPSTREAMS:
--- a/worksrail/daemon/steered/_metrics.py
+++ b/worksrail/daemon/steered/_metrics.py
@@ -1,7 +1,8 @@
 """Counters and histograms of an entry, in the format of Prometheus."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
+from typing import Final
 
 from prometheus_client import (
     CollectorRegistry,
@@ -11,9 +12,15 @@
     generate_latest,
 )
 
+from worksrail.core.results import ResultCode
 from worksrail.core.steering import RoutingConfiguration, SteeringState
 from worksrail.core.steering.effects import Decision, DecisionKind
 
+# Customers with a series of their own; all others share one, so that any number
+# of them over their quotas makes no more.
+_MOST_CUSTOMERS: Final = 50
+_OTHERS: Final = 'others'
+
 
 @dataclass(slots=True)
 class SteeringMetrics:
@@ -34,6 +41,12 @@
     store_calls: Counter
     """Calls to the store by what was asked for."""
 
+    unusable: Counter
+    """Objects of the store that could not be used, by kind."""
+
+    over_quota: Counter
+    """Requests refused for a quota, by customer."""
+
     in_flight: Gauge
     """Requests of this entry in flight at upstreams, by service."""
 
@@ -52,6 +65,9 @@
     lines_dropped: Gauge
     """Log lines that nobody took."""
 
+    customers: set[str] = field(default_factory=set)
+    """Customers with a series of their own."""
+
     @classmethod
     def create(cls) -> 'SteeringMetrics':
         """Register all metrics."""
@@ -69,6 +85,12 @@
                 registry=registry,
             ),
             counter('worksrail_store_calls', 'Calls to the store', ['kind']),
+            counter(
+                'worksrail_objects_unusable', 'Objects not usable', ['kind']
+            ),
+            counter(
+                'worksrail_over_quota', 'Refused for a quota', ['customer']
+            ),
             gauge('worksrail_in_flight', 'Requests in flight', ['service']),
             gauge('worksrail_upstreams', 'Usable upstreams', ['service']),
             gauge('worksrail_entries', 'Other entries alive'),
@@ -89,6 +111,13 @@
             DecisionKind.REQUEST_FAILED,
         }:
             self.results.labels(decision.subject).inc()
+            if decision.subject == ResultCode.QUOTA_REACHED.name:
+                customer = str(dict(decision.inputs).get('customer'))
+                self.over_quota.labels(self._series_of(customer)).inc()
+
+    def count_unusable(self, kind: str) -> None:
+        """Count an object that cannot be used."""
+        self.unusable.labels(kind).inc()
 
     def count_call(self, kind: str) -> None:
         """Count a call to the store."""
@@ -108,3 +137,8 @@
         self.store_lost.set(len(state.lost))
         self.lines_dropped.set(dropped)
         return generate_latest(self.registry)
+
+    def _series_of(self, customer: str) -> str:
+        if len(self.customers) < _MOST_CUSTOMERS:
+            self.customers.add(customer)
+        return customer if customer in self.customers else _OTHERS
