Give bundles customers with keys and quotas, kept by the same modules

Cause: customers were known on the users' platform only; the product's own mode had no word for who calls.

Change: a bundle lists customers with digests of their keys and quotas, and services that are public; checked with line and field (a key held twice, no key, rates out of range). An entry finds the customer, refuses unknown keys, keeps quotas over all entries by core/limits with its messages beside the loans', tells upstreams the customer and passes on no key; a request passed by another entry keeps the customer that one found. Names of quotas and their bounds moved to core/limits for both modes. Rendezvous hashing has a module of its own, so that limits need not load membership.

--- a/tests/steering/test_customers.py
+++ b/tests/steering/test_customers.py
@@ -15,13 +15,17 @@
     upstream,
 )
 from worksrail.core.customers import Customer, Quota, digest_of_key
-from worksrail.core.limits import Addressed, LimitReply, LimitStanding
+from worksrail.core.limits import (
+    Addressed,
+    LimitReply,
+    LimitStanding,
+    QuotaBounds,
+    limit_of,
+)
 from worksrail.core.results import ResultCode
 from worksrail.core.steering import (
     EntryDigest,
-    SteeringBounds,
     StoreNews,
-    limit_of,
     news_since,
 )
 from worksrail.core.steering.effects import (
@@ -310,7 +314,7 @@
 def test_part_of_what_is_tolerated_is_given_to_callers(
     overage: float, slack: float, capacity: float
 ) -> None:
-    bounds = SteeringBounds(quota_overage=overage, quota_slack=slack)
+    bounds = QuotaBounds(5, overage, slack)
     limit = limit_of(Quota(10, 10), bounds)
     assert (limit.rate, limit.capacity) == (10, pytest.approx(capacity))
 
--- a/worksrail/bench/limits/_plan.py
+++ b/worksrail/bench/limits/_plan.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from worksrail.core.customers import Quota
-from worksrail.core.steering import SteeringBounds
+from worksrail.core.limits import QuotaBounds
 
 ZONES: Final = 6
 REGIONS: Final = 3
@@ -80,9 +80,7 @@
     seed: int = 1
     """Seed of all draws."""
 
-    bounds: SteeringBounds = SteeringBounds(
-        quota_window=5, quota_overage=0.1, quota_slack=20
-    )
+    bounds: QuotaBounds = QuotaBounds(5, 0.1, 20)
     """How closely quotas are to be kept."""
 
 
--- a/worksrail/bench/limits/_play.py
+++ b/worksrail/bench/limits/_play.py
@@ -11,8 +11,7 @@
 from worksrail.bench.limits._plan import Asking, FaultKind, Plan
 from worksrail.bench.limits._ways import Way
 from worksrail.core.customers import Quota
-from worksrail.core.limits import SharedLimit, TokenBucket
-from worksrail.core.steering import limit_of
+from worksrail.core.limits import SharedLimit, TokenBucket, limit_of
 
 _TICK: Final = 0.1
 # Seconds after which entries notice that another one has gone or is back.
@@ -106,7 +105,7 @@
             if number == 0:
                 quota = Quota(quota.rate * share, quota.burst * share)
                 self.network.after(
-                    self.plan.bounds.quota_window,
+                    self.plan.bounds.window,
                     partial(self._bind, customer.name, quota),
                 )
             limits[customer.name] = limit_of(quota, self.plan.bounds)
@@ -189,11 +188,11 @@
     def _judge(self, account: _Account, now: float) -> None:
         bounds = self.plan.bounds
         account.admitted.append(now)
-        while account.admitted[0] <= now - bounds.quota_window:
+        while account.admitted[0] <= now - bounds.window:
             account.admitted.popleft()
         quota = account.quota
-        in_window = quota.rate * bounds.quota_window + quota.burst
-        bound = in_window * (1 + bounds.quota_overage) + bounds.quota_slack
+        in_window = quota.rate * bounds.window + quota.burst
+        bound = in_window * (1 + bounds.overage) + bounds.slack
         worst = len(account.admitted) / bound
         self.outcome.worst = max(self.outcome.worst, worst)
 
--- a/worksrail/bench/world/_callers.py
+++ b/worksrail/bench/world/_callers.py
@@ -1,13 +1,14 @@
 """Callers: they look up entries, send requests and come back once."""
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final, Protocol
 
 from worksrail.bench.world._clock import WALL, VirtualClock
 from worksrail.bench.world._plan import WorldPlan
 from worksrail.bench.world._process import FakeProcess, Reply
 from worksrail.bench.world._requests import Outcome, RequestLog
+from worksrail.core.customers import KeyDigest
 from worksrail.core.lookups import LookUpAnswer, look_up
 from worksrail.core.requests import NoTicket, RequestHead, Ticket
 from worksrail.core.results import ResultCode
@@ -66,6 +67,9 @@
     clients: dict[str, str] = field(default_factory=dict)
     """Address of a caller of each region."""
 
+    key_digest: KeyDigest = ''
+    """Digest of the API key that they send; empty if they send none."""
+
     count: int = 0
     """Requests so far."""
 
@@ -104,6 +108,7 @@
             timeout,
             right if write else NoTicket.NOT_GIVEN,
             chosen_key,
+            key_digest=self.key_digest,
         )
         target = entry or self._entry(answer, write=write)
         self.world.clock.after(
@@ -163,17 +168,7 @@
             return
         ticket = head.ticket
         fresh = answer.ticket if isinstance(ticket, Ticket) else ticket
-        again = RequestHead(
-            head.trace,
-            head.host,
-            head.method,
-            head.path,
-            head.client,
-            head.timeout,
-            fresh,
-            head.key,
-        )
-        self._arrive(target, again)
+        self._arrive(target, replace(head, ticket=fresh))
 
     def _cached_look_up(self, service: str, home: str) -> LookUpAnswer | None:
         cached = self.answers.get((service, home))
--- a/worksrail/core/_admission.py
+++ b/worksrail/core/_admission.py
@@ -2,7 +2,8 @@
 
 from typing import Final
 
-from worksrail.core.bundle import Service
+from worksrail.core.bundle import Service, Topology
+from worksrail.core.customers import Customer, CustomerName
 from worksrail.core.events import RequestArrived
 from worksrail.core.instance import Instance
 from worksrail.core.messages import MemberRecord
@@ -43,6 +44,9 @@
     if isinstance(head.ticket, TicketFault):
         return ResultCode.INVALID_TICKET
     service = topology.services[name].service
+    customer = _customer_of(topology, service, head)
+    if isinstance(customer, ResultCode):
+        return customer
     allowed = min(service.deadline, instance.settings.longest_run)
     if head.timeout is not None:
         allowed = min(allowed, head.timeout)
@@ -57,9 +61,27 @@
         home,
         event.now + allowed,
         is_idempotent(service, head),
+        customer,
     )
 
 
+def _customer_of(
+    topology: Topology,
+    service: Service,
+    head: RequestHead,
+) -> CustomerName | ResultCode:
+    """Name of the caller's customer; empty where callers need no key."""
+    if head.passing is not Passing.DIRECT:
+        # The instance that took it from the caller has seen the key.
+        return head.customer
+    if topology.customers is None:
+        return ''
+    holder = topology.customers.holder_of(head.key_digest)
+    if isinstance(holder, Customer):
+        return holder.name
+    return '' if service.public else ResultCode.UNKNOWN_KEY
+
+
 def is_idempotent(service: Service, head: RequestHead) -> bool:
     """Whether a request may be repeated without harm."""
     rule = service.idempotent
--- /dev/null
+++ b/worksrail/core/_arriving.py
@@ -0,0 +1,114 @@
+"""Requests that arrive, and the quotas of the customers they come from."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from worksrail.core._admission import admitted
+from worksrail.core._on_requests import begin, finish, refusal
+from worksrail.core.effects import AnswerResult, Effect, SendMessage
+from worksrail.core.events import RequestArrived
+from worksrail.core.instance import Instance
+from worksrail.core.limits import (
+    Addressed,
+    Admission,
+    LimitMessage,
+    Members,
+    Verdict,
+    quota_name,
+)
+from worksrail.core.messages import MemberStatus
+from worksrail.core.requests import Passing
+from worksrail.core.requests.active import ActiveRequest, RequestState
+from worksrail.core.results import ResultCode
+
+_GONE: Final = frozenset((MemberStatus.LEAVING, MemberStatus.LEFT))
+
+
+def on_arrival(instance: Instance, event: RequestArrived) -> Iterator[Effect]:
+    """Admit a request and begin with it, or refuse it."""
+    instance.wall = max(instance.wall, event.wall)
+    active = admitted(instance, event)
+    if isinstance(active, ResultCode):
+        yield from refusal(instance, event.request, '', active, event.now)
+        return
+    instance.requests[active.number] = active
+    if not active.customer or active.head.passing is not Passing.DIRECT:
+        yield from begin(instance, active, event.now)
+        return
+    verdict = instance.limits.admit(
+        quota_name(active.customer), active.number, event.now
+    )
+    if verdict.admission is Admission.WAITING:
+        active.state = RequestState.ASKING
+    else:
+        yield from _go_on(instance, active, verdict, event.now)
+    yield from follow_limits(instance, event.now)
+
+
+def on_limit_message(
+    instance: Instance,
+    message: LimitMessage,
+    now: float,
+) -> Iterator[Effect]:
+    """Take in what another instance tells of a shared limit."""
+    instance.limits.receive(message, now)
+    yield from follow_limits(instance, now)
+
+
+def tend_limits(instance: Instance, now: float) -> Iterator[Effect]:
+    """Report what was admitted, and take in who lives."""
+    if not instance.limits.limits:
+        return
+    if instance.status(now) is not MemberStatus.JOINING:
+        instance.limits.join(_members(instance, now), now)
+    instance.limits.tick(now)
+    yield from follow_limits(instance, now)
+
+
+def follow_limits(instance: Instance, now: float) -> Iterator[Effect]:
+    """Send what the limits have to tell, and go on with what waited."""
+    for output in instance.limits.take_outputs():
+        if isinstance(output, Addressed):
+            yield SendMessage(output.peer, output.message)
+            continue
+        active = instance.requests.get(output.ticket)
+        if active and active.state is RequestState.ASKING:
+            yield from _go_on(instance, active, output.verdict, now)
+
+
+def _go_on(
+    instance: Instance,
+    active: ActiveRequest,
+    verdict: Verdict,
+    now: float,
+) -> Iterator[Effect]:
+    active.admitted = verdict.admission is Admission.ADMITTED
+    if active.caller_gone:
+        instance.requests.pop(active.number)
+        if active.admitted:
+            instance.limits.give_back(quota_name(active.customer))
+        yield AnswerResult(active.number, ResultCode.DEADLINE_EXPIRED)
+    elif active.admitted:
+        yield from begin(instance, active, now)
+    else:
+        yield from finish(
+            instance, active, ResultCode.QUOTA_REACHED, now, verdict.wait
+        )
+
+
+def _members(instance: Instance, now: float) -> Members:
+    """Who may own limits; instances are addressed by name."""
+    staying = [
+        member.record
+        for member in instance.membership.members.values()
+        if member.record.status not in _GONE
+    ]
+    live = instance.membership.live(now, instance.settings)
+    peers = {
+        record.who.name: record.who.name
+        for record in live
+        if record.status is MemberStatus.READY
+    }
+    if instance.status(now) is MemberStatus.READY:
+        peers[instance.who.name] = instance.who.name
+    return Members(peers, 1 + len(staying))
--- a/worksrail/core/_on_configuration.py
+++ b/worksrail/core/_on_configuration.py
@@ -17,6 +17,7 @@
     HeadSeen,
 )
 from worksrail.core.instance import Instance, LeaveState
+from worksrail.core.limits import QuotaBounds, limits_of
 from worksrail.core.messages import AnyMessage, DrainNews, HeadNews
 from worksrail.core.permits import PoolKey
 from worksrail.core.settings import CoreSettings
@@ -65,6 +66,9 @@
     instance.ledger.configure(
         event.generation, topology.pool_specs(instance.place.region)
     )
+    table = topology.customers
+    customers = table.customers.values() if table else ()
+    instance.limits.follow(limits_of(customers, QuotaBounds()), event.now)
     region = topology.regions.get(instance.place.region)
     instance.seats.wanted_seats = region.seats if region else 0
     old = set(before.upstreams) if before else set(topology.upstreams)
--- a/worksrail/core/_on_messages.py
+++ b/worksrail/core/_on_messages.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Iterator
 
+from worksrail.core._arriving import on_limit_message
 from worksrail.core._on_configuration import judge_head, take_drains
 from worksrail.core._on_requests import pump
 from worksrail.core._on_time import follow_seats
 from worksrail.core.effects import Effect, Note, NoteKind, SendMessage
 from worksrail.core.events import MessageReceived
 from worksrail.core.instance import Instance
+from worksrail.core.limits import LimitHandover, LimitReply, LimitReport
 from worksrail.core.messages import (
     DrainNews,
     HeadNews,
@@ -43,6 +45,8 @@
             yield from _on_seat_offer(instance, event, message)
         case SeatTaken():
             instance.seats.on_taken(message)
+        case LimitReport() | LimitReply() | LimitHandover():
+            yield from on_limit_message(instance, message, now)
         case _:
             yield from _on_loan_message(instance, event)
 
--- a/worksrail/core/_on_requests.py
+++ b/worksrail/core/_on_requests.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from worksrail.core._admission import admitted, ticket_owner
+from worksrail.core._admission import ticket_owner
 from worksrail.core._borrowing import borrow
 from worksrail.core._placing import (
     Placement,
@@ -27,9 +27,9 @@
     AttemptOutcome,
     CallerGone,
     PassEnded,
-    RequestArrived,
 )
 from worksrail.core.instance import Instance, TimedRelease
+from worksrail.core.limits import quota_name
 from worksrail.core.messages import MemberRecord
 from worksrail.core.permits import slot_group
 from worksrail.core.requests import (
@@ -64,22 +64,21 @@
 }
 
 
-def on_arrival(instance: Instance, event: RequestArrived) -> Iterator[Effect]:
-    """Admit a request and place it, or refuse it."""
-    instance.wall = max(instance.wall, event.wall)
-    active = admitted(instance, event)
-    if isinstance(active, ResultCode):
-        yield from _refuse_arrival(instance, event, active)
-        return
-    instance.requests[active.number] = active
-    owner = ticket_owner(instance, active, event.now)
+def begin(
+    instance: Instance,
+    active: ActiveRequest,
+    now: float,
+) -> Iterator[Effect]:
+    """Place a request that was admitted, or pass it to who may run it."""
+    active.state = RequestState.NEW
+    owner = ticket_owner(instance, active, now)
     if isinstance(owner, ResultCode):
-        yield from finish(instance, active, owner, event.now)
+        yield from finish(instance, active, owner, now)
     elif owner:
         active.to_owner = True
         yield from _pass_on(active, owner)
     else:
-        yield from place(instance, active, event.now)
+        yield from place(instance, active, now)
 
 
 def on_caller_gone(instance: Instance, event: CallerGone) -> Iterator[Effect]:
@@ -212,6 +211,7 @@
     active: ActiveRequest,
     code: ResultCode,
     now: float,
+    wait: float = 0,
 ) -> Iterator[Effect]:
     """Answer a request with a result code: its final answer, at once.
 
@@ -220,26 +220,22 @@
     if active.maybe_run and code.certainty is Certainty.NOT_RUN:
         code = ResultCode.UPSTREAM_BROKE
     executed = code.certainty is not Certainty.NOT_RUN
+    if active.admitted and not executed:
+        instance.limits.give_back(quota_name(active.customer))
     _close(instance, active, executed=executed)
-    yield from _refusal(instance, active.number, active.service, code, now)
-
-
-def _refuse_arrival(
-    instance: Instance,
-    event: RequestArrived,
-    code: ResultCode,
-) -> Iterator[Effect]:
-    yield from _refusal(instance, event.request, '', code, event.now)
+    yield from refusal(instance, active.number, active.service, code, now, wait)
 
 
-def _refusal(
+def refusal(
     instance: Instance,
     number: int,
     service: str,
     code: ResultCode,
     now: float,
+    wait: float = 0,
 ) -> Iterator[Effect]:
-    delay = float(0)
+    """Tell a caller why its request is refused, and when to come back."""
+    delay = wait
     entry = ''
     if code.http_status == _UNAVAILABLE:
         delay = retry_after(instance, service)
--- a/worksrail/core/_on_time.py
+++ b/worksrail/core/_on_time.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Final
 
+from worksrail.core._arriving import tend_limits
 from worksrail.core._borrowing import borrow_all, sent
 from worksrail.core._on_configuration import (
     cached_answers_end,
@@ -50,6 +51,7 @@
     yield from _serve_waiting(instance, now)
     yield from borrow_all(instance, now)
     refresh_ceilings(instance, now)
+    yield from tend_limits(instance, now)
     yield from _slow_duties(instance, now)
 
 
@@ -78,6 +80,7 @@
     instance.seats.unheld_since.clear()
     instance.started_at = now
     instance.resting = False
+    instance.limits.note_pause(now)
     for answer in instance.lending.abandon(now):
         yield sent(answer)
     yield from follow_seats(instance)
--- a/worksrail/core/bundle/__init__.py
+++ b/worksrail/core/bundle/__init__.py
@@ -17,7 +17,9 @@
 )
 from worksrail.core.bundle._model import (
     Bundle,
+    BundleCustomer,
     ClientBlock,
+    CustomerQuota,
     Drain,
     DrainKind,
     IdempotentRule,
@@ -32,9 +34,11 @@
 __all__ = (
     'MAX_BUNDLE_BYTES',
     'Bundle',
+    'BundleCustomer',
     'BundleFault',
     'BundleFaults',
     'ClientBlock',
+    'CustomerQuota',
     'Drain',
     'DrainKind',
     'IdempotentRule',
--- a/worksrail/core/bundle/_check.py
+++ b/worksrail/core/bundle/_check.py
@@ -154,6 +154,7 @@
     yield from _service_faults(bundle, regions, zones)
     yield from _block_faults(bundle, zones)
     yield from _drain_faults(bundle, zones)
+    yield from _customer_faults(bundle)
 
 
 def _duplicates(
@@ -268,6 +269,20 @@
             yield (*place, 'block'), str(error)
 
 
+def _customer_faults(bundle: Bundle) -> Iterator[tuple[_Location, str]]:
+    names = [customer.name for customer in bundle.customers]
+    yield from _duplicates(('customers',), names)
+    holders: dict[str, str] = {}
+    for index, customer in enumerate(bundle.customers):
+        location: _Location = ('customers', index, 'keys')
+        if not customer.keys:
+            yield location, f'{customer.name} holds no key'
+        for position, key in enumerate(customer.keys):
+            holder = holders.setdefault(key, customer.name)
+            if holder != customer.name:
+                yield (*location, position), f'{holder} holds this key'
+
+
 def _drain_faults(
     bundle: Bundle,
     zones: set[str],
--- a/worksrail/core/bundle/_model.py
+++ b/worksrail/core/bundle/_model.py
@@ -19,6 +19,10 @@
 Seconds = Annotated[float, Field(gt=0, le=3600)]
 Fraction = Annotated[float, Field(ge=0, lt=1)]
 
+KeyDigest = Annotated[str, Field(pattern='^[0-9a-f]{64}$')]
+Rate = Annotated[float, Field(gt=0, le=1_000_000)]
+Burst = Annotated[float, Field(ge=0, le=1_000_000)]
+
 _STRICT: Final = ConfigDict(extra='forbid')
 
 
@@ -144,6 +148,38 @@
     shift_caps: tuple[ShiftCap, ...] = ()
     """Limits on traffic that leaves its home region."""
 
+    public: bool = False
+    """Callers need no key, though the bundle has customers."""
+
+
+@dataclass(frozen=True, slots=True)
+class CustomerQuota:
+    """How many requests of a customer may be executed, over all entries."""
+
+    __pydantic_config__ = _STRICT
+
+    rate: Rate
+    """Requests a second."""
+
+    burst: Burst = 0
+    """Requests that may come on top of the rate at once."""
+
+
+@dataclass(frozen=True, slots=True)
+class BundleCustomer:
+    """A customer, and the keys that its callers send."""
+
+    __pydantic_config__ = _STRICT
+
+    name: Name
+    """Unique name; upstreams are told it."""
+
+    keys: tuple[KeyDigest, ...]
+    """SHA-256 of its API keys, hexadecimal; no bundle holds a key itself."""
+
+    quota: CustomerQuota | None = None
+    """Limit on its requests; none if left out."""
+
 
 @dataclass(frozen=True, slots=True)
 class ClientBlock:
@@ -207,6 +243,9 @@
     drains: tuple[Drain, ...] = ()
     """Drains that come into force with the bundle."""
 
+    customers: tuple[BundleCustomer, ...] = ()
+    """Who may call; without any, callers need no key."""
+
     answer_age: Seconds = 4.0
     """How long callers may cache a look-up answer."""
 
--- a/worksrail/core/bundle/_topology.py
+++ b/worksrail/core/bundle/_topology.py
@@ -6,6 +6,7 @@
 from worksrail.core.bundle._blocks import BlockIndex, NoZone
 from worksrail.core.bundle._model import (
     Bundle,
+    BundleCustomer,
     Drain,
     DrainKind,
     Region,
@@ -13,6 +14,7 @@
     ShiftCap,
     Upstream,
 )
+from worksrail.core.customers import Customer, CustomerTable, Quota
 from worksrail.core.identity import RegionName, ServiceName, ZoneName
 from worksrail.core.permits._pool import (
     PoolKey,
@@ -68,6 +70,9 @@
     blocks: BlockIndex
     """Zones of client addresses."""
 
+    customers: CustomerTable | None = None
+    """Who may call; None means anybody, without a key."""
+
     drains: frozenset[Drain] = field(default_factory=frozenset)
     """Drains that the bundle carries."""
 
@@ -97,6 +102,7 @@
                 for upstream in service.upstreams
             },
             BlockIndex.from_blocks(bundle.client_blocks),
+            _customers(bundle.customers),
             frozenset(bundle.drains),
         )
 
@@ -156,6 +162,19 @@
         return bool(drains & {one, zone})
 
 
+def _customers(listed: tuple[BundleCustomer, ...]) -> CustomerTable | None:
+    if not listed:
+        return None
+    return CustomerTable.from_customers(
+        Customer(one.name, one.keys, quota=_quota(one)) for one in listed
+    )
+
+
+def _quota(customer: BundleCustomer) -> Quota | None:
+    quota = customer.quota
+    return Quota(quota.rate, quota.burst) if quota else None
+
+
 def _service_view(
     service: Service,
     zone_regions: dict[ZoneName, RegionName],
--- a/worksrail/core/instance.py
+++ b/worksrail/core/instance.py
@@ -6,6 +6,7 @@
 from worksrail.core.bundle import Drain, DrainKind
 from worksrail.core.configuration import Configuration
 from worksrail.core.identity import Endpoints, Incarnation, Place
+from worksrail.core.limits import SharedLimits
 from worksrail.core.membership import Membership
 from worksrail.core.messages import (
     HeldSeat,
@@ -95,6 +96,9 @@
     memory: KeyMemory
     """Executed idempotency keys."""
 
+    limits: SharedLimits
+    """Limits that all instances share."""
+
     started_at: float
     """When this incarnation began."""
 
@@ -169,6 +173,7 @@
             ledger,
             Lending(settings, ledger),
             KeyMemory(settings.key_limit, retention),
+            SharedLimits(who, who.name, now),
             now,
             now,
         )
--- a/worksrail/core/limits/__init__.py
+++ b/worksrail/core/limits/__init__.py
@@ -13,6 +13,12 @@
     LimitReport,
     LimitStanding,
 )
+from worksrail.core.limits._quota import (
+    QuotaBounds,
+    limit_of,
+    limits_of,
+    quota_name,
+)
 from worksrail.core.limits._shared import (
     Addressed,
     Admission,
@@ -31,9 +37,13 @@
     'LimitReport',
     'LimitStanding',
     'Members',
+    'QuotaBounds',
     'Settled',
     'SharedLimit',
     'SharedLimits',
     'TokenBucket',
     'Verdict',
+    'limit_of',
+    'limits_of',
+    'quota_name',
 )
--- a/worksrail/core/limits/_shared.py
+++ b/worksrail/core/limits/_shared.py
@@ -5,6 +5,7 @@
 from enum import Enum, unique
 from typing import Final
 
+from worksrail.core._rendezvous import rendezvous
 from worksrail.core.identity import Incarnation, InstanceName
 from worksrail.core.limits._accounts import (
     SILENT_SHARE,
@@ -20,7 +21,6 @@
     LimitStanding,
 )
 from worksrail.core.limits._owner import LimitOwner
-from worksrail.core.membership import rendezvous
 
 # Seconds within which an owner answers: twice the way to another region and
 # back, and as much again for busy instances.  A datagram that was lost costs
--- a/worksrail/core/messages.py
+++ b/worksrail/core/messages.py
@@ -6,7 +6,7 @@
 """
 
 from enum import IntEnum, unique
-from typing import Final
+from typing import Final, TypeAlias
 
 import msgspec
 
@@ -16,6 +16,7 @@
     Place,
     ServiceName,
 )
+from worksrail.core.limits import LimitHandover, LimitReply, LimitReport
 
 
 @unique
@@ -213,7 +214,7 @@
     """``kind/name`` of each drain."""
 
 
-AnyMessage = (
+AnyMessage: TypeAlias = (
     Heartbeat
     | LoanRequest
     | LoanGrant
@@ -223,6 +224,9 @@
     | SeatTaken
     | HeadNews
     | DrainNews
+    | LimitReport
+    | LimitReply
+    | LimitHandover
 )
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
--- a/worksrail/core/reducer.py
+++ b/worksrail/core/reducer.py
@@ -9,6 +9,7 @@
 from typing import Any, Final
 
 from worksrail.core import (
+    _arriving,
     _on_configuration,
     _on_messages,
     _on_requests,
@@ -46,7 +47,7 @@
     DrainsSeen: _on_configuration.on_drains_seen,
     BundleFetched: _on_configuration.on_bundle_fetched,
     BundleFetchFailed: _on_configuration.on_fetch_failed,
-    RequestArrived: _on_requests.on_arrival,
+    RequestArrived: _arriving.on_arrival,
     CallerGone: _on_requests.on_caller_gone,
     AttemptEnded: _on_requests.on_attempt_ended,
     PassEnded: _on_requests.on_pass_ended,
--- a/worksrail/core/requests/_head.py
+++ b/worksrail/core/requests/_head.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
+from worksrail.core.customers import CustomerName, KeyDigest
 from worksrail.core.identity import RegionName
 from worksrail.core.requests._tickets import Ticket, TicketFault
 
@@ -56,3 +57,9 @@
 
     home: RegionName = ''
     """Home region of the caller, when another instance determined it."""
+
+    key_digest: KeyDigest = ''
+    """Digest of the caller's API key; empty if none came."""
+
+    customer: CustomerName = ''
+    """The caller's customer, when another instance determined it."""
--- a/worksrail/core/requests/active.py
+++ b/worksrail/core/requests/active.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, unique
 
+from worksrail.core.customers import CustomerName
 from worksrail.core.identity import InstanceName, RegionName, ServiceName
 from worksrail.core.permits import Hold, PoolKey
 from worksrail.core.requests._head import RequestHead
@@ -14,6 +15,7 @@
 
     NEW = 'not placed yet'
     WAITING = 'waits for a slot'
+    ASKING = "waits for the word of who keeps its customer's quota"
     SENT = 'sent to an upstream'
     PASSED = 'passed to another instance'
 
@@ -40,6 +42,12 @@
     idempotent: bool
     """Whether it may be repeated."""
 
+    customer: CustomerName = ''
+    """Whose request it is; empty if nobody's."""
+
+    admitted: bool = False
+    """It counts against the quota of its customer."""
+
     state: RequestState = RequestState.NEW
     """Where it is."""
 
--- a/worksrail/core/steering/__init__.py
+++ b/worksrail/core/steering/__init__.py
@@ -1,6 +1,5 @@
 """Steering with discovered upstreams: routes, choice, repeats, recovery."""
 
-from worksrail.core.steering._admitting import limit_of
 from worksrail.core.steering._catalog import (
     Catalog,
     UpstreamRecord,
@@ -60,7 +59,6 @@
     'ToldKeys',
     'UpstreamRecord',
     'ZoneDigest',
-    'limit_of',
     'look_up',
     'name_of_life',
     'news_since',
--- a/worksrail/core/steering/_admitting.py
+++ b/worksrail/core/steering/_admitting.py
@@ -3,19 +3,17 @@
 from collections.abc import Iterator
 from typing import Final
 
-from worksrail.core.customers import Customer, Quota
+from worksrail.core.customers import Customer
 from worksrail.core.limits import (
     Addressed,
     Admission,
     Members,
-    SharedLimit,
     Verdict,
+    quota_name,
 )
 from worksrail.core.results import ResultCode
-from worksrail.core.steering._placing import place, quota_name, refuse
+from worksrail.core.steering._placing import place, refuse
 from worksrail.core.steering._request import SteeredRequest
-from worksrail.core.steering._routes import RoutingConfiguration
-from worksrail.core.steering._settings import SteeringBounds
 from worksrail.core.steering.effects import (
     AnswerResult,
     Decision,
@@ -26,37 +24,11 @@
 from worksrail.core.steering.events import LimitMessageReceived
 from worksrail.core.steering.state import SteeringState
 
-# Share of what operators tolerate beyond a quota that callers get, since their
-# requests come unevenly.  The rest covers what entries admit before the word of
-# a shortage reaches them.
-_GIVEN_BEYOND: Final = 0.2
 # Spread of the time after which callers over a quota shall come back, as
 # multiples of the time at which a token is expected.
 _RETURN_SPREAD: Final = (1.0, 1.3)
 
 
-def limits_of(
-    configuration: RoutingConfiguration,
-    bounds: SteeringBounds,
-) -> dict[str, SharedLimit]:
-    """The shared limits of a configuration, by name."""
-    if configuration.customers is None:
-        return {}
-    return {
-        quota_name(customer.name): limit_of(customer.quota, bounds)
-        for customer in configuration.customers.customers.values()
-        if customer.quota
-    }
-
-
-def limit_of(quota: Quota, bounds: SteeringBounds) -> SharedLimit:
-    """The rate and capacity that keep a quota within its bounds."""
-    in_window = quota.rate * bounds.quota_window + quota.burst
-    beyond = in_window * bounds.quota_overage + bounds.quota_slack
-    capacity = quota.burst + beyond * _GIVEN_BEYOND
-    return SharedLimit(quota.rate, max(1, capacity))
-
-
 def admit(
     state: SteeringState,
     request: SteeredRequest,
--- a/worksrail/core/steering/_cold.py
+++ b/worksrail/core/steering/_cold.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from math import ceil
 
-from worksrail.core.membership import rendezvous_weight
+from worksrail.core._rendezvous import rendezvous_weight
 from worksrail.core.steering._settings import SteeringBounds
 
 
--- a/worksrail/core/steering/_fleet.py
+++ b/worksrail/core/steering/_fleet.py
@@ -13,8 +13,8 @@
 from heapq import nlargest
 from typing import Final
 
+from worksrail.core._rendezvous import rendezvous_weight
 from worksrail.core.identity import RegionName, ZoneName
-from worksrail.core.membership import rendezvous_weight
 from worksrail.core.steering._digests import Contact, EntryDigest, ZoneDigest
 
 # Seconds without a digest after which an entry of the own zone counts as
--- a/worksrail/core/steering/_on_store.py
+++ b/worksrail/core/steering/_on_store.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 
-from worksrail.core.steering._admitting import limits_of
+from worksrail.core.limits import limits_of
 from worksrail.core.steering._catalog import UpstreamRecord
 from worksrail.core.steering._routes import RoutingConfiguration
 from worksrail.core.steering.effects import (
@@ -45,7 +45,9 @@
             return
     state.configuration = event.configuration
     state.splits.forget_all()
-    limits = limits_of(event.configuration, state.settings.bounds)
+    table = event.configuration.customers
+    customers = table.customers.values() if table else ()
+    limits = limits_of(customers, state.settings.bounds.quota)
     state.limits.follow(limits, event.now)
     yield Decision(DecisionKind.CONFIGURATION_APPLIED, str(version))
 
--- a/worksrail/core/steering/_placing.py
+++ b/worksrail/core/steering/_placing.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from worksrail.core.limits import quota_name
 from worksrail.core.results import ResultCode
 from worksrail.core.steering._choosing import Choice, choose
 from worksrail.core.steering._request import SteeredRequest
@@ -27,11 +28,6 @@
 _RETRY_SPREAD: Final = (0.5, 1.5)
 
 
-def quota_name(customer: str) -> str:
-    """Name of the shared limit that keeps a customer's quota."""
-    return f'quota {customer}'
-
-
 def place(
     state: SteeringState,
     request: SteeredRequest,
--- a/worksrail/core/steering/_settings.py
+++ b/worksrail/core/steering/_settings.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from worksrail.core.identity import RegionName, ZoneName
+from worksrail.core.limits import QuotaBounds
 
 # Requests a second that one core passes on, and what one of them takes of a
 # link; rough figures of days on the users' platform, used to compare
@@ -47,14 +48,8 @@
     store_history: float = 30
     """Seconds for which the store keeps what has changed, as a rule."""
 
-    quota_window: float = 5
-    """Sliding window over which a customer's requests are counted."""
-
-    quota_overage: float = 0
-    """Share of a quota by which it may be passed within a window."""
-
-    quota_slack: float = 0
-    """Requests by which it may be passed besides."""
+    quota: QuotaBounds = field(default_factory=QuotaBounds)
+    """How closely quotas are to be kept."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/worksrail/daemon/http/_headers.py
+++ b/worksrail/daemon/http/_headers.py
@@ -17,6 +17,8 @@
 CLIENT: Final = 'Worksrail-Client'
 HOME: Final = 'Worksrail-Home'
 PASSING: Final = 'Worksrail-Passing'
+API_KEY: Final = 'Worksrail-Key'
+CUSTOMER: Final = 'Worksrail-Customer'
 NOT_RUN: Final = 'Worksrail-Not-Run'
 LOAD: Final = 'Worksrail-Load'
 
@@ -36,7 +38,10 @@
     )
 )
 # Only instances may set these; a caller's own are dropped.
-_INTERNAL: Final = frozenset((CLIENT, HOME, PASSING, RESULT, ENTRY))
+# A caller's key goes no further than the instance that it reaches.
+_INTERNAL: Final = frozenset(
+    (CLIENT, HOME, PASSING, RESULT, ENTRY, CUSTOMER, API_KEY)
+)
 _DIGITS: Final = re.compile(r'\d{1,18}')
 _CHUNKED_METHODS: Final = frozenset(('POST', 'PUT', 'PATCH'))
 
--- a/worksrail/daemon/http/_requests.py
+++ b/worksrail/daemon/http/_requests.py
@@ -7,6 +7,7 @@
 
 from tornado import httputil
 
+from worksrail.core.customers import KeyDigest, digest_of_key
 from worksrail.core.effects import (
     AnswerResult,
     CancelRequest,
@@ -111,6 +112,8 @@
         active = self.engine.instance.requests[effect.request]
         if active.home != self.engine.instance.place.region:
             headers[names.HOME] = active.home
+        if active.customer:
+            headers[names.CUSTOMER] = active.customer
         outgoing = Outgoing(
             effect.address,
             self._start_line(exchange),
@@ -132,6 +135,8 @@
         headers[names.CLIENT] = exchange.client
         passing = Passing.TO_OWNER if effect.to_owner else Passing.SHIFTED
         headers[names.PASSING] = passing.name
+        active = self.engine.instance.requests[effect.request]
+        headers[names.CUSTOMER] = active.customer
         outgoing = Outgoing(
             effect.address,
             self._start_line(exchange),
@@ -189,6 +194,8 @@
             headers.get(names.KEY, ''),
             passing,
             headers.get(names.HOME, '') if trusted else '',
+            _key_digest(headers),
+            headers.get(names.CUSTOMER, '') if trusted else '',
         )
 
     def _start_line(self, exchange: Exchange) -> httputil.RequestStartLine:
@@ -268,6 +275,12 @@
                 self.exchanges.pop(exchange.number, None)
 
 
+def _key_digest(headers: httputil.HTTPHeaders) -> KeyDigest:
+    key = headers.get(names.API_KEY)
+    # Headers are decoded byte by byte.
+    return digest_of_key(key.encode('latin-1')) if key else ''
+
+
 def _timeout(text: str | None) -> float | None:
     if text is None:
         return None
--- a/worksrail/platform/_settings.py
+++ b/worksrail/platform/_settings.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+from worksrail.core.limits import QuotaBounds
 from worksrail.core.steering import (
     EntryAddresses,
     EntryLimits,
@@ -113,9 +114,11 @@
         region_shift=bounds.number('MaxRegionShift', usual.region_shift),
         cold_factor=bounds.number('ColdLoadFactor', usual.cold_factor),
         cold_extra=bounds.number('ColdSlack', usual.cold_extra),
-        quota_window=bounds.number('QuotaWindowS', usual.quota_window),
-        quota_overage=bounds.number('QuotaOverage', usual.quota_overage),
-        quota_slack=bounds.number('QuotaSlack', usual.quota_slack),
+        quota=QuotaBounds(
+            bounds.number('QuotaWindowS', usual.quota.window),
+            bounds.number('QuotaOverage', usual.quota.overage),
+            bounds.number('QuotaSlack', usual.quota.slack),
+        ),
         store_history=fields.part('Platform').number(
             'HistoryS', usual.store_history
         ),
