Let an owner that was cut off own its quotas again; split shared limits by job

Cause, read in the code: an entry that hears too few others goes by a small allowance for every quota. An allowance ended with the word of another entry or with a change of owner, so an entry that owned a quota before and after the cut kept refusing what was owed.

Change: an owner that hears enough of the fleet asks only itself.

--- a/tests/limits/test_shared_limits.py
+++ b/tests/limits/test_shared_limits.py
@@ -36,7 +36,7 @@
     silent: int = 0,
 ) -> SharedLimits:
     """An entry that knows the others and one limit, ``q``."""
-    limits = SharedLimits(Incarnation(name, 1), f'{name}:1', 0)
+    limits = SharedLimits.begin(Incarnation(name, 1), f'{name}:1', 0)
     limits.follow({'q': _LIMIT}, 0)
     peers = {one: f'{one}:1' for one in {name, *others}}
     limits.join(Members(peers, len(peers) + silent), 0)
@@ -183,9 +183,9 @@
 def test_owner_leaves_a_part_to_entries_it_cannot_hear() -> None:
     whole, partly = _entry('a', ()), _entry('a', 'bc', silent=3)
     whole.admit('q', 1, 0)
-    assert whole.owner.owned['q'].bucket.rate == 10
-    partly.owner.serve('q', _LIMIT, 0, 1, since=0, now=0)
-    assert partly.owner.owned['q'].bucket.rate == pytest.approx(7)
+    assert whole.owned.limits['q'].bucket.rate == 10
+    partly.owned.serve('q', _LIMIT, 0, 1, since=0, now=0)
+    assert partly.owned.limits['q'].bucket.rate == pytest.approx(7)
 
 
 def test_owner_grants_its_own_requests_what_is_left() -> None:
@@ -216,7 +216,7 @@
     assert sent.message == LimitReply(
         5, {'q': LimitStanding(granted=1, ample=True, wait=0)}
     )
-    assert owner.owner.owned['q'].bucket.level == pytest.approx(17)
+    assert owner.owned.limits['q'].bucket.level == pytest.approx(17)
 
 
 def test_report_to_another_entry_reaches_the_owner_once() -> None:
@@ -244,7 +244,7 @@
 def test_limit_moves_to_its_new_owner_with_what_is_left() -> None:
     owner = _owner('ab')
     owner.admit('q', 1, 0)
-    level = owner.owner.owned['q'].bucket.level
+    level = owner.owned.limits['q'].bucket.level
     names = 'ab' + next(
         one for one in 'cdefgh' if _owner_among(f'ab{one}') == one
     )
@@ -252,29 +252,29 @@
     (sent,) = _messages(owner)
     assert sent.peer == f'{names[-1]}:1'
     assert sent.message == LimitHandover({'q': level})
-    assert not owner.owner.owned
+    assert not owner.owned.limits
     successor = _entry(names[-1], names[:2])
     successor.receive(sent.message, 0)
-    assert successor.owner.owned['q'].bucket.level == level
+    assert successor.owned.limits['q'].bucket.level == level
 
 
 def test_owner_without_a_word_of_its_predecessor_begins_low() -> None:
     limits = _entry('a', ())
     limits.join(Members({'a': 'a:1', 'e': 'e:1'}, 2), 50)
-    limits.owner.serve('q', _LIMIT, 0, 0, since=50, now=50)
-    assert limits.owner.owned['q'].bucket.level == pytest.approx(5)
+    limits.owned.serve('q', _LIMIT, 0, 0, since=50, now=50)
+    assert limits.owned.limits['q'].bucket.level == pytest.approx(5)
 
 
 def test_owner_that_stood_still_knows_nothing_any_more() -> None:
     owner = _owner()
     owner.admit('q', 1, 100)
     owner.note_pause(200)
-    assert not owner.owner.owned
+    assert not owner.owned.limits
 
 
 def test_fresh_owner_begins_low() -> None:
     # It cannot know what was given out before it began.
-    limits = SharedLimits(Incarnation('s', 1), 's:1', 900, ('s:1',))
+    limits = SharedLimits.begin(Incarnation('s', 1), 's:1', 900, ('s:1',))
     limits.follow({'q': _LIMIT}, 900)
     verdicts = [limits.admit('q', ticket, 900) for ticket in range(9)]
     admitted = [one for one in verdicts if one.admission is Admission.ADMITTED]
@@ -294,13 +294,13 @@
     limits = _entry('a', ())
     limits.admit('q', 1, 100)
     limits.follow({}, 100)
-    assert not limits.owner.owned
+    assert not limits.owned.limits
     assert not limits.accounts
 
 
 def _fresh() -> tuple[SharedLimits, LimitReport]:
     """An entry that knows only a seed, and has asked it."""
-    limits = SharedLimits(Incarnation('a', 1), 'a:1', 0, ('s:1', 't:1'))
+    limits = SharedLimits.begin(Incarnation('a', 1), 'a:1', 0, ('s:1', 't:1'))
     limits.follow({'q': _LIMIT}, 0)
     assert limits.admit('q', 1, 0).admission is Admission.WAITING
     (sent,) = _messages(limits)
@@ -325,7 +325,7 @@
 
 
 def test_seed_that_is_fresh_itself_begins() -> None:
-    limits = SharedLimits(Incarnation('s', 1), 's:1', 0, ('s:1',))
+    limits = SharedLimits.begin(Incarnation('s', 1), 's:1', 0, ('s:1',))
     limits.follow({'q': _LIMIT}, 0)
     assert limits.admit('q', 1, 0).admission is Admission.ADMITTED
     limits.join(Members({'s': 's:1', 'a': 'a:1', 'b': 'b:1'}, 3), 0.5)
@@ -333,3 +333,23 @@
     assert [one.peer for one in _messages(limits)] == (
         [f'{_owner_among("sab")}:1'] if moved else []
     )
+
+
+def test_owner_that_was_cut_off_owns_again() -> None:
+    # Its own allowance must not bind it when it hears the others again.
+    owner = _owner_among('abcd')
+    limits = _entry(owner, set('abcd') - {owner})
+    limits.join(Members({owner: f'{owner}:1'}, 8), 100)
+    assert limits.admit('q', 1, 100).admission is Admission.ADMITTED
+    assert limits.admit('q', 2, 100).admission is Admission.DENIED
+    limits.join(Members({one: f'{one}:1' for one in 'abcd'}, 4), 200)
+    verdicts = [limits.admit('q', ticket, 210) for ticket in range(15)]
+    assert {one.admission for one in verdicts} == {Admission.ADMITTED}
+
+
+def test_reply_of_a_limit_that_is_gone_settles_who_waited() -> None:
+    limits, report = _asking()
+    limits.follow({}, 0.1)
+    standing = LimitStanding(1, ample=True, wait=0)
+    limits.receive(LimitReply(report.number, {'q': standing}), 0.2)
+    assert _verdicts(limits)[7].admission is Admission.ADMITTED
--- a/tests/steering/test_customers.py
+++ b/tests/steering/test_customers.py
@@ -326,7 +326,7 @@
         world = _world(customer(name, 'k', quota=Quota(5, 5)))
         _hear(world)
         world.wait(0.2)
-        if world.state.limits._owner_of(f'quota {name}') == 'two':
+        if world.state.limits.owners.owner_of(f'quota {name}') == 'two':
             break
     reply = LimitReply(0, {f'quota {name}': LimitStanding(0, False, 0)})
     world.run(LimitMessageReceived(world.now, reply))
--- a/worksrail/bench/limits/_ways.py
+++ b/worksrail/bench/limits/_ways.py
@@ -213,7 +213,7 @@
     def restart(self, entry: int) -> None:
         """An entry begins anew."""
         who = Incarnation(str(entry), int(self.network.now))
-        self.states[entry] = SharedLimits(
+        self.states[entry] = SharedLimits.begin(
             who, str(entry), self.network.now, ('0',)
         )
         self.states[entry].follow(self.limits, self.network.now)
--- a/worksrail/core/instance.py
+++ b/worksrail/core/instance.py
@@ -173,7 +173,7 @@
             ledger,
             Lending(settings, ledger),
             KeyMemory(settings.key_limit, retention),
-            SharedLimits(who, who.name, now),
+            SharedLimits.begin(who, who.name, now),
             now,
             now,
         )
--- a/worksrail/core/limits/__init__.py
+++ b/worksrail/core/limits/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from worksrail.core.limits._bucket import SharedLimit, TokenBucket
+from worksrail.core.limits._members import Members
 from worksrail.core.limits._messages import (
     LimitHandover,
     LimitMessage,
@@ -19,12 +20,11 @@
     limits_of,
     quota_name,
 )
-from worksrail.core.limits._shared import (
+from worksrail.core.limits._shared import SharedLimits
+from worksrail.core.limits._verdicts import (
     Addressed,
     Admission,
-    Members,
     Settled,
-    SharedLimits,
     Verdict,
 )
 
--- a/worksrail/core/limits/_accounts.py
+++ b/worksrail/core/limits/_accounts.py
@@ -5,6 +5,7 @@
 
 from worksrail.core._meters import RateMeter
 from worksrail.core.limits._bucket import SharedLimit, TokenBucket
+from worksrail.core.limits._messages import LimitStanding
 
 # Seconds over which an entry averages how much of a limit it uses.
 _USUAL_TIME: Final = 10.0
@@ -45,12 +46,41 @@
     allowance: TokenBucket | None = None
     """What may be admitted without the owner's word; None while it answers."""
 
+    def note_used(self, now: float) -> None:
+        """Something was admitted before its report."""
+        self.used += 1
+        self.usual.note(now)
+
     def take_used(self) -> int:
-        """Admissions that were not reported yet; they count as reported."""
+        """Admissions that were not reported yet; they are reported now."""
         used = self.used
         self.used = 0
+        self.probing = False
         return used
 
+    def wait(self, now: float) -> float:
+        """Seconds after which a denied caller shall come back."""
+        return max(self.denied_until, self.retry_at) - now
+
+    def take_standing(
+        self,
+        standing: LimitStanding,
+        granted: int,
+        pause: float,
+        now: float,
+    ) -> None:
+        """Take in the owner's word, with what it granted here.
+
+        If it denied something, it is not asked again before the pause is over.
+        """
+        self.end_silence()
+        self.ample = standing.ample
+        for _ in range(granted):
+            self.usual.note(now)
+        if standing.wait:
+            self.retry_at = now + standing.wait
+            self.denied_until = now + min(pause, standing.wait)
+
     def begin_silence(
         self,
         limit: SharedLimit,
@@ -62,6 +92,9 @@
         It is what this entry used lately or an equal part of what all that
         are cut off may use together, whichever is more.
         """
+        # The owner is tried again with the next reports: what is admitted
+        # meanwhile is counted nowhere.
+        self.probing = True
         if self.allowance is None:
             equal = limit.rate * SILENT_SHARE / max(1, entries)
             rate = max(equal, self.usual.rate(now) * _LEEWAY)
--- a/worksrail/core/limits/_messages.py
+++ b/worksrail/core/limits/_messages.py
@@ -68,3 +68,15 @@
 
 
 LimitMessage = LimitReport | LimitReply | LimitHandover
+
+
+def part_of(report: LimitReport, names: set[LimitName]) -> LimitReport:
+    """What a report says of some limits, to be passed on to their owner."""
+    return LimitReport(
+        report.sender,
+        report.peer,
+        report.number,
+        {name: report.used[name] for name in names & report.used.keys()},
+        {name: report.wanted[name] for name in names & report.wanted.keys()},
+        forwarded=True,
+    )
--- a/worksrail/core/limits/_owner.py
+++ b/worksrail/core/limits/_owner.py
@@ -70,7 +70,7 @@
 class LimitOwner:
     """All limits that this entry owns."""
 
-    owned: dict[LimitName, OwnedLimit] = field(default_factory=dict)
+    limits: dict[LimitName, OwnedLimit] = field(default_factory=dict)
     """The limits that somebody reported on, by name."""
 
     reserved: float = 0
@@ -87,7 +87,7 @@
         now: float,
     ) -> LimitStanding:
         """Serve one entry; ``since`` is when this one became the owner."""
-        owned = self.owned.get(name)
+        owned = self.limits.get(name)
         if owned is None:
             unasked = max(_FIRST_LEVEL, now - since)
             owned = self._add(name, limit, limit.rate * unasked, now)
@@ -97,19 +97,19 @@
         self, limits: Mapping[LimitName, SharedLimit], now: float
     ) -> None:
         """Bring changed limits into force, and forget those that are gone."""
-        for name in tuple(self.owned):
+        for name in tuple(self.limits):
             limit = limits.get(name)
             if limit is None:
-                self.owned.pop(name)
+                self.limits.pop(name)
             else:
-                self._resize(self.owned[name], limit, now)
+                self._resize(self.limits[name], limit, now)
 
     def reserve(self, share: float, now: float) -> None:
         """Leave a share of each rate to entries that cannot be heard."""
         if share == self.reserved:
             return
         self.reserved = share
-        for owned in self.owned.values():
+        for owned in self.limits.values():
             self._resize(owned, owned.limit, now)
 
     def hand_over(
@@ -120,7 +120,7 @@
         """Give up some limits; tells what is left of each."""
         levels: dict[LimitName, float] = {}
         for name in names:
-            bucket = self.owned.pop(name).bucket
+            bucket = self.limits.pop(name).bucket
             bucket.fill(now)
             levels[name] = round(bucket.level, 2)
         return levels
@@ -133,7 +133,7 @@
         now: float,
     ) -> None:
         """Go on where a predecessor ended."""
-        owned = self.owned.get(name)
+        owned = self.limits.get(name)
         if owned is None:
             self._add(name, limit, level, now)
         else:
@@ -153,8 +153,8 @@
             min(level, limit.capacity),
             now,
         )
-        self.owned[name] = OwnedLimit(limit, bucket)
-        return self.owned[name]
+        self.limits[name] = OwnedLimit(limit, bucket)
+        return self.limits[name]
 
     def _resize(
         self, owned: OwnedLimit, limit: SharedLimit, now: float
--- a/worksrail/core/limits/_shared.py
+++ b/worksrail/core/limits/_shared.py
@@ -1,17 +1,13 @@
 """Both sides of all shared limits at one entry."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from enum import Enum, unique
 from typing import Final
 
-from worksrail.core._rendezvous import rendezvous
 from worksrail.core.identity import Incarnation, InstanceName
-from worksrail.core.limits._accounts import (
-    SILENT_SHARE,
-    Account,
-)
-from worksrail.core.limits._bucket import SharedLimit, TokenBucket
+from worksrail.core.limits._accounts import SILENT_SHARE, Account
+from worksrail.core.limits._bucket import SharedLimit
+from worksrail.core.limits._members import Members, Owners
 from worksrail.core.limits._messages import (
     LimitHandover,
     LimitMessage,
@@ -19,109 +15,31 @@
     LimitReply,
     LimitReport,
     LimitStanding,
+    part_of,
 )
 from worksrail.core.limits._owner import LimitOwner
+from worksrail.core.limits._reports import Reports, Tickets
+from worksrail.core.limits._verdicts import (
+    ADMITTED,
+    WAITING,
+    Addressed,
+    Admission,
+    LimitOutput,
+    Settled,
+    Ticket,
+    Verdict,
+)
 
-# Seconds within which an owner answers: twice the way to another region and
-# back, and as much again for busy instances.  A datagram that was lost costs
-# the callers who wait for it this time.
-_ANSWER_TIME: Final = 0.3
 # Seconds for which a denied limit is not asked for again: the entries of a
 # large fleet would send their owner a datagram for each refusal otherwise.
 _ASK_PAUSE: Final = 0.2
-# Share of the entries that were heard of from which an entry trusts its view
-# of who lives: one that hears fewer is cut off itself, and must not take all
-# limits for its own.
-_TRUSTED_VIEW: Final = 0.25
-
-Ticket = int
-"""Names an admission that waits for the owner's word; its user's choice."""
-
-
-@unique
-class Admission(Enum):
-    """What became of a wish to admit something."""
-
-    ADMITTED = 'it may go on'
-    WAITING = 'the owner of the limit was asked'
-    DENIED = 'the limit is reached'
-
-
-@dataclass(frozen=True, slots=True)
-class Verdict:
-    """The answer to a wish to admit something."""
-
-    admission: Admission
-    """What became of it."""
-
-    wait: float = 0
-    """Seconds after which another try finds a token, if it was denied."""
-
-
-@dataclass(frozen=True, slots=True)
-class Settled:
-    """A wish that waited has its verdict."""
-
-    ticket: Ticket
-    """The wish."""
-
-    verdict: Verdict
-    """Admitted or denied."""
-
-
-@dataclass(frozen=True, slots=True)
-class Addressed:
-    """A message to another entry."""
-
-    peer: str
-    """Its address."""
-
-    message: LimitMessage
-    """What to tell it."""
-
-
-LimitOutput = Settled | Addressed
-
-
-@dataclass(frozen=True, slots=True)
-class Members:
-    """The entries among which limits have their owners."""
-
-    peers: Mapping[InstanceName, str]
-    """Addresses of the entries that live and take requests, by name; the own
-    one among them if it does."""
-
-    known: int
-    """Entries that were heard of, the silent ones and the own one included."""
-
-    @property
-    def silent_share(self) -> float:
-        """Share of all entries that cannot be heard."""
-        return max(0, 1 - len(self.peers) / max(1, self.known))
-
-    @property
-    def trusted(self) -> bool:
-        """Whether so many are heard that the own view can be right."""
-        return len(self.peers) >= self.known * _TRUSTED_VIEW
-
-
-@dataclass(slots=True)
-class _Asked:
-    """A report that was sent and not answered yet."""
-
-    sent_at: float
-    tickets: dict[LimitName, list[Ticket]]
-
-
-_ADMITTED: Final = Verdict(Admission.ADMITTED)
-_WAITING: Final = Verdict(Admission.WAITING)
 
 
 @dataclass(slots=True)
 class SharedLimits:
     """Admits within limits that all entries share.
 
-    >>> limits = SharedLimits(Incarnation('one', 1), '127.0.0.1:1', 0)
+    >>> limits = SharedLimits.begin(Incarnation('one', 1), '127.0.0.1:1', 0)
     >>> limits.admit('quota of nobody', 1, now=0).admission.name
     'ADMITTED'
     """
@@ -132,8 +50,8 @@
     peer: str
     """Its address for messages."""
 
-    members_since: float
-    """Since when the members are the same; first, when this entry began."""
+    owners: Owners
+    """Who owns which limit."""
 
     seeds: tuple[str, ...] = ()
     """Addresses of entries to turn to before others are known."""
@@ -141,33 +59,35 @@
     limits: Mapping[LimitName, SharedLimit] = field(default_factory=dict)
     """The limits in force."""
 
-    members: Members = field(default_factory=lambda: Members({}, 1))
-    """Who may own them."""
-
     joined: bool = False
     """The members were told at least once."""
 
     parked: list[tuple[LimitName, Ticket]] = field(default_factory=list)
     """Wishes that no seed has answered; they wait for the members."""
 
-    owner: LimitOwner = field(default_factory=LimitOwner)
+    owned: LimitOwner = field(default_factory=LimitOwner)
     """The limits that this entry owns."""
 
     accounts: dict[LimitName, Account] = field(default_factory=dict)
     """This entry's side of the limits that it has used."""
 
-    owners: dict[LimitName, InstanceName] = field(default_factory=dict)
-    """Owners that were drawn among the members."""
-
-    asked: dict[int, _Asked] = field(default_factory=dict)
-    """Reports under way, by number."""
-
-    reports: int = 0
-    """Reports sent so far."""
+    reports: Reports = field(default_factory=Reports)
+    """Reports under way."""
 
     outputs: list[LimitOutput] = field(default_factory=list)
     """What is to be done since they were taken last."""
 
+    @classmethod
+    def begin(
+        cls,
+        who: Incarnation,
+        peer: str,
+        now: float,
+        seeds: tuple[str, ...] = (),
+    ) -> 'SharedLimits':
+        """Begin an incarnation that knows nobody."""
+        return cls(who, peer, Owners(now), seeds)
+
     def take_outputs(self) -> list[LimitOutput]:
         """Messages to send and verdicts to follow; each is given once."""
         outputs = self.outputs
@@ -177,50 +97,51 @@
     # -- what changes from outside
 
     def follow(
-        self, limits: Mapping[LimitName, SharedLimit], now: float
+        self,
+        limits: Mapping[LimitName, SharedLimit],
+        now: float,
     ) -> None:
         """Bring the limits of a new configuration into force."""
         self.limits = limits
-        self.owner.follow(limits, now)
+        self.owned.follow(limits, now)
         for name in self.accounts.keys() - limits.keys():
             self.accounts.pop(name)
 
     def join(self, members: Members, now: float) -> None:
         """Take in who lives; limits move to their new owners."""
-        if self.joined and members == self.members:
+        if self.joined and members == self.owners.members:
             return
-        self.owner.reserve(round(SILENT_SHARE * members.silent_share, 2), now)
-        if members.peers.keys() != self.members.peers.keys():
-            self.members_since = now
-            self._move(members, now)
-        self.members = members
+        self.owned.reserve(round(SILENT_SHARE * members.silent_share, 2), now)
+        before = self.owners.drawn
+        if self.owners.replace(members, now):
+            self._follow_owners(before, now)
+            self._hand_over(now)
         if not self.joined:
             self.joined = True
             self._unpark(now)
 
+    def note_pause(self, now: float) -> None:
+        """The process stood still: others own its limits by now."""
+        self.owned.limits.clear()
+        self.owners.since = now
+
     # -- requests
 
     def admit(self, name: LimitName, ticket: Ticket, now: float) -> Verdict:
         """Admit something within a limit, deny it, or ask the owner first."""
         limit = self.limits.get(name)
         if limit is None:
-            return _ADMITTED
+            return ADMITTED
         if not self.joined:
             return self._admit_fresh(name, limit, ticket, now)
-        account = self._account(name)
-        if not self.members.trusted or account.allowance:
-            account.probing = True
-            return self._admit_alone(account, limit, now)
-        owner = self._owner_of(name)
+        if not self.owners.members.trusted:
+            return self._admit_alone(name, limit, now)
+        owner = self.owners.owner_of(name)
         if owner == self.who.name:
             return self._admit_owned(name, limit, now)
-        if account.ample or not owner:
-            return _admit_unasked(account, now)
-        if now < account.denied_until:
-            wait = max(account.denied_until, account.retry_at) - now
-            return Verdict(Admission.DENIED, wait)
-        self._ask(name, ticket, self.members.peers[owner], now)
-        return _WAITING
+        if self._account(name).allowance:
+            return self._admit_alone(name, limit, now)
+        return self._admit_of(owner, name, ticket, now)
 
     def give_back(self, name: LimitName) -> None:
         """What was admitted was not used after all."""
@@ -229,28 +150,17 @@
 
     def tick(self, now: float) -> None:
         """Report what was admitted; give up on owners that are silent."""
-        overdue = [
-            number
-            for number, asked in self.asked.items()
-            if now - asked.sent_at > _ANSWER_TIME
-        ]
-        for number in overdue:
-            self._give_up(self.asked.pop(number), now)
+        for tickets in self.reports.take_overdue(now):
+            self._give_up(tickets, now)
         if not self.joined:
             return
         by_owner: dict[InstanceName, dict[LimitName, int]] = {}
         for name in self._unreported():
-            account = self.accounts[name]
-            owner = self._owner_of(name)
-            by_owner.setdefault(owner, {})[name] = account.take_used()
-            account.probing = False
-        for owner, used in by_owner.items():
-            self._report(owner, used, now)
-
-    def note_pause(self, now: float) -> None:
-        """The process stood still: others own its limits by now."""
-        self.owner.owned.clear()
-        self.members_since = now
+            owner = self.owners.owner_of(name)
+            used = self._account(name).take_used()
+            by_owner.setdefault(owner, {})[name] = used
+        for owner, counts in by_owner.items():
+            self._report(owner, counts, now)
 
     # -- messages
 
@@ -264,50 +174,32 @@
             for name, level in message.levels.items():
                 limit = self.limits.get(name)
                 if limit:
-                    self.owner.take_over(name, limit, level, now)
-
-    # -- parts of these
-
-    def _unreported(self) -> list[LimitName]:
-        under_way = {
-            name for asked in self.asked.values() for name in asked.tickets
-        }
-        return [
-            name
-            for name, account in self.accounts.items()
-            if (account.used or account.probing) and name not in under_way
-        ]
+                    self.owned.take_over(name, limit, level, now)
 
-    def _account(self, name: LimitName) -> Account:
-        account = self.accounts.get(name)
-        if account is None:
-            account = Account()
-            self.accounts[name] = account
-        return account
+    # -- who owns what
 
-    def _owner_of(self, name: LimitName) -> InstanceName:
-        owner = self.owners.get(name)
-        if owner is None:
-            owner = rendezvous(f'limit|{name}', self.members.peers)
-            self.owners[name] = owner
-        return owner
-
-    def _move(self, members: Members, now: float) -> None:
-        before = self.owners
-        self.members = members
-        self.owners = {}
+    def _follow_owners(
+        self,
+        before: Mapping[LimitName, InstanceName],
+        now: float,
+    ) -> None:
         for name, account in self.accounts.items():
-            if self._owner_of(name) != before.get(name):
+            if self.owners.owner_of(name) != before.get(name):
                 account.end_silence()
                 account.denied_until = now
-        successors: dict[InstanceName, list[LimitName]] = {}
-        for owned in self.owner.owned:
-            successor = self._owner_of(owned)
-            if successor and successor != self.who.name:
-                successors.setdefault(successor, []).append(owned)
-        for heir, names in successors.items():
-            levels = self.owner.hand_over(names, now)
-            self._send(members.peers[heir], LimitHandover(levels))
+
+    def _hand_over(self, now: float) -> None:
+        heirs: dict[InstanceName, list[LimitName]] = {}
+        for name in self.owned.limits:
+            heir = self.owners.owner_of(name)
+            if heir and heir != self.who.name:
+                heirs.setdefault(heir, []).append(name)
+        for successor, names in heirs.items():
+            levels = self.owned.hand_over(names, now)
+            peer = self.owners.members.peers[successor]
+            self._send(peer, LimitHandover(levels))
+
+    # -- ways to admit
 
     def _admit_fresh(
         self,
@@ -325,15 +217,7 @@
         if seed == self.peer:
             return self._admit_owned(name, limit, now)
         self._ask(name, ticket, seed, now)
-        return _WAITING
-
-    def _unpark(self, now: float) -> None:
-        parked = self.parked
-        self.parked = []
-        for name, ticket in parked:
-            verdict = self.admit(name, ticket, now)
-            if verdict.admission is not Admission.WAITING:
-                self._settle([ticket], verdict)
+        return WAITING
 
     def _admit_owned(
         self,
@@ -342,43 +226,59 @@
         now: float,
     ) -> Verdict:
         account = self._account(name)
-        used = account.take_used()
-        standing = self._own_standing(name, limit, used, 1, now)
+        standing = self._own_standing(name, limit, account.take_used(), 1, now)
         if standing.granted:
             account.usual.note(now)
-            return _ADMITTED
+            return ADMITTED
         return Verdict(Admission.DENIED, standing.wait)
 
+    def _admit_of(
+        self,
+        owner: InstanceName,
+        name: LimitName,
+        ticket: Ticket,
+        now: float,
+    ) -> Verdict:
+        """Admit while another entry's word is that much is left, or ask it."""
+        account = self._account(name)
+        if account.ample or not owner:
+            account.note_used(now)
+            return ADMITTED
+        if now < account.denied_until:
+            return Verdict(Admission.DENIED, account.wait(now))
+        self._ask(name, ticket, self.owners.members.peers[owner], now)
+        return WAITING
+
     def _admit_alone(
         self,
-        account: Account,
+        name: LimitName,
         limit: SharedLimit,
         now: float,
     ) -> Verdict:
-        allowance = self._allowance(account, limit, now)
+        """Admit without the owner's word, and try the owner again."""
+        known = self.owners.members.known
+        allowance = self._account(name).begin_silence(limit, known, now)
         if allowance.take(1, now):
-            return _ADMITTED
+            return ADMITTED
         return Verdict(Admission.DENIED, allowance.next_token_in(now))
 
-    def _allowance(
-        self,
-        account: Account,
-        limit: SharedLimit,
-        now: float,
-    ) -> TokenBucket:
-        return account.begin_silence(limit, self.members.known, now)
+    def _unpark(self, now: float) -> None:
+        parked = self.parked
+        self.parked = []
+        for name, ticket in parked:
+            verdict = self.admit(name, ticket, now)
+            if verdict.admission is not Admission.WAITING:
+                self._settle([ticket], verdict)
 
-    def _own_standing(
-        self,
-        name: LimitName,
-        limit: SharedLimit,
-        used: int,
-        wanted: int,
-        now: float,
-    ) -> LimitStanding:
-        return self.owner.serve(
-            name, limit, used, wanted, since=self.members_since, now=now
-        )
+    # -- reports, as the entry that uses a limit
+
+    def _unreported(self) -> list[LimitName]:
+        under_way = self.reports.named()
+        return [
+            name
+            for name, account in self.accounts.items()
+            if (account.used or account.probing) and name not in under_way
+        ]
 
     def _ask(
         self,
@@ -387,12 +287,11 @@
         peer: str,
         now: float,
     ) -> None:
-        used = self._account(name).take_used()
-        number = self._next_report(now, {name: [ticket]})
-        report = LimitReport(
-            self.who, self.peer, number, {name: used}, {name: 1}
+        used = {name: self._account(name).take_used()}
+        number = self.reports.begin({name: [ticket]}, now)
+        self._send(
+            peer, LimitReport(self.who, self.peer, number, used, {name: 1})
         )
-        self._send(peer, report)
 
     def _report(
         self,
@@ -400,59 +299,60 @@
         used: dict[LimitName, int],
         now: float,
     ) -> None:
-        if owner == self.who.name or owner not in self.members.peers:
+        peer = self.owners.members.peers.get(owner)
+        if owner == self.who.name:
             for name, count in used.items():
-                self._account_for(name, count, now)
-            return
-        number = self._next_report(now, {name: [] for name in used})
-        report = LimitReport(self.who, self.peer, number, used, {})
-        self._send(self.members.peers[owner], report)
+                self._own_standing(name, self.limits[name], count, 0, now)
+        elif peer:
+            number = self.reports.begin({name: [] for name in used}, now)
+            self._send(peer, LimitReport(self.who, self.peer, number, used, {}))
 
-    def _account_for(self, name: LimitName, used: int, now: float) -> None:
-        limit = self.limits.get(name)
-        if limit and self._owner_of(name) == self.who.name:
-            self._own_standing(name, limit, used, 0, now)
+    def _give_up(self, tickets: Tickets, now: float) -> None:
+        """Go on without the owner's word.
 
-    def _next_report(
-        self,
-        now: float,
-        tickets: dict[LimitName, list[Ticket]],
-    ) -> int:
-        self.reports += 1
-        self.asked[self.reports] = _Asked(now, tickets)
-        return self.reports
-
-    def _give_up(self, asked: _Asked, now: float) -> None:
-        for name, tickets in asked.tickets.items():
+        What was reported in vain is covered by what owners leave to entries
+        that they cannot hear.
+        """
+        for name, waiting in tickets.items():
             limit = self.limits.get(name)
             if limit is None:
-                self._settle(tickets, _ADMITTED)
-                continue
-            if not self.joined:
-                self.parked.extend((name, ticket) for ticket in tickets)
-                continue
-            account = self._account(name)
-            # What was reported in vain is covered by what owners leave to
-            # entries they cannot hear.
-            self._allowance(account, limit, now)
-            account.probing = True
-            for ticket in tickets:
-                verdict = self._admit_alone(account, limit, now)
-                self._settle([ticket], verdict)
+                self._settle(waiting, ADMITTED)
+            elif self.joined:
+                known = self.owners.members.known
+                self._account(name).begin_silence(limit, known, now)
+                for ticket in waiting:
+                    verdict = self._admit_alone(name, limit, now)
+                    self._settle([ticket], verdict)
+            else:
+                self.parked.extend((name, ticket) for ticket in waiting)
+
+    def _take_reply(self, reply: LimitReply, now: float) -> None:
+        for name, standing in reply.standings.items():
+            tickets = self.reports.answer(reply.number, name)
+            granted = tickets[: standing.granted]
+            denied = Verdict(Admission.DENIED, standing.wait)
+            self._settle(granted, ADMITTED)
+            self._settle(tickets[standing.granted :], denied)
+            if name in self.limits:
+                account = self._account(name)
+                account.take_standing(standing, len(granted), _ASK_PAUSE, now)
+
+    # -- reports, as the owner
 
     def _serve(self, report: LimitReport, now: float) -> None:
         standings: dict[LimitName, LimitStanding] = {}
         elsewhere: dict[InstanceName, set[LimitName]] = {}
         for name in report.used.keys() | report.wanted.keys():
-            owner = self._owner_of(name)
+            owner = self.owners.owner_of(name)
             if owner in {self.who.name, ''} or report.forwarded:
                 standings[name] = self._standing(report, name, now)
             else:
                 elsewhere.setdefault(owner, set()).add(name)
         if standings:
             self._send(report.peer, LimitReply(report.number, standings))
-        for heir, names in elsewhere.items():
-            self._send(self.members.peers[heir], _part_of(report, names))
+        for other, names in elsewhere.items():
+            peer = self.owners.members.peers[other]
+            self._send(peer, part_of(report, names))
 
     def _standing(
         self,
@@ -460,70 +360,36 @@
         name: LimitName,
         now: float,
     ) -> LimitStanding:
-        used, wanted = report.used.get(name, 0), report.wanted.get(name, 0)
+        used = report.used.get(name, 0)
+        wanted = report.wanted.get(name, 0)
         limit = self.limits.get(name)
         if limit is None:
             # A configuration that is not known to both yet.
             return LimitStanding(wanted, ample=True, wait=0)
         return self._own_standing(name, limit, used, wanted, now)
 
-    def _take_reply(self, reply: LimitReply, now: float) -> None:
-        asked = self.asked.get(reply.number)
-        for name, standing in reply.standings.items():
-            if name not in self.limits:
-                continue
-            account = self._account(name)
-            account.end_silence()
-            account.ample = standing.ample
-            if standing.wait:
-                account.retry_at = now + standing.wait
-                account.denied_until = now + min(_ASK_PAUSE, standing.wait)
-            if asked:
-                tickets = asked.tickets.pop(name, [])
-                self._settle_by(standing, account, tickets, now)
-        if asked and not asked.tickets:
-            self.asked.pop(reply.number)
-
-    def _settle_by(
+    def _own_standing(
         self,
-        standing: LimitStanding,
-        account: Account,
-        tickets: list[Ticket],
+        name: LimitName,
+        limit: SharedLimit,
+        used: int,
+        wanted: int,
         now: float,
-    ) -> None:
-        granted = tickets[: standing.granted]
-        for _ in granted:
-            account.usual.note(now)
-        self._settle(granted, _ADMITTED)
-        denied = Verdict(Admission.DENIED, standing.wait)
-        self._settle(tickets[standing.granted :], denied)
+    ) -> LimitStanding:
+        since = self.owners.since
+        return self.owned.serve(name, limit, used, wanted, since=since, now=now)
+
+    # -- parts of these
+
+    def _account(self, name: LimitName) -> Account:
+        account = self.accounts.get(name)
+        if account is None:
+            account = Account()
+            self.accounts[name] = account
+        return account
 
     def _settle(self, tickets: Iterable[Ticket], verdict: Verdict) -> None:
         self.outputs.extend(Settled(ticket, verdict) for ticket in tickets)
 
     def _send(self, peer: str, message: LimitMessage) -> None:
         self.outputs.append(Addressed(peer, message))
-
-
-def _admit_unasked(account: Account, now: float) -> Verdict:
-    account.used += 1
-    account.usual.note(now)
-    return _ADMITTED
-
-
-def _part_of(report: LimitReport, names: set[LimitName]) -> LimitReport:
-    return LimitReport(
-        report.sender,
-        report.peer,
-        report.number,
-        dict(_among(report.used, names)),
-        dict(_among(report.wanted, names)),
-        forwarded=True,
-    )
-
-
-def _among(
-    counts: Mapping[LimitName, int],
-    names: set[LimitName],
-) -> Iterator[tuple[LimitName, int]]:
-    return ((name, counts[name]) for name in names & counts.keys())
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -195,7 +195,9 @@
             Catalog(settings.regions),
             fleet,
             Nearness.from_regions(settings.regions.values()),
-            SharedLimits(who, settings.addresses.peer, now, settings.seeds),
+            SharedLimits.begin(
+                who, settings.addresses.peer, now, settings.seeds
+            ),
             now,
             now,
         )
