Compress what entries tell each other of the store

Change: news are packed as digests are; both use one module, which turns down what is cut short.

Measured: news of 3,000 upstreams take less than a third of the bytes (test).

--- /dev/null
+++ b/tests/platform/test_packing.py
@@ -0,0 +1,39 @@
+"""What entries send each other is small, and anything else is turned down."""
+
+import msgspec
+import pytest
+
+from tests.steering.world import upstream
+from worksrail.core.steering import StoreNews
+from worksrail.daemon.steered._packing import pack, unpack
+
+
+@pytest.mark.parametrize('size', [0, 10, 399, 400, 100_000])
+def test_payload_comes_back(size: int) -> None:
+    payload = b'\x93' + bytes(size)
+    assert unpack(pack(payload), 1_000_000) == payload
+
+
+def test_news_of_many_upstreams_are_small() -> None:
+    # A link of 10 Mbit/s needs 0.2 s for those of 3,000 upstreams as they are.
+    records = tuple(
+        upstream(
+            f'i-{number * 2654435761 % 2**40:010x}',
+            address=f'10.{number % 250}.{number // 250}.{number % 7}:8445',
+            zone=f'zone-{number % 6}',
+            sequence=number,
+        )
+        for number in range(3000)
+    )
+    payload = msgspec.msgpack.encode(StoreNews(9, records=records))
+    assert len(pack(payload)) < len(payload) / 3
+
+
+@pytest.mark.parametrize('packed', [b'x', b'xyz', b'x\x9c\x00\x01'])
+def test_bytes_that_are_not_compressed(packed: bytes) -> None:
+    with pytest.raises(ValueError, match='compressed'):
+        unpack(packed, 100)
+
+
+def test_payload_is_cut_at_its_longest() -> None:
+    assert len(unpack(pack(bytes(100_000)), 1000)) == 1000
--- a/worksrail/daemon/steered/_digests.py
+++ b/worksrail/daemon/steered/_digests.py
@@ -1,7 +1,6 @@
 """Messages between entries: small datagrams, each of which may be lost."""
 
 import asyncio
-import zlib
 from dataclasses import dataclass
 from typing import Any, Final, cast
 
@@ -13,15 +12,9 @@
 from worksrail.core.steering.effects import SendDigest, SendLimitMessage
 from worksrail.core.steering.events import DigestReceived, LimitMessageReceived
 from worksrail.daemon.steered._engine import SteeringEngine
+from worksrail.daemon.steered._packing import pack, unpack
 
 _LOG: Final = Logger('worksrail.peers')
-# Bytes from which a digest is compressed: what speakers tell each other names
-# the same zones, ports and prefixes many times over and crosses regions.
-_WORTH_COMPRESSING: Final = 400
-# Fastest level: it takes tens of microseconds for a digest.
-_LEVEL: Final = 1
-# What compressed digests begin with; plain ones begin with an array's mark.
-_COMPRESSED: Final = b'x'
 # Bytes that a digest may grow to, so that no datagram can fill the memory.
 _LONGEST: Final = 1_000_000
 PeerMessage = (
@@ -34,22 +27,12 @@
 
 def pack_message(message: PeerMessage) -> bytes:
     """Bytes of a message, compressed if that is worth it."""
-    payload = msgspec.msgpack.encode(message)
-    if len(payload) < _WORTH_COMPRESSING:
-        return payload
-    return zlib.compress(payload, _LEVEL)
+    return pack(msgspec.msgpack.encode(message))
 
 
 def unpack_message(payload: bytes) -> PeerMessage:
     """The message in some bytes; raises ``ValueError`` if there is none."""
-    if payload.startswith(_COMPRESSED):
-        try:
-            payload = zlib.decompressobj().decompress(payload, _LONGEST)
-        except zlib.error as error:
-            raise ValueError(
-                f'expected a compressed message: {error}'
-            ) from error
-    return _DECODER.decode(payload)
+    return _DECODER.decode(unpack(payload, _LONGEST))
 
 
 @dataclass(slots=True)
--- a/worksrail/daemon/steered/_peers.py
+++ b/worksrail/daemon/steered/_peers.py
@@ -21,12 +21,15 @@
 from worksrail.daemon.http._connections import ConnectionPool
 from worksrail.daemon.http._exchange import Exchange
 from worksrail.daemon.steered._engine import SteeringEngine
+from worksrail.daemon.steered._packing import pack, unpack
 
 _LOG: Final = Logger('worksrail.peers')
 _PATH: Final = '/news'
 _NEWS_TYPE: Final = 'application/msgpack'
 _DECODER: Final = msgspec.msgpack.Decoder(StoreNews)
 _OK: Final = 200
+# Bytes that news may grow to: 100,000 upstreams are told in half of it.
+_LONGEST: Final = 20_000_000
 # Seconds for an answer; another entry is asked after it.
 _TIMEOUT: Final = 1.0
 
@@ -53,7 +56,8 @@
             return
         engine = self.engine
         news = news_since(engine.state, kind, since, engine.now())
-        exchange.answer_document(msgspec.msgpack.encode(news), _NEWS_TYPE)
+        payload = pack(msgspec.msgpack.encode(news))
+        exchange.answer_document(payload, _NEWS_TYPE)
 
     def caller_gone(self, exchange: Exchange) -> None:
         """Nothing is under way that could be cut off."""
@@ -101,8 +105,8 @@
         if report.end is not AttemptEnd.WHOLE or collector.status != _OK:
             return None
         try:
-            return _DECODER.decode(collector.body)
-        except msgspec.DecodeError as error:
+            return _DECODER.decode(unpack(collector.body, _LONGEST))
+        except ValueError as error:
             _LOG.warning(
                 'malformed news', extra={'peer': effect.peer, 'why': str(error)}
             )
