--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -19,7 +19,6 @@
 from worksrail.core.steering._shortage import (
     crowding,
     price_of,
-    short_for,
     use_of_slots,
 )
 from worksrail.core.steering._waiting import patience
@@ -241,9 +240,7 @@
 
 
 def _is_in_time(scale: _Scale, choice: Choice) -> bool:
-    request = scale.request
-    short = short_for(scale.state, request.service, scale.now)
-    return choice.wait <= patience(request, choice.work, short, scale.now)
+    return choice.wait <= patience(scale.request, choice.work, scale.now)
 
 
 def _other_home(scale: _Scale) -> Choice | None:
--- a/worksrail/core/steering/_shortage.py
+++ b/worksrail/core/steering/_shortage.py
@@ -6,7 +6,6 @@
 price on slots, which grows with their use, keeps requests at warm upstreams.
 """
 
-from math import inf
 from typing import Final
 
 from worksrail.core.identity import ServiceName
@@ -21,9 +20,6 @@
 # seconds of others' waiting for each second of work when all are in use.
 _SHORT: Final = 0.4
 _SHORTAGE: Final = 3.0
-# Share of a service's slots in use, queues included, from which none is to
-# spare.
-_FULL: Final = 1.0
 # Seconds for which the use of a service's slots is not counted anew, and
 # upstreams of a service from which it is kept for longer in proportion: to
 # count 3,000 of them takes 0.8 ms, and their use changes slowly.
@@ -37,16 +33,11 @@
     now: float,
 ) -> float:
     """Requests in flight at a service over its slots; may pass 1."""
-    return _shortage(state, service, now).used
-
-
-def short_for(
-    state: SteeringState,
-    service: ServiceName,
-    now: float,
-) -> float:
-    """Seconds for which a service has had no slot to spare."""
-    return max(0, now - _shortage(state, service, now).short_since)
+    known = state.shortages.get(service)
+    if known is None or now - known.seen_at > _kept_for(state, service):
+        known = Shortage(_counted(state, service), now)
+        state.shortages[service] = known
+    return known.used
 
 
 def price_of(used: float) -> float:
@@ -59,22 +50,6 @@
     return _CROWDING * _excess(used, _ROOMY)
 
 
-def _shortage(
-    state: SteeringState,
-    service: ServiceName,
-    now: float,
-) -> Shortage:
-    known = state.shortages.get(service)
-    if known and now - known.seen_at <= _kept_for(state, service):
-        return known
-    used = _counted(state, service)
-    since = inf
-    if used >= _FULL:
-        since = min(now, known.short_since) if known else now
-    state.shortages[service] = Shortage(used, now, since)
-    return state.shortages[service]
-
-
 def _kept_for(state: SteeringState, service: ServiceName) -> float:
     count = len(state.catalog.names_of(service))
     return _SHORTAGE_AGE * max(1, count / _MANY_UPSTREAMS)
--- a/worksrail/core/steering/_waiting.py
+++ b/worksrail/core/steering/_waiting.py
@@ -18,33 +18,21 @@
 # Target latencies that a request which came back after a refusal may wait: it
 # is late in any case, but better served than refused twice.  With 0.2 more are
 # in time and more are refused for good: worth 0.014 less on five days of a site
-# of 12 entries (one run each).
+# of 12 entries (one run each).  What speaks for it is overload that lasts: at
+# the warm capacity 0.10 are in time with 1 and 0.90 with 0.2 (virtual clock).
+# Yet 0.2 once slots have been short for 0.7 s loses 0.05 of the worth of a day
+# of overload on a site of 9 entries (two runs each), refused 0.11 for 0.07.
 _RETURNED_WAIT: Final = 1.0
-# The same once slots have been short for some seconds: those who come back keep
-# the queues full then, and everybody is late.  At the warm capacity it earns
-# 0.82 of the credit instead of 0.54, in a burst of three times for 8 s 0.76
-# instead of 0.37 (virtual clock, three seeds; after 1.5 s 0.79 and 0.72, after
-# 3 s 0.70 and 0.64).  Where upstreams remember few keys it costs 0.02.
-_RETURNED_WAIT_LONG: Final = 0.2
-_LONG_SHORTAGE: Final = 0.7
 
 
-def patience(
-    request: SteeredRequest,
-    work: float,
-    short_for: float,
-    now: float,
-) -> float:
+def patience(request: SteeredRequest, work: float, now: float) -> float:
     """Seconds for which a request may wait for a slot.
 
-    ``work`` is the seconds of execution and way that follow the wait, and
-    ``short_for`` those for which the service has had no slot to spare.
+    ``work`` is the seconds of execution and way that follow the wait.
     """
     target = request.route.target_latency
     if request.returned:
         left = request.deadline - now - work
-        lasting = short_for > _LONG_SHORTAGE
-        share = _RETURNED_WAIT_LONG if lasting else _RETURNED_WAIT
-        return min(left, target * share)
+        return min(left, target * _RETURNED_WAIT)
     left = request.arrived_at + target * _ON_TIME - now - work
     return max(target * _LEAST_WAIT, left)
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -43,9 +43,6 @@
     seen_at: float
     """When they were counted."""
 
-    short_since: float = inf
-    """Since when no slot has been to spare; infinite if there is one."""
-
 
 @dataclass(slots=True)
 class SteeringState:
