Spread when callers over a quota come back, in both products by one copy

Cause: what an entry denies without asking a limit's owner was told the same time in the product's own mode: of 30 callers that came over a quota in one instant all 30 were told 2.0 s, so they came back together. The other product spread this by its own copy.

Change: Verdict.pause spreads it by up to 0.3, for both.

Decisions of the platform's product are as before: the same draw at the same place.

--- a/worksrail/core/_arriving.py
+++ b/worksrail/core/_arriving.py
@@ -91,8 +91,9 @@
     elif active.admitted:
         yield from begin(instance, active, now)
     else:
+        pause = verdict.pause(instance.rng)
         yield from finish(
-            instance, active, ResultCode.QUOTA_REACHED, now, verdict.wait
+            instance, active, ResultCode.QUOTA_REACHED, now, pause
         )
 
 
--- a/worksrail/core/limits/_verdicts.py
+++ b/worksrail/core/limits/_verdicts.py
@@ -1,11 +1,17 @@
 """What becomes of wishes to admit something, and what is to be sent."""
 
+import random
 from dataclasses import dataclass
 from enum import Enum, unique
 from typing import Final
 
 from worksrail.core.limits._messages import LimitMessage
 
+# Spread of the time after which denied callers shall come back, as multiples
+# of the time at which a token is expected: those that an entry denies without
+# asking the owner would else all come back in the same millisecond.
+_RETURN_SPREAD: Final = (1.0, 1.3)
+
 Ticket = int
 """Names a wish that waits for the owner's word; its user's choice."""
 
@@ -29,6 +35,14 @@
     wait: float = 0
     """Seconds after which another try finds a token, if it was denied."""
 
+    def pause(self, rng: random.Random) -> float:
+        """Seconds that a denied caller is told to wait: never too few.
+
+        >>> 2 <= Verdict(Admission.DENIED, 2).pause(random.Random(1)) <= 2.6
+        True
+        """
+        return round(self.wait * rng.uniform(*_RETURN_SPREAD), 3)
+
 
 @dataclass(frozen=True, slots=True)
 class Settled:
--- a/worksrail/core/steering/_admitting.py
+++ b/worksrail/core/steering/_admitting.py
@@ -1,7 +1,6 @@
 """Whether a customer's quota has room for a request."""
 
 from collections.abc import Iterator
-from typing import Final
 
 from worksrail.core.customers import Customer
 from worksrail.core.limits import (
@@ -24,10 +23,6 @@
 from worksrail.core.steering.events import LimitMessageReceived
 from worksrail.core.steering.state import SteeringState
 
-# Spread of the time after which callers over a quota shall come back, as
-# multiples of the time at which a token is expected.
-_RETURN_SPREAD: Final = (1.0, 1.3)
-
 
 def admit(
     state: SteeringState,
@@ -87,8 +82,7 @@
     elif request.admitted:
         yield from place(state, request, now)
     else:
-        spread = state.rng.uniform(*_RETURN_SPREAD)
-        pause = round(verdict.wait * spread, 3)
+        pause = verdict.pause(state.rng)
         yield from refuse(
             state, request, ResultCode.QUOTA_REACHED, now, pause=pause
         )
