Check that a reader whose turn comes again asks the store shortly at first

Cause: with the line that forgets, at the begin of a turn, that the store had answered taken out, no test failed.

Change: test_reader_whose_turn_comes_again_asks_shortly_at_first.

What entries run is unchanged.

--- a/tests/steering/test_following.py
+++ b/tests/steering/test_following.py
@@ -161,6 +161,26 @@
     assert [wait > 1 for wait in followed.store.waits] == [False, True]
 
 
+def test_reader_whose_turn_comes_again_asks_shortly_at_first() -> None:
+    turn = asyncio.Event()
+    turn.set()
+    store = ScriptedStore([StoreNews(5), StoreNews(6), StoreNews(7)])
+    state = SteeringState.from_settings(settings(), Incarnation('one', 1), 0, 1)
+    engine = SteeringEngine(state, {Decision: list[Decision]().append})
+
+    async def lose_turn_once(_: float) -> None:
+        if len(store.calls) == 2:
+            turn.clear()
+            asyncio.get_running_loop().call_soon(turn.set)
+
+    follower = Follower(
+        engine, store, StoreKind.UPSTREAMS, sleep=lose_turn_once, turn=turn
+    )
+    with contextlib.suppress(asyncio.CancelledError):
+        asyncio.run(follower.run())
+    assert [wait > 1 for wait in store.waits] == [True, False, True]
+
+
 def test_watch_ends_within_the_history_of_the_store() -> None:
     followed = Followed(StoreKind.EVACUATIONS, StoreNews(5), StoreNews(5))
     history = followed.state.settings.bounds.store_history
