Say how long a call had waited when it finds the store lost; count upstreams that go at once

Cause: store-lost gave since=3.0 for every watch that was given up after its whole time, as the code takes 3 s for granted: nothing told a watch of 18 s from a connection that was found dead. Forty-four lines upstream-gone at once hide in the limit on lines a second. Change: store-lost has waited, the seconds of the call; more than 20 upstreams that go at once are one line with their number. What a daemon does besides serving is begun by one method, so that a test can play it.

--- a/worksrail/core/steering/_on_store.py
+++ b/worksrail/core/steering/_on_store.py
@@ -108,6 +108,7 @@
         inputs=(
             ('reason', event.reason),
             ('since', round(event.now - event.since, 3)),
+            ('waited', round(event.waited, 3)),
         ),
     )
 
@@ -156,8 +157,10 @@
     now: float,
 ) -> Iterator[Effect]:
     after = _beliefs(state, identifiers, now)
-    for name in sorted(before.keys() - after.keys()):
-        yield Decision(DecisionKind.UPSTREAM_GONE, name)
+    lost = sorted(before.keys() - after.keys())
+    gone = [Decision(DecisionKind.UPSTREAM_GONE, name) for name in lost]
+    yield from _few_or_count(gone, DecisionKind.UPSTREAMS_GONE)
+    for name in lost:
         yield from _end_life(state, before[name][0])
     known: list[Decision] = []
     cold: list[Decision] = []
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -140,6 +140,7 @@
     UPSTREAMS_KNOWN = 'many upstreams listed at once'
     UPSTREAM_DRAINING = 'upstream drains'
     UPSTREAM_GONE = 'upstream gone'
+    UPSTREAMS_GONE = 'many upstreams gone at once'
     UPSTREAM_RESTARTED = 'upstream started again under its identifier'
     UPSTREAM_COLD = 'upstream cold'
     UPSTREAMS_COLD = 'many upstreams cold at once'
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -156,6 +156,9 @@
     since: float
     """Since when it may have been away."""
 
+    waited: float = 0
+    """Seconds for which the call had waited."""
+
 
 @dataclass(frozen=True, slots=True)
 class StoreRegained:
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -183,9 +183,7 @@
         settings = self.engine.state.settings
         await self.digests.open(settings.addresses.peer)
         self._listen(settings)
-        work = [follower.run() for follower in self.followers]
-        for one in (*work, self._tick(), self._keep_house()):
-            self._begin(one)
+        self.begin_work()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
@@ -193,6 +191,12 @@
         await self.stopped.wait()
         await self._close()
 
+    def begin_work(self) -> None:
+        """Begin what goes on besides serving, until the tasks are cancelled."""
+        work = [follower.run() for follower in self.followers]
+        for one in (*work, self._tick(), self._keep_house()):
+            self._begin(one)
+
     def stop(self) -> None:
         """Begin a graceful stop."""
         self.engine.dispatch(StopRequested(self.engine.now()))
--- a/worksrail/daemon/steered/_following.py
+++ b/worksrail/daemon/steered/_following.py
@@ -158,7 +158,10 @@
         since = now
         if fault is StoreFault.UNREACHABLE:
             since = max(self.asked_at, now - _NOTICED_AFTER)
-        self.engine.dispatch(StoreLost(now, self.kind, fault.value, since))
+        waited = now - self.asked_at
+        self.engine.dispatch(
+            StoreLost(now, self.kind, fault.value, since, waited)
+        )
         spread = random.uniform(*_PAUSE_SPREAD)
         await self.sleep(self.pause * spread)
         self.pause = min(_LONGEST_PAUSES[fault], self.pause * 2)
