Test what others make of an upstream that an entry keeps after an outage: they keep it for ever

An entry keeps what is missing for 2.1 s after an outage; who fetches news from it meanwhile is told the upstream as listed, and is never told that it has gone.

--- a/tests/steering/test_watching.py
+++ b/tests/steering/test_watching.py
@@ -241,6 +241,37 @@
     assert set(world.state.catalog.upstreams) == {'2'}
 
 
+@pytest.mark.parametrize('since', [0, 1])
+@pytest.mark.parametrize('returns', [True, False])
+def test_what_one_entry_keeps_for_a_while_is_not_kept_for_ever_by_others(
+    since: int, returns: bool
+) -> None:
+    # An entry that fetched news while its teller kept a missing upstream took
+    # it for listed, and was never told that it had gone.
+    known = (upstream('1'), upstream('2'))
+    teller, follower = World((), known), World((), known)
+    for world in (teller, follower):
+        world.state.catalog.pulse.hear(world.now - 9)
+        world.state.catalog.pulse.hear(world.now)
+    teller.run(UpstreamsChanged(teller.now, (), ('1',), 5))
+    _tell(teller, follower, since)
+    assert set(follower.state.catalog.upstreams) == {'1', '2'}
+    if returns:
+        again = upstream('1', sequence=9)
+        teller.run(UpstreamsChanged(teller.now, (again,), (), 6))
+        _tell(teller, follower, 5)
+    for world in (teller, follower):
+        world.wait(3)
+    remaining = {'1', '2'} if returns else {'2'}
+    for world in (teller, follower):
+        assert set(world.state.catalog.upstreams) == remaining
+
+
+def _tell(teller: World, follower: World, since: int) -> None:
+    news = news_since(teller.state, StoreKind.UPSTREAMS, since, teller.now)
+    follower.run(NewsFetched(follower.now, StoreKind.UPSTREAMS, 'p', news))
+
+
 def test_entry_that_is_turned_away_takes_removals_from_others() -> None:
     world = World((), (upstream('1'), upstream('2')))
     for _ in range(10):
