Tell what is kept after an outage as missing, not as listed

Ruled out: that the store's next change mends it (only a change of that very upstream would). Change: news since a revision name what is missing among what was removed, and a complete list names it apart; whoever is told keeps it by its own knowledge of the outage, and a fresh entry uses it meanwhile.

--- a/tests/steering/test_watching.py
+++ b/tests/steering/test_watching.py
@@ -267,6 +267,19 @@
         assert set(world.state.catalog.upstreams) == remaining
 
 
+@pytest.mark.parametrize('since', [0, 1])
+def test_entry_without_memory_learns_what_others_keep(since: int) -> None:
+    teller, fresh = World((), (upstream('1'),)), World()
+    for world in (teller, fresh):
+        world.state.catalog.pulse.hear(world.now - 9)
+        world.state.catalog.pulse.hear(world.now)
+    teller.run(UpstreamsChanged(teller.now, (), ('1',), 5))
+    _tell(teller, fresh, since)
+    assert set(fresh.state.catalog.upstreams) == ({'1'} if not since else set())
+    fresh.wait(3)
+    assert not fresh.state.catalog.upstreams
+
+
 def _tell(teller: World, follower: World, since: int) -> None:
     news = news_since(teller.state, StoreKind.UPSTREAMS, since, teller.now)
     follower.run(NewsFetched(follower.now, StoreKind.UPSTREAMS, 'p', news))
--- a/worksrail/core/steering/_news.py
+++ b/worksrail/core/steering/_news.py
@@ -44,6 +44,10 @@
     complete: bool = False
     """Whether it tells everything instead of what has changed."""
 
+    missing: tuple[UpstreamRecord, ...] = ()
+    """Upstreams that are listed no more and may return, since the store has
+    been away."""
+
     store_age: int | None = None
     """Tenths of a second since the store answered anybody; None if it has not
     been heard."""
@@ -90,15 +94,33 @@
         """What has changed of upstreams since a revision."""
         revision = self.revisions[StoreKind.UPSTREAMS]
         if since <= 0 or since < self.floor:
-            known = catalog.upstreams.values()
-            records = tuple(upstream.record for upstream in known)
-            return StoreNews(revision, records=records, complete=True)
+            return _everything(catalog, revision)
         changed = [name for name, at in self.changed.items() if at > since]
-        listed = [catalog.listed(name) for name in changed]
+        known = [catalog.listed(name) for name in changed]
+        listed = [
+            upstream.record
+            for upstream in known
+            if upstream and upstream.name not in catalog.missing
+        ]
+        there = {record.listed_as for record in listed}
         return StoreNews(
             revision,
-            records=tuple(upstream.record for upstream in listed if upstream),
-            removed=tuple(
-                name for name in changed if name not in catalog.lives
-            ),
+            records=tuple(listed),
+            # What is missing is no more listed than what is gone: whoever is
+            # told decides by itself for how long it may return.
+            removed=tuple(name for name in changed if name not in there),
         )
+
+
+def _everything(catalog: Catalog, revision: int) -> StoreNews:
+    listed: list[UpstreamRecord] = []
+    missing: list[UpstreamRecord] = []
+    for name, upstream in catalog.upstreams.items():
+        there = missing if name in catalog.missing else listed
+        there.append(upstream.record)
+    return StoreNews(
+        revision,
+        records=tuple(listed),
+        missing=tuple(missing),
+        complete=True,
+    )
--- a/worksrail/core/steering/_watching.py
+++ b/worksrail/core/steering/_watching.py
@@ -112,6 +112,7 @@
         return StoreNews(
             news.revision,
             records=news.records,
+            missing=news.missing,
             removed=news.removed,
             complete=news.complete,
             store_age=state.catalog.pulse.told_age(now),
@@ -194,8 +195,13 @@
                 state, ConfigurationRead(now, news.configuration, revision)
             )
     elif news.complete:
+        known = news.records + news.missing
         yield from _on_store.on_listed(
-            state, UpstreamsListed(now, news.records, revision)
+            state, UpstreamsListed(now, known, revision)
+        )
+        gone = tuple(record.listed_as for record in news.missing)
+        yield from _on_store.on_changed(
+            state, UpstreamsChanged(now, (), gone, revision)
         )
     else:
         yield from _on_store.on_changed(
