Play silences of the store over whole fleets; let the stand-in hold watches in a silence

Tests of the store's pulse on the virtual clock: 1 to 90 entries, datagrams lost or not: what lapsed is kept by all while nobody was answered, and 1.9 s after; one entry that was turned away makes nobody keep an upstream that leaves; a quiet store is never taken for absent; checks grow with the regions. The stand-in answered watches that waited while it was silent; now they hear of changes after the silence, as on the users' platform.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -112,6 +112,23 @@
     assert _run(use) == StoreNews(0)
 
 
+def test_watch_that_waits_hears_of_a_silence_only_after_it() -> None:
+    async def use(store: ObjectStore, client: PlatformStore) -> Any:
+        store.put('evacuations', 'z1', {})
+        watch = asyncio.ensure_future(
+            client.watch(StoreKind.EVACUATIONS, store.revision, 20)
+        )
+        await asyncio.sleep(0.05)
+        store.mood = StoreMood.SILENT
+        store.remove('evacuations', 'z1')
+        await asyncio.sleep(0.2)
+        assert not watch.done()
+        store.mood = StoreMood.WELL
+        return await watch
+
+    assert _run(use).removed == ('z1',)
+
+
 def test_dropped_history_is_told() -> None:
     async def use(store: ObjectStore, client: PlatformStore) -> Any:
         store.put('evacuations', 'z1', {})
--- a/tests/steering/fleet_world.py
+++ b/tests/steering/fleet_world.py
@@ -4,7 +4,13 @@
 from collections import Counter
 from dataclasses import replace
 
-from tests.steering.world import configuration, of_type, route, settings
+from tests.steering.world import (
+    configuration,
+    of_type,
+    route,
+    settings,
+    upstream,
+)
 from worksrail.core.identity import Incarnation
 from worksrail.core.steering import (
     Digest,
@@ -17,7 +23,12 @@
     news_since,
     reduce,
 )
-from worksrail.core.steering.effects import FetchNews, ListStore, SendDigest
+from worksrail.core.steering.effects import (
+    CheckStore,
+    FetchNews,
+    ListStore,
+    SendDigest,
+)
 from worksrail.core.steering.events import (
     ConfigurationRead,
     DigestReceived,
@@ -25,6 +36,8 @@
     Event,
     NewsFetched,
     NewsMissed,
+    StoreAnswered,
+    StoreChecked,
     StoreLost,
     Ticked,
     UpstreamsListed,
@@ -54,6 +67,8 @@
         self.fetched: list[tuple[str, FetchNews]] = []
         self.store = 0
         self.turned_away: set[str] = set()
+        self.silent = False
+        self.listed: tuple[UpstreamRecord, ...] = ()
         self.calls: Counter[str] = Counter()
         self.limits = limits or {}
         self.rng = random.Random(3)
@@ -99,6 +114,7 @@
         """An entry reads everything in the store as of a revision."""
         version = configuration(revision, (route(),))
         for event in (
+            StoreAnswered(self.now, StoreKind.UPSTREAMS),
             ConfigurationRead(self.now, version, revision),
             UpstreamsListed(self.now, records, revision),
             EvacuationsRead(self.now, frozenset(), revision),
@@ -109,6 +125,12 @@
         """The store has changed; those that read it are told."""
         self.store = revision
 
+    def list_upstreams(self, *names: str) -> None:
+        """The store lists other upstreams; those that read it are told."""
+        self.listed = tuple(upstream(name) for name in names)
+        # Entries are told of the first revision at their start.
+        self.store = max(self.store, 1) + 1
+
     def watchers(self) -> set[str]:
         """Entries that read the store."""
         return {name for name, state in self.states.items() if state.watching}
@@ -162,18 +184,23 @@
             known = min(self.states[name].mirror.revisions.values())
             if name in self.turned_away:
                 for kind in StoreKind:
-                    lost = StoreLost(self.now, kind, 'busy', self.now)
+                    lost = StoreLost(self.now, kind, 'busy')
                     self._run(name, lost)
-            elif known < self.store:
+            elif known < self.store and not self.silent:
                 self.calls['watch'] += len(StoreKind)
-                self.tell_store(name, self.store)
+                self.tell_store(name, self.store, self.listed)
 
     def _run(self, name: str, event: Event) -> None:
         effects = reduce(self.states[name], event)
         listed = of_type(effects, ListStore)
         self.calls['list'] += len(listed) * len(StoreKind)
-        if listed and self.store and name not in self.turned_away:
-            self.tell_store(name, self.store)
+        unheard = self.silent or name in self.turned_away
+        if listed and self.store and not unheard:
+            self.tell_store(name, self.store, self.listed)
+        if of_type(effects, CheckStore):
+            self.calls['check'] += 1
+            failure = 'no answer' if unheard else ''
+            self._run(name, StoreChecked(self.now, failure))
         self.fetched += [(name, one) for one in of_type(effects, FetchNews)]
         for effect in of_type(effects, SendDigest):
             for receiver in effect.receivers:
--- a/tests/steering/test_pulse.py
+++ b/tests/steering/test_pulse.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from tests.steering.fleet_world import FleetWorld
 from tests.steering.world import World, of_type
 from worksrail.core.steering._pulse import StorePulse
 from worksrail.core.steering.effects import AskStoreAnew, CheckStore
@@ -91,3 +92,79 @@
     assert not of_type(world.effects, AskStoreAnew)
     _checks(world, 3)
     assert len(of_type(world.effects, AskStoreAnew)) == 1
+
+
+_REGIONS = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
+_FLEETS = [
+    {'a1': 1},
+    {'a1': 3, 'a2': 2, 'b1': 4},
+    {'a1': 30, 'a2': 30, 'b1': 30},
+]
+
+
+def _fleet(zones: dict[str, int], loss: float = 0) -> FleetWorld:
+    world = FleetWorld(zones, _REGIONS, loss)
+    world.list_upstreams('1', '2')
+    world.wait(4)
+    assert _known(world) == {frozenset(('1', '2'))}
+    return world
+
+
+def _known(world: FleetWorld) -> set[frozenset[str]]:
+    return {
+        frozenset(state.catalog.upstreams) for state in world.states.values()
+    }
+
+
+@pytest.mark.parametrize('zones', _FLEETS)
+@pytest.mark.parametrize('loss', [0, 0.1])
+def test_fleet_keeps_what_lapsed_while_nobody_was_answered(
+    zones: dict[str, int], loss: float
+) -> None:
+    world = _fleet(zones, loss)
+    world.silent = True
+    world.wait(2)
+    world.list_upstreams('1')
+    world.wait(3)
+    world.silent = False
+    back = world.now
+    while world.now < back + 1.9:
+        world.wait(0.1)
+        assert _known(world) == {frozenset(('1', '2'))}
+    world.wait(2)
+    assert _known(world) == {frozenset('1')}
+
+
+@pytest.mark.parametrize('zones', _FLEETS[1:])
+@pytest.mark.parametrize('loss', [0, 0.1])
+@pytest.mark.parametrize('returned_for', [0.05, 0.5, 1])
+def test_store_that_turned_one_entry_away_has_not_been_away(
+    zones: dict[str, int], loss: float, returned_for: float
+) -> None:
+    # What that entry made of its own failed calls was taken over by all that
+    # it told of a removal: they kept the upstream for 2.1 s.
+    world = _fleet(zones, loss)
+    world.turned_away = {min(world.watchers())}
+    world.wait(6)
+    world.turned_away.clear()
+    world.wait(returned_for)
+    world.list_upstreams('1')
+    world.wait(1.2)
+    assert _known(world) == {frozenset('1')}
+
+
+@pytest.mark.parametrize('zones', _FLEETS)
+def test_quiet_store_is_never_taken_for_absent(zones: dict[str, int]) -> None:
+    world = _fleet(zones, loss=0.1)
+    for _ in range(200):
+        world.wait(0.1)
+        for state in world.states.values():
+            assert not state.catalog.pulse.keeps_missing(world.now)
+
+
+def test_checks_grow_with_the_regions_not_with_the_entries() -> None:
+    # Two readers in each of two regions, twice a second.
+    world = _fleet(_FLEETS[-1])
+    before = world.calls['check']
+    world.wait(10)
+    assert world.calls['check'] - before <= 90
--- a/worksrail/standins/objects.py
+++ b/worksrail/standins/objects.py
@@ -24,6 +24,8 @@
 _HISTORY: Final = 1000
 _LONGEST_WAIT: Final = 30_000
 _MILLISECONDS: Final = 1000
+# Seconds between two looks whether a silent store answers again.
+_LOOK_AGAIN: Final = 0.02
 
 
 @unique
@@ -33,7 +35,7 @@
     WELL = 'answers'
     BUSY = 'refuses with 503; nothing is done'
     LIMITED = 'refuses with 429; nothing is done'
-    SILENT = 'never answers'
+    SILENT = 'never answers what is asked now; watches hear all after it'
     LOSING = 'does what it is asked and loses the answer'
 
 
@@ -244,6 +246,8 @@
         changes = self.store.since(kind, since)
         if changes is not None and not changes:
             await self._wait_for_change(kind, since, seconds)
+            while self.store.mood is StoreMood.SILENT:
+                await asyncio.sleep(_LOOK_AGAIN)
             changes = self.store.since(kind, since)
         if changes is None:
             self._end(HTTPStatus.GONE, {})
