--- a/tests/steering/silent_store.py
+++ b/tests/steering/silent_store.py
@@ -1,10 +1,10 @@
 """A store that falls silent, and one entry that reads it; virtual clock."""
 
 import asyncio
-from collections.abc import Awaitable
 from dataclasses import replace
 
 from tests.steering.world import configuration, route, settings, upstream
+from tests.virtual_time import at_most
 from worksrail.core.steering import (
     EntrySettings,
     SteeringBounds,
@@ -65,14 +65,16 @@
         self, kind: StoreKind, *, stale: bool = False, seconds: float = _LIMIT
     ) -> _Answer:
         """A complete list."""
-        return await _at_most(seconds, self._list(kind))
+        return await at_most(seconds, self._list(kind), StoreFault.UNREACHABLE)
 
     async def watch(
         self, kind: StoreKind, since: int, seconds: float
     ) -> _Answer:
         """What changed after a revision."""
-        return await _at_most(
-            seconds + _LIMIT, self._watch(kind, since, seconds)
+        return await at_most(
+            seconds + _LIMIT,
+            self._watch(kind, since, seconds),
+            StoreFault.UNREACHABLE,
         )
 
     async def _list(self, kind: StoreKind) -> StoreNews:
@@ -180,11 +182,3 @@
 def _settings() -> EntrySettings:
     bounds = SteeringBounds(store_history=_HISTORY)
     return replace(settings(bounds=bounds), seeds=())
-
-
-async def _at_most(seconds: float, work: Awaitable[StoreNews]) -> _Answer:
-    try:
-        async with asyncio.timeout(seconds):
-            return await work
-    except TimeoutError:
-        return StoreFault.UNREACHABLE
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -6,14 +6,13 @@
 """
 
 import asyncio
-from collections.abc import Awaitable
 from typing import Any
 from unittest.mock import Mock
 
 import msgspec
 import pytest
 
-from tests.virtual_time import run_virtually
+from tests.virtual_time import at_most, run_virtually
 from worksrail.core.events import Event, HeadSeen
 from worksrail.daemon._engine import Engine
 from worksrail.daemon._settings import DaemonSettings, load_settings
@@ -55,11 +54,15 @@
 
     async def read(self, key: str) -> StoredObject | StoreFault:
         """Read an object."""
-        return await _at_most(_LIMIT, self._read(key))
+        return await at_most(_LIMIT, self._read(key), StoreFault.UNREACHABLE)
 
     async def watch(self, since: int, seconds: float) -> Any:
         """Wait for a change."""
-        return await _at_most(seconds + _LIMIT, self._watch(since, seconds))
+        return await at_most(
+            seconds + _LIMIT,
+            self._watch(since, seconds),
+            StoreFault.UNREACHABLE,
+        )
 
     async def instances(self) -> Any:
         """Nobody else is listed."""
@@ -103,14 +106,6 @@
     return asyncio.get_running_loop().time()
 
 
-async def _at_most(seconds: float, work: Awaitable[Any]) -> Any:
-    try:
-        async with asyncio.timeout(seconds):
-            return await work
-    except TimeoutError:
-        return StoreFault.UNREACHABLE
-
-
 class Recorder:
     """Takes the events of the duties in the engine's place."""
 
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import selectors
-from collections.abc import Coroutine
-from typing import Any
+from collections.abc import Awaitable, Coroutine
+from typing import Any, TypeVar
+
+_Found = TypeVar('_Found')
+_Failure = TypeVar('_Failure')
 
 
 class _Skipping(selectors.SelectSelector):
@@ -39,3 +42,14 @@
     """Run a coroutine to its end on a virtual clock."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         return runner.run(work)
+
+
+async def at_most(
+    seconds: float, work: Awaitable[_Found], failure: _Failure
+) -> _Found | _Failure:
+    """What some work gives, or a sentinel once it has taken too long."""
+    try:
+        async with asyncio.timeout(seconds):
+            return await work
+    except TimeoutError:
+        return failure
