--- a/tests/steering/test_silent_store.py
+++ b/tests/steering/test_silent_store.py
@@ -19,7 +19,7 @@
 watches had begun, none of them sooner.  Played again with the code of that day,
 no reader wrote ``store-regained`` until the day's end, 7 s after the store was
 back.  With short first calls all entries knew of the upstreams that left after
-0.1 s, but on days on which the watches outlasted the silence ``upstream-gone``
+0.7 s, but on days on which the watches outlasted the silence ``upstream-gone``
 came for all 44 upstreams within 0.2 s of the store's return, at all twelve
 entries, and of the credit of these two seconds 0.39 was earned instead of 0.99.
 """
