--- a/worksrail/core/steering/_on_answers.py
+++ b/worksrail/core/steering/_on_answers.py
@@ -100,4 +100,4 @@
     StoreAnswered: on_store_answered,
     StoreChecked: on_store_checked,
 }
-"""What each event of the store's answers is handled by."""
+"""Handlers of the events that tell whether the store answers."""
--- a/worksrail/core/steering/_on_store.py
+++ b/worksrail/core/steering/_on_store.py
@@ -220,4 +220,4 @@
     UpstreamsChanged: on_changed,
     EvacuationsRead: on_evacuations,
 }
-"""What each event of what is read is handled by."""
+"""Handlers of the events that tell what was read."""
