--- a/tests/steering/fleet_world.py
+++ b/tests/steering/fleet_world.py
@@ -67,6 +67,8 @@
         self.fetched: list[tuple[str, FetchNews]] = []
         self.store = 0
         self.turned_away: set[str] = set()
+        self.frozen: set[str] = set()
+        self.cut_off: set[str] = set()
         self.silent = False
         self.listed: tuple[UpstreamRecord, ...] = ()
         self.calls: Counter[str] = Counter()
@@ -147,12 +149,13 @@
             arriving, self.under_way = self.under_way, []
             for receiver, digest in arriving:
                 name = receiver.partition(':')[0]
-                if name in self.states:
+                if self._is_reached(name):
                     self._run(name, DigestReceived(self.now, digest))
             self._answer_fetches()
             self._tell_watchers()
             for name in tuple(self.states):
-                self._run(name, Ticked(self.now))
+                if name not in self.frozen:
+                    self._run(name, Ticked(self.now))
 
     def named(self, asked: str, zone: str) -> set[str]:
         """Entries that one of them names to callers of a zone."""
@@ -171,16 +174,18 @@
     def _answer_fetches(self) -> None:
         asked, self.fetched = self.fetched, []
         for name, fetch in asked:
-            teller = self.states.get(fetch.peer.partition(':')[0])
+            peer = fetch.peer.partition(':')[0]
             event: Event = NewsMissed(self.now, fetch.kind, fetch.peer)
-            if teller:
+            if self._is_reached(peer) and self._is_reached(name):
+                teller = self.states[peer]
                 news = news_since(teller, fetch.kind, fetch.since, self.now)
                 event = NewsFetched(self.now, fetch.kind, fetch.peer, news)
-            if name in self.states:
+            if name in self.states and name not in self.frozen:
                 self._run(name, event)
 
     def _tell_watchers(self) -> None:
-        for name in self.watchers() if self.store else ():
+        unreached = self.frozen | self.cut_off
+        for name in sorted(self.watchers() - unreached) if self.store else ():
             known = min(self.states[name].mirror.revisions.values())
             if name in self.turned_away:
                 for kind in StoreKind:
@@ -194,7 +199,7 @@
         effects = reduce(self.states[name], event)
         listed = of_type(effects, ListStore)
         self.calls['list'] += len(listed) * len(StoreKind)
-        unheard = self.silent or name in self.turned_away
+        unheard = self.silent or name in self.turned_away | self.cut_off
         if listed and self.store and not unheard:
             self.tell_store(name, self.store, self.listed)
         if of_type(effects, CheckStore):
@@ -206,5 +211,10 @@
             for receiver in effect.receivers:
                 places = (name.partition('-')[0], receiver.partition('-')[0])
                 self.sent[places] += 1
-                if self.rng.random() >= self.loss:
-                    self.under_way.append((receiver, effect.digest))
+                if name in self.cut_off or self.rng.random() < self.loss:
+                    continue
+                self.under_way.append((receiver, effect.digest))
+
+    def _is_reached(self, name: str) -> bool:
+        unreached = self.frozen | self.cut_off
+        return name in self.states and name not in unreached
