Take no gap between answers for an outage of the store unless somebody asked in vain

What callers saw: requests reached an upstream up to 2.77 s after it had left (2.5 s are allowed), through an entry that was neither frozen nor cut off.

Cause: an outage was a gap of 1.5 s between the answers of the store that an entry knows of. Most entries know of answers from readers' digests only. One whose readers and speaker were frozen or cut off for 2 s took its own deafness for the store's silence, and kept the upstream for 2.1 s. What showed it: the store answered all the time; the entry had lost ten others, wrote no store-lost, learned of the removal at 27.35 s and dropped the upstream at 29.06 s. The logs lacked that a gap had ended by another entry's word; store-unheard and store-back say it now.

Change: an outage needs a reader whose calls stayed unanswered for 1.0 s while nobody is known to be answered. Its return is told in digests and news, and believed by those that know of the gap and of no earlier answer.

Why it holds: an entry that hears nobody has no calls of its own that were not answered, so it has nothing to believe an outage from.

--- a/tests/steering/test_following.py
+++ b/tests/steering/test_following.py
@@ -211,10 +211,13 @@
         # because the store was quiet.
         (StoreFault.UNREACHABLE, 20, True, False),
         (StoreFault.CUT, 20, True, False),
+        # Nobody has asked.
+        (StoreFault.UNREACHABLE, 20, None, False),
+        (StoreFault.CUT, 20, None, False),
     ],
 )
 def test_store_that_answered_nothing_meanwhile_has_been_away(
-    fault: StoreFault, waited: float, checked: bool, outage: bool
+    fault: StoreFault, waited: float, checked: bool | None, outage: bool
 ) -> None:
     now = [100.0]
     state = SteeringState.from_settings(settings(), Incarnation('one', 1), 0, 1)
@@ -223,9 +226,12 @@
 
     def wait() -> None:
         end = now[0] + waited
-        while checked and now[0] + 0.5 < end:
+        if checked is not None:
+            state.catalog.pulse.note_asked(now[0] + 0.1)
+        while checked is not None and now[0] + 0.5 < end:
             now[0] += 0.5
-            engine.dispatch(StoreChecked(now[0]))
+            failure = '' if checked else 'no answer'
+            engine.dispatch(StoreChecked(now[0], failure))
         now[0] = end
 
     async def no_sleep(seconds: float) -> None:
--- a/tests/steering/test_lives.py
+++ b/tests/steering/test_lives.py
@@ -81,7 +81,8 @@
         catalog.replace([life('2', 10)], 0)
     else:
         catalog.pulse.hear(0)
-        catalog.pulse.hear(10)
+        catalog.pulse.note_asked(0.5)
+        catalog.pulse.take_answer(10)
         catalog.replace([life('2', 10)], 10.1)
         assert len(catalog.upstreams) == 2
         for at in range(11, 21):
--- a/tests/steering/test_pulse.py
+++ b/tests/steering/test_pulse.py
@@ -10,9 +10,11 @@
 
 
 def _pulse(*answers: float) -> StorePulse:
+    """The pulse of a reader: half a second after an answer it asks again."""
     pulse = StorePulse(lapse_time=1.5)
     for at in answers:
-        pulse.hear(at)
+        pulse.take_answer(at)
+        pulse.note_asked(at + 0.5)
     return pulse
 
 
@@ -52,8 +54,9 @@
         now += 0.2
     for pulse in (one, two):
         assert pulse.answered_at <= 10
-        pulse.hear(18.5)
-        assert pulse.returned_at == 18.5
+        pulse.take_answer(18.5)
+        assert pulse.gap_ended_at == 18.5
+    assert one.returned_at == 18.5
 
 
 def _checks(world: World, seconds: float, failure: str | None = '') -> int:
--- a/tests/steering/test_watching.py
+++ b/tests/steering/test_watching.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from tests.steering.fleet_world import FleetWorld
-from tests.steering.world import World, contact, of_type, upstream
+from tests.steering.world import World, be_away, contact, of_type, upstream
 from worksrail.core.steering import (
     Catalog,
     EntryDigest,
@@ -217,22 +217,38 @@
 
 
 @pytest.mark.parametrize(
-    ('answers', 'age', 'kept'),
+    ('answers', 'age', 'returned', 'kept'),
     [
         # Seconds ago at which the store is known to have answered; tenths of a
-        # second since it did when the other entry told the removal.
-        ((), None, False),
-        ((9,), 5, True),
-        ((60, 30, *(tenth / 10 for tenth in range(299, 0, -9))), 1, False),
+        # second since it did when the other entry told the removal, and since
+        # somebody who had asked in vain was answered.
+        ((), None, None, False),
+        ((9,), 5, 5, True),
+        ((9,), 5, 9, True),
+        # Nobody asked in vain: the store may have answered all the while.
+        ((9,), 5, None, False),
+        # Whoever asked in vain was cut off: others were answered meanwhile.
+        ((9, 0.9), 1, 0, False),
+        ((9, 2, 0.2), 1, 1, True),
+        (
+            (60, 30, *(tenth / 10 for tenth in range(299, 0, -9))),
+            1,
+            None,
+            False,
+        ),
+        ((60, 30, *(tenth / 10 for tenth in range(299, 0, -9))), 1, 1, False),
     ],
 )
 def test_removal_told_by_another_entry_minds_the_return_of_the_store(
-    answers: tuple[float, ...], age: int | None, kept: bool
+    answers: tuple[float, ...],
+    age: int | None,
+    returned: int | None,
+    kept: bool,
 ) -> None:
     world = World((), (upstream('1'), upstream('2')))
     for ago in answers:
         world.state.catalog.pulse.hear(world.now - ago)
-    news = StoreNews(5, removed=('1',), store_age=age)
+    news = StoreNews(5, removed=('1',), store_age=age, store_return=returned)
     world.run(NewsFetched(world.now, StoreKind.UPSTREAMS, 'p', news))
     assert ('1' in world.state.catalog.upstreams) is kept
     for _ in range(22):
@@ -251,8 +267,7 @@
     known = (upstream('1'), upstream('2'))
     teller, follower = World((), known), World((), known)
     for world in (teller, follower):
-        world.state.catalog.pulse.hear(world.now - 9)
-        world.state.catalog.pulse.hear(world.now)
+        be_away(world.state, 9, world.now)
     teller.run(UpstreamsChanged(teller.now, (), ('1',), 5))
     _tell(teller, follower, since)
     assert set(follower.state.catalog.upstreams) == {'1', '2'}
@@ -271,8 +286,7 @@
 def test_entry_without_memory_learns_what_others_keep(since: int) -> None:
     teller, fresh = World((), (upstream('1'),)), World()
     for world in (teller, fresh):
-        world.state.catalog.pulse.hear(world.now - 9)
-        world.state.catalog.pulse.hear(world.now)
+        be_away(world.state, 9, world.now)
     teller.run(UpstreamsChanged(teller.now, (), ('1',), 5))
     _tell(teller, fresh, since)
     assert set(fresh.state.catalog.upstreams) == ({'1'} if not since else set())
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -116,6 +116,14 @@
     )
 
 
+def be_away(state: SteeringState, seconds: float, now: float) -> None:
+    """The store has just come back; an entry asked it in vain meanwhile."""
+    pulse = state.catalog.pulse
+    pulse.hear(now - seconds)
+    pulse.note_asked(now - seconds + 0.5)
+    pulse.take_answer(now)
+
+
 def contact(name: str, **changes: Any) -> Contact:
     """Another ready entry of zone ``a1``."""
     fields: dict[str, Any] = {
--- a/worksrail/core/steering/_digests.py
+++ b/worksrail/core/steering/_digests.py
@@ -98,6 +98,10 @@
     store_age: int | None = None
     """Tenths of a second since the store is known to have answered anybody."""
 
+    store_return: int | None = None
+    """Tenths of a second since it came back from an outage, if upstreams may
+    still return from that."""
+
 
 class ZoneDigest(msgspec.Struct, frozen=True, array_like=True, tag='zone'):
     """What the speaker of a zone tells the other zones' entries."""
@@ -126,5 +130,9 @@
     store_age: int | None = None
     """Tenths of a second since the store is known to have answered anybody."""
 
+    store_return: int | None = None
+    """Tenths of a second since it came back from an outage, if upstreams may
+    still return from that."""
+
 
 Digest = EntryDigest | ZoneDigest
--- a/worksrail/core/steering/_news.py
+++ b/worksrail/core/steering/_news.py
@@ -52,6 +52,10 @@
     """Tenths of a second since the store answered anybody; None if it has not
     been heard."""
 
+    store_return: int | None = None
+    """Tenths of a second since it came back from an outage, if upstreams may
+    still return from that."""
+
 
 @dataclass(slots=True)
 class Mirror:
--- a/worksrail/core/steering/_on_answers.py
+++ b/worksrail/core/steering/_on_answers.py
@@ -1,7 +1,8 @@
 """Whether the store answers this entry, and what follows from it."""
 
 from collections.abc import Iterator
-from typing import Any, Final
+from math import inf
+from typing import Any, Final, Protocol
 
 from worksrail.core.steering._pulse import CHECK_INTERVAL
 from worksrail.core.steering.effects import (
@@ -20,6 +21,18 @@
 from worksrail.core.steering.state import SteeringState
 
 
+class StoreWord(Protocol):
+    """What one entry tells another one of the store's answers."""
+
+    @property
+    def store_age(self) -> int | None:
+        """Tenths of a second since it answered anybody."""
+
+    @property
+    def store_return(self) -> int | None:
+        """Tenths of a second since it came back from an outage."""
+
+
 def on_store_lost(
     state: SteeringState,
     event: StoreLost,
@@ -63,20 +76,55 @@
     """Check the store from time to time while this entry reads it."""
     pulse = state.catalog.pulse
     if not state.watching:
-        pulse.silent = False
+        pulse.cease_to_ask()
     elif now >= pulse.next_check_at and not pulse.checking:
         pulse.checking = True
         pulse.next_check_at = now + CHECK_INTERVAL
+        pulse.note_asked(now)
         yield CheckStore()
 
 
+def hear_of_store(
+    state: SteeringState,
+    word: StoreWord,
+    now: float,
+) -> Iterator[Effect]:
+    """Take in what another entry tells of the store's answers."""
+    pulse = state.catalog.pulse
+    before = (pulse.gap_ended_at, pulse.returned_at)
+    pulse.hear_age(word.store_age, now)
+    pulse.hear_return(word.store_return, now)
+    yield from _explain_gap(state, before, 0)
+
+
 def _hear(state: SteeringState, now: float) -> Iterator[Effect]:
+    """Take in an answer to this entry."""
     pulse = state.catalog.pulse
-    before = pulse.answered_at
-    pulse.hear(now)
-    if pulse.returned_at == now:
-        away = round(now - before, 3)
-        yield Decision(DecisionKind.STORE_BACK, inputs=(('away', away),))
+    before = (pulse.gap_ended_at, pulse.returned_at)
+    in_vain = pulse.time_in_vain(now)
+    pulse.take_answer(now)
+    yield from _explain_gap(state, before, in_vain)
+
+
+def _explain_gap(
+    state: SteeringState,
+    before: tuple[float, float],
+    in_vain: float,
+) -> Iterator[Effect]:
+    """Say whether a gap between answers that has ended was an outage."""
+    pulse = state.catalog.pulse
+    ended_at, returned_at = before
+    outage = pulse.returned_at > returned_at
+    heard_again = ended_at > -inf and pulse.gap_ended_at > ended_at
+    if not (outage or heard_again):
+        return
+    yield Decision(
+        DecisionKind.STORE_BACK if outage else DecisionKind.STORE_UNHEARD,
+        inputs=(
+            ('away', round(pulse.gap_ended_at - pulse.gap_began_at, 3)),
+            ('asked', round(in_vain, 3)),
+        ),
+    )
 
 
 def _lose(
--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -13,6 +13,7 @@
     ToldKeys,
     ZoneDigest,
 )
+from worksrail.core.steering._on_answers import hear_of_store
 from worksrail.core.steering.effects import (
     MANY,
     Decision,
@@ -113,7 +114,7 @@
     fresh = name in state.dead or name not in state.fleet.entries
     if not state.fleet.take(digest, now):
         return
-    state.catalog.pulse.hear_age(digest.store_age, now)
+    yield from hear_of_store(state, digest, now)
     if digest.sender.zone == state.settings.zone:
         state.loads.take(name, digest.in_flight)
         _take_keys(state, name, digest.sender.region, digest.keys, now)
@@ -130,7 +131,7 @@
     known = set(state.fleet.entries) - state.dead
     if not state.fleet.take_zone(digest, now):
         return
-    state.catalog.pulse.hear_age(digest.store_age, now)
+    yield from hear_of_store(state, digest, now)
     state.loads.take(_label(digest.zone), digest.in_flight)
     region = state.settings.regions.get(digest.zone, '')
     _take_keys(state, _label(digest.zone), region, digest.keys, now)
@@ -207,6 +208,7 @@
         tuple(sorted(set(known))),
         _told_keys(state, [], now),
         state.catalog.pulse.told_age(now),
+        state.catalog.pulse.told_return(now),
     )
 
 
@@ -224,6 +226,7 @@
         _busiest(state.loads.sum_of(mates), _ZONE_IN_FLIGHT_LIMIT),
         keys=_told_keys(state, mates, now),
         store_age=state.catalog.pulse.told_age(now),
+        store_return=state.catalog.pulse.told_return(now),
     )
 
 
--- a/worksrail/core/steering/_on_time.py
+++ b/worksrail/core/steering/_on_time.py
@@ -74,6 +74,7 @@
     for name in tuple(state.loads.told):
         state.loads.forget(name)
     state.limits.note_pause(now)
+    state.catalog.pulse.note_pause(now)
     yield Decision(DecisionKind.PAUSED, inputs=(('seconds', round(gap, 3)),))
 
 
--- a/worksrail/core/steering/_pulse.py
+++ b/worksrail/core/steering/_pulse.py
@@ -3,8 +3,10 @@
 A watch that waits says nothing of the store: it may be quiet, silent, or have
 forgotten the watch.  So entries that read the store ask it something small
 twice a second, and digests tell how long ago it answered anybody.  What
-upstreams' entries may have lapsed for is a gap between two answers to the whole
-fleet, not that one entry got none.
+upstreams' entries may have lapsed for is an outage: a gap between two answers
+to the whole fleet, in which somebody asked in vain.  A gap alone is none.  An
+entry that hears of no reader knows of no answers either, and the store may
+have answered all the while.
 """
 
 from dataclasses import dataclass
@@ -21,6 +23,10 @@
 # Entries that lapsed while the store was away return within two seconds of
 # its own return, say the operators; the rest is for the answer's way.
 _RETURN_TIME: Final = 2.1
+# Seconds from the first known answer after a gap to the first one to an entry
+# that asked in vain: a check of 0.7 s may have to end first.  Whoever asks in
+# vain for longer, while others are answered, is cut off itself.
+_WITNESS_DELAY: Final = 0.8
 # Ages are told in tenths of a second.
 _TENTHS: Final = 10
 
@@ -30,8 +36,9 @@
     """When the store answered last, and when it came back from an outage.
 
     >>> pulse = StorePulse(lapse_time=1.5)
-    >>> for at in (10, 10.5, 19):
-    ...     pulse.hear(at)
+    >>> pulse.take_answer(10)
+    >>> pulse.note_asked(10.5)
+    >>> pulse.take_answer(19)
     >>> pulse.returned_at
     19
     """
@@ -42,9 +49,19 @@
     answered_at: float = -inf
     """When the store answered any entry last, as far as is known here."""
 
+    gap_began_at: float = -inf
+    """Last answer before the last long gap between known answers."""
+
+    gap_ended_at: float = -inf
+    """First answer after it; the first one of all, if there was no gap."""
+
     returned_at: float = -inf
     """When it came back last after entries may have lapsed."""
 
+    asked_at: float | None = None
+    """Beginning of the first check of this entry since it was answered last;
+    None if there was none."""
+
     checking: bool = False
     """A check of this entry is under way."""
 
@@ -54,23 +71,53 @@
     silent: bool = False
     """The last check of this entry failed."""
 
+    def note_asked(self, now: float) -> None:
+        """The store is being asked by this entry."""
+        if self.asked_at is None:
+            self.asked_at = now
+
+    def cease_to_ask(self) -> None:
+        """The store is read no more; what was asked says nothing of it."""
+        self.silent = False
+        self.asked_at = None
+
+    def note_pause(self, now: float) -> None:
+        """The process stood still, and could not be answered meanwhile."""
+        if self.asked_at is not None:
+            self.asked_at = now
+
+    def take_answer(self, now: float) -> None:
+        """The store has answered this entry."""
+        asked_in_vain = self.time_in_vain(now)
+        self.hear(now)
+        self.asked_at = None
+        # The first check after the last answer may begin this much later.
+        if asked_in_vain >= self.lapse_time - CHECK_INTERVAL:
+            self._confirm_outage(now)
+
     def hear(self, at: float) -> None:
         """The store has answered an entry."""
         if at <= self.answered_at:
             return
-        known = self.answered_at > -inf
-        if known and at - self.answered_at >= self.lapse_time:
-            self.returned_at = at
+        if at - self.answered_at >= self.lapse_time:
+            self.gap_began_at = self.answered_at
+            self.gap_ended_at = at
         self.answered_at = at
 
+    def time_in_vain(self, now: float) -> float:
+        """Seconds for which this entry has asked, and nobody was answered."""
+        if self.asked_at is None:
+            return 0
+        return now - max(self.asked_at, self.answered_at)
+
     def keeps_missing(self, now: float) -> bool:
         """Whether upstreams that are not listed may still return.
 
         Nothing is known of an outage by an entry that has heard nothing yet.
         """
         known = self.answered_at > -inf
-        away = known and now - self.answered_at >= self.lapse_time
-        return away or now < self.returned_at + _RETURN_TIME
+        unheard = known and now - self.answered_at >= self.lapse_time
+        return unheard or now < self.returned_at + _RETURN_TIME
 
     def age(self, now: float) -> float | None:
         """Seconds since the last answer; None if there was none."""
@@ -86,7 +133,32 @@
         age = self.age(now)
         return None if age is None else ceil(age * _TENTHS) + 1
 
+    def told_return(self, now: float) -> int | None:
+        """Tenths of a second since an outage ended, for others.
+
+        None unless upstreams may still return from it.  It is rounded down, so
+        that nobody drops them sooner; no entry takes the return for younger
+        than the first answer after it that it knows of.
+        """
+        age = now - self.returned_at
+        return int(age * _TENTHS) if age < _RETURN_TIME else None
+
     def hear_age(self, tenths: int | None, now: float) -> None:
         """Another entry has told how long ago the store answered."""
         if tenths is not None:
             self.hear(now - tenths / _TENTHS)
+
+    def hear_return(self, tenths: int | None, now: float) -> None:
+        """Another entry has told how long ago an outage ended."""
+        if tenths is not None:
+            self._confirm_outage(now - tenths / _TENTHS)
+
+    def _confirm_outage(self, ended_at: float) -> None:
+        """Somebody asked the store in vain until then.
+
+        Whoever knows of answers in that time knows better.
+        """
+        latest = self.gap_ended_at + _WITNESS_DELAY
+        if self.gap_began_at < ended_at <= latest:
+            ended_at = min(ended_at, self.gap_ended_at)
+            self.returned_at = max(self.returned_at, ended_at)
--- a/worksrail/core/steering/_watching.py
+++ b/worksrail/core/steering/_watching.py
@@ -13,6 +13,7 @@
 from worksrail.core.steering import _on_store
 from worksrail.core.steering._digests import Contact
 from worksrail.core.steering._news import StoreNews
+from worksrail.core.steering._on_answers import hear_of_store
 from worksrail.core.steering._on_digests import own_contact, tell_at_once
 from worksrail.core.steering._routes import RoutingConfiguration
 from worksrail.core.steering.effects import (
@@ -79,7 +80,7 @@
         # Meanwhile more has become known here than was told.
         return
     # Whether it has been away decides what removals mean.
-    state.catalog.pulse.hear_age(news.store_age, event.now)
+    yield from hear_of_store(state, news, event.now)
     yield Decision(
         DecisionKind.NEWS_FETCHED,
         event.kind.value,
@@ -116,6 +117,7 @@
             removed=news.removed,
             complete=news.complete,
             store_age=state.catalog.pulse.told_age(now),
+            store_return=state.catalog.pulse.told_return(now),
         )
     if kind is StoreKind.EVACUATIONS:
         zones = tuple(sorted(state.catalog.evacuated))
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -165,6 +165,7 @@
     STORE_LOST = 'store lost'
     STORE_REGAINED = 'store regained'
     STORE_BACK = 'store back after entries of upstreams may have lapsed'
+    STORE_UNHEARD = 'no answer of the store was heard of; nobody asked in vain'
     WATCH = 'reading the store begun or ended'
     NEWS_FETCHED = 'news of the store from another entry'
     NEWS_MISSED = 'no news of the store from another entry'
