Test signals at the edges of a process's life: they end programs that serve

Symptom: SIGHUP ends worksraild at once, with what it serves (exit -1). Signals that come in the last moments of a stop end either program with -1, -2 or -15, though the stop was complete; operators wait for exit code 0. SIGINT ends an entry on the users' platform without a stop.

--- /dev/null
+++ b/tests/processes/test_signals.py
@@ -0,0 +1,156 @@
+"""Programs under signals at the edges of their lives.
+
+What operators saw: SIGHUP ended ``worksraild`` at once, whatever it served
+(exit -1), and cut its callers off; an entry that had been told to stop and got
+SIGHUP before it was gone ended with -1 instead of 0.
+"""
+
+import json
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import closing
+from itertools import cycle
+from pathlib import Path
+from typing import Final
+
+import pytest
+from tornado.testing import bind_unused_port
+
+from tests.platform.test_decoding import SETTINGS
+
+pytestmark = pytest.mark.xdist_group('processes')
+
+_ROOT: Final = Path(__file__).parents[2]
+_PATIENCE: Final = 30.0
+# Seconds between two signals of a storm.
+_STORM_GAP: Final = 0.002
+
+
+def _free_addresses() -> Iterator[str]:
+    while True:
+        sock, port = bind_unused_port(address='127.0.0.1')
+        with closing(sock):
+            yield f'127.0.0.1:{port}'
+
+
+def _platform_entry(folder: Path) -> list[str]:
+    """Command of an entry on the users' platform; its store is away."""
+    address = _free_addresses()
+    names = ('Front', 'Ready', 'Control', 'Directory')
+    port = int(next(address).partition(':')[2])
+    settings = {
+        'Ip': '127.0.0.1',
+        'InternalPortRange': [port, port],
+        'Seeds': [],
+        'Platform': {'Address': next(address)},
+        'Listen': {name: next(address) for name in names},
+    }
+    path = folder / 'settings.json'
+    path.write_text(json.dumps(SETTINGS | settings))
+    return ['worksrail.platform']
+
+
+def _worksraild(folder: Path) -> list[str]:
+    """Command of an entry of the product's own mode; its store is away."""
+    address = _free_addresses()
+    ports = ('caller', 'operator', 'peer', 'passing', 'store')
+    return [
+        'worksrail.daemon.main',
+        '--name=one-1',
+        '--zone=one',
+        '--region=here',
+        '--ticket-secrets=a-secret-that-is-long-enough',
+        *(f'--{name}={next(address)}' for name in ports),
+    ]
+
+
+class Program:
+    """One process and what it has written."""
+
+    def __init__(
+        self, command: Callable[[Path], list[str]], folder: Path
+    ) -> None:
+        """Start it."""
+        words = command(folder)
+        self.path = folder / 'log'
+        with self.path.open('ab') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', *words],
+                cwd=_ROOT,
+                env={
+                    'WORKSRAIL_CONFIG': str(folder / 'settings.json'),
+                    'PATH': '',
+                },
+                stdout=log,
+                stderr=log,
+            )
+
+    def wait_written(self, *texts: str, times: int = 1) -> None:
+        """Wait until its log has one of some texts so many times."""
+        end = time.monotonic() + _PATIENCE
+        while sum(self.path.read_text().count(text) for text in texts) < times:
+            assert self.process.poll() is None, self.path.read_text()
+            assert time.monotonic() < end, self.path.read_text()
+            time.sleep(0.02)
+
+    def wait_serving(self) -> None:
+        """Wait until it takes signals."""
+        self.wait_written('"message":"started"', '"message":"serving"')
+
+    def storm(self, *numbers: signal.Signals) -> int:
+        """Send signals in turn until it has ended; gives its exit code."""
+        end = time.monotonic() + _PATIENCE
+        for number in cycle(numbers):
+            if self.process.poll() is not None:
+                break
+            assert time.monotonic() < end, self.path.read_text()
+            self.process.send_signal(number)
+            time.sleep(_STORM_GAP)
+        return self.process.wait()
+
+
+@pytest.fixture(params=[_platform_entry, _worksraild])
+def program(
+    request: pytest.FixtureRequest, tmp_path: Path
+) -> Iterator[Program]:
+    """Each of the programs that serve callers, serving."""
+    running = Program(request.param, tmp_path)
+    try:
+        running.wait_serving()
+        yield running
+    finally:
+        running.process.kill()
+        running.process.wait()
+
+
+def test_reload_changes_nothing_and_is_written(program: Program) -> None:
+    for times in range(1, 4):
+        program.process.send_signal(signal.SIGHUP)
+        program.wait_written('"message":"reload', times=times)
+    program.process.send_signal(signal.SIGTERM)
+    assert program.process.wait(_PATIENCE) == 0
+
+
+@pytest.mark.parametrize(
+    'numbers',
+    [
+        (signal.SIGTERM,),
+        (signal.SIGINT,),
+        (signal.SIGHUP,),
+        (signal.SIGHUP, signal.SIGTERM, signal.SIGINT),
+    ],
+    ids=lambda numbers: '-'.join(number.name for number in numbers),
+)
+def test_stop_ends_with_zero_whatever_comes_meanwhile(
+    program: Program, numbers: tuple[signal.Signals, ...]
+) -> None:
+    program.process.send_signal(signal.SIGTERM)
+    assert program.storm(*numbers) == 0
+
+
+def test_interrupt_is_a_stop(program: Program) -> None:
+    program.process.send_signal(signal.SIGINT)
+    assert program.process.wait(_PATIENCE) == 0
