Take SIGHUP in worksraild: read certificates again instead of ending

What callers saw: a SIGHUP to worksraild cut off whatever it served; the process ended at once with -1 and no line in its log.

Cause: its loop took SIGTERM and SIGINT only; what a process does not take ends it.

Change: the loop takes SIGHUP too, writes that a reload was asked for and looks at the certificates. Flags and environment cannot change in a running process, and bundles and keys come from the store by themselves. Read beside it: a file of certificates that is missing or cut while it is replaced ended the task that looks at it once a second, so that none was ever loaded again and nothing was written; now it writes a warning and looks again.

Why it holds: no signal that operators send to a daemon is left to its default action while the loop runs.

--- a/worksrail/daemon/_tls.py
+++ b/worksrail/daemon/_tls.py
@@ -3,9 +3,14 @@
 import os
 import ssl
 from dataclasses import dataclass
+from typing import Final
+
+from logbook import Logger
 
 from worksrail.daemon._settings import DaemonSettings
 
+_LOG: Final = Logger('worksrail.daemon')
+
 
 @dataclass(slots=True)
 class PeerTls:
@@ -38,11 +43,25 @@
         # Instances are addressed by IP number; the CA signs instances only.
         client.check_hostname = False
         tls = cls(settings, server, client)
-        tls.reload()
+        tls.load()
         return tls
 
     def reload(self) -> bool:
-        """Load the files again if one of them changed."""
+        """Load the files again if one of them changed and all are usable.
+
+        While they are being replaced they may be missing, cut, or not belong
+        together; the next look finds them whole.
+        """
+        try:
+            return self.load()
+        except OSError as error:
+            _LOG.warning(
+                'certificates not loaded', extra={'problem': str(error)}
+            )
+            return False
+
+    def load(self) -> bool:
+        """Load the files if one of them changed; raises ``OSError``."""
         settings = self.settings
         files = (settings.tls_ca, settings.tls_certificate, settings.tls_key)
         changed = tuple(os.stat(path).st_mtime for path in files)
--- a/worksrail/daemon/main.py
+++ b/worksrail/daemon/main.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 import json
-import signal
 import sys
 import time
 from dataclasses import dataclass, field
@@ -36,6 +35,7 @@
     SettingFault,
     load_settings,
 )
+from worksrail.daemon._signals import take_signals
 from worksrail.daemon._timeline import Timeline
 from worksrail.daemon._tls import PeerTls
 from worksrail.daemon.http._callers import CallerHandler, PassedHandler
@@ -143,9 +143,7 @@
             asyncio.ensure_future(self._tick()),
             asyncio.ensure_future(self._reload()),
         ]
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop)
+        take_signals(asyncio.get_running_loop(), self.stop, self.reload)
         _LOG.info('serving')
         await self.stopped.wait()
         await self._close()
@@ -154,6 +152,19 @@
         """Begin a graceful stop."""
         self.engine.dispatch(StopRequested(self.engine.now()))
 
+    def reload(self) -> None:
+        """Load what may have changed while this process runs: certificates.
+
+        Flags and environment cannot change; bundles and keys are read from the
+        store as soon as they do.
+        """
+        _LOG.info('reload asked for')
+        self._load_certificates()
+
+    def _load_certificates(self) -> None:
+        if self.tls and self.tls.reload():
+            _LOG.info('certificates loaded again')
+
     async def _listen(self) -> None:
         settings = self.settings
         limits = HttpLimits(
@@ -195,8 +206,7 @@
     async def _reload(self) -> None:
         while True:
             await asyncio.sleep(_RELOAD_INTERVAL)
-            if self.tls and self.tls.reload():
-                _LOG.info('certificates loaded again')
+            self._load_certificates()
 
     async def _close(self) -> None:
         _LOG.info('leaving')
