--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -4,7 +4,6 @@
 import contextlib
 import itertools
 import json
-import signal
 import sys
 import time
 from collections.abc import Coroutine
@@ -39,6 +38,7 @@
 from worksrail.core.steering.kinds import StoreKind
 from worksrail.daemon import _clock
 from worksrail.daemon._logs import LineSink, install_logs
+from worksrail.daemon._signals import take_signals
 from worksrail.daemon.http._connections import ConnectionPool
 from worksrail.daemon.http._server import (
     ExchangeHandler,
@@ -203,8 +203,7 @@
         self._listen(settings)
         self.begin_work()
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.stop)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        take_signals(loop, self.stop, self.reload_when_told)
         _LOG.info('started', extra={'incarnation': self.engine.state.who.label})
         await self.stopped.wait()
         await self._close()
@@ -219,6 +218,11 @@
         """Begin a graceful stop."""
         self.engine.dispatch(StopRequested(self.engine.now()))
 
+    def reload_when_told(self) -> None:
+        """Read the settings again, on SIGHUP."""
+        _LOG.info('reload asked for')
+        self.reload()
+
     def reload(self) -> None:
         """Read the settings again; unusable ones change nothing."""
         try:
