Block signals from the last work of the event loop until the process is gone

What operators saw: a stop that was complete, after its 3.04 s, ended with exit code -1, -2 or -15 instead of 0 when a signal came in its last moments; docs/operators tells them to wait for 0, so a good stop looks like a crash.

Cause: an event loop that is closed takes its signal handlers out, and the default action, which ends the process, comes back for the rest of its life. Shown by the test: with a signal every 2 ms until the end each of eight stops ended so, after the line 'stopped' in the log.

Change: the last work of the loop blocks SIGTERM, SIGINT and SIGHUP for the process. Why it holds: they are blocked while the loop still takes them, so there is no moment with neither.

--- a/worksrail/daemon/main.py
+++ b/worksrail/daemon/main.py
@@ -35,7 +35,7 @@
     SettingFault,
     load_settings,
 )
-from worksrail.daemon._signals import take_signals
+from worksrail.daemon._signals import hold_last_signals, take_signals
 from worksrail.daemon._timeline import Timeline
 from worksrail.daemon._tls import PeerTls
 from worksrail.daemon.http._callers import CallerHandler, PassedHandler
@@ -248,6 +248,7 @@
 
 async def _serve(settings: DaemonSettings) -> None:
     await Daemon.from_settings(settings).run()
+    hold_last_signals()
 
 
 def _refuse(faults: list[SettingFault]) -> NoReturn:
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -38,7 +38,7 @@
 from worksrail.core.steering.kinds import StoreKind
 from worksrail.daemon import _clock
 from worksrail.daemon._logs import LineSink, install_logs
-from worksrail.daemon._signals import take_signals
+from worksrail.daemon._signals import hold_last_signals, take_signals
 from worksrail.daemon.http._connections import ConnectionPool
 from worksrail.daemon.http._server import (
     ExchangeHandler,
@@ -333,5 +333,6 @@
 ) -> None:
     daemon = SteeredDaemon.from_adapter(adapter, settings, sink)
     await daemon.run()
+    hold_last_signals()
     if daemon.failed:
         sys.exit(1)
