--- a/tests/processes/test_signals.py
+++ b/tests/processes/test_signals.py
@@ -58,7 +58,7 @@
     address = _free_addresses()
     ports = ('caller', 'operator', 'peer', 'passing', 'store')
     return [
-        'worksrail.daemon.main',
+        'worksrail.daemon',
         '--name=one-1',
         '--zone=one',
         '--region=here',
--- a/tests/steering/test_starting.py
+++ b/tests/steering/test_starting.py
@@ -2,10 +2,11 @@
 
 import pytest
 
-from tests.steering.world import World, route, upstream
+from tests.steering.world import World, of_type, route, upstream
 from worksrail.core.results import ResultCode
 from worksrail.core.steering import EntryList, look_up
-from worksrail.core.steering.events import AttemptOutcome
+from worksrail.core.steering.effects import ExitProcess
+from worksrail.core.steering.events import AttemptOutcome, StopRequested
 
 # Seconds until a fresh entry may have heard of all others, and some more.
 _SETTLED = 0.6
@@ -73,3 +74,14 @@
         assert isinstance(found, EntryList)
     else:
         assert found is ResultCode.NOT_READY
+
+
+@pytest.mark.parametrize(('ready', 'ends'), [(False, True), (True, False)])
+def test_only_an_entry_that_was_ready_waits_for_late_callers(
+    ready: bool, ends: bool
+) -> None:
+    # Others were named an entry that was ready, and callers may still come.
+    world = _fresh()
+    world.state.ready = ready
+    world.run(StopRequested(world.now))
+    assert bool(of_type(world.wait(0.2), ExitProcess)) is ends
--- a/worksrail/bench/_fleet.py
+++ b/worksrail/bench/_fleet.py
@@ -99,7 +99,7 @@
             **self.plan.flags,
         }
         words = [f'--{name}={text}' for name, text in flags.items()]
-        self._start(entry.name, 'worksrail.daemon.main', words)
+        self._start(entry.name, 'worksrail.daemon', words)
         self.listed[entry.name] = False
         self.publish_list()
 
--- a/worksrail/core/steering/_on_time.py
+++ b/worksrail/core/steering/_on_time.py
@@ -146,7 +146,10 @@
         return
     grace = state.settings.bounds.grace_period
     since = now - state.leaving_at
-    idle = not state.requests and since > grace * _LINGER
+    # Callers that were named an entry may still come, but none was named this
+    # one before it was ready.
+    lingers = state.ready and since <= grace * _LINGER
+    idle = not state.requests and not lingers
     if idle or since > grace * _LAST_EXIT:
         state.exited = True
         yield Decision(
--- a/worksrail/daemon/_signals.py
+++ b/worksrail/daemon/_signals.py
@@ -1,30 +1,47 @@
 """Signals of a program that serves, over its whole life.
 
-While its event loop runs, the loop takes them.  After that they are blocked:
-they wait until the process is gone.
+What a process does not take ends it, and cuts off what it serves.  While its
+event loop runs, the loop takes them.  Before that, and after it, they are
+blocked: they wait until the loop takes them, or until the process is gone.
+
+This module is the first one that a program loads, so it loads little itself.
 """
 
 import signal
-from asyncio import AbstractEventLoop
 from collections.abc import Callable
-from typing import Final
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from asyncio import AbstractEventLoop
 
 _STOPPING: Final = (signal.SIGTERM, signal.SIGINT)
 _TAKEN: Final = (*_STOPPING, signal.SIGHUP)
 
 
+# An interrupt from a terminal may end a program that does not serve yet.
+_WAITING: Final = (signal.SIGTERM, signal.SIGHUP)
+
+
+def hold_first_signals() -> None:
+    """Keep signals waiting until the loop takes them.
+
+    To be called before anything else is loaded, which takes 0.2 s and more.  A
+    SIGHUP in that time ended the process, and so did a SIGTERM, with -15
+    instead of 0.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, _WAITING)
+
+
 def take_signals(
-    loop: AbstractEventLoop,
+    loop: 'AbstractEventLoop',
     stop: Callable[[], None],
     reload: Callable[[], None],
 ) -> None:
-    """Let the loop take signals.
-
-    One that a process does not take ends it, and cuts off what it serves.
-    """
+    """Let the loop take signals, also those that wait already."""
     for number in _STOPPING:
         loop.add_signal_handler(number, stop)
     loop.add_signal_handler(signal.SIGHUP, reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, _TAKEN)
 
 
 def hold_last_signals() -> None:
--- a/worksrail/daemon/main.py
+++ b/worksrail/daemon/main.py
@@ -300,7 +300,3 @@
 def _delays(text: str) -> dict[str, float]:
     pairs = [part.partition('=') for part in text.split(',') if part]
     return {region: float(seconds) for region, _, seconds in pairs}
-
-
-if __name__ == '__main__':
-    main()
