--- a/tests/soak/_promises.py
+++ b/tests/soak/_promises.py
@@ -22,6 +22,7 @@
     UNCHANGED = 'upstreams get what callers sent, and nothing else'
     ROUTED = 'a request is executed by a service that its route names'
     PLANNED_STOP = 'a planned stop cuts no request that is executed'
+    CLEAN_EXIT = 'an entry that was told to stop ends with exit code 0'
     RECOVERY = 'all entries serve again once the faults are over'
 
 
@@ -126,12 +127,20 @@
     silent: set[str] = field(default_factory=set)
     """Entries that did not serve at the end."""
 
+    exits: list[tuple[str, int | None]] = field(default_factory=list)
+    """Entries that were told to stop, and their exit codes."""
+
     def violations(self) -> list[Violation]:
         """All promises that were broken."""
         found = [
             Violation(Promise.RECOVERY, entry, 'does not serve')
             for entry in sorted(self.silent)
         ]
+        found += [
+            Violation(Promise.CLEAN_EXIT, entry, f'exit code {code}')
+            for entry, code in self.exits
+            if code
+        ]
         for trace, executions in self.executed.items():
             found += self._of_executions(trace, executions)
         for trace in self.ended:
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -110,7 +110,9 @@
             return
         self.restarting.add(host)
         self.world.signal(host, number)
-        await self.world.ended(host)
+        code = await self.world.ended(host)
+        if number is signal.SIGTERM:
+            self.world.witness.exits.append((host, code))
         await self.world.start(host)
         self.restarting.discard(host)
 
@@ -122,10 +124,8 @@
         self.world.signal(host, signal.SIGCONT)
 
     async def hup(self, step: Step) -> None:
-        """Let an entry read its settings again."""
-        host = _pick(self.world.hosts, step)
-        if host not in self.restarting:
-            self.world.signal(host, signal.SIGHUP)
+        """Let an entry read its settings again, also while it stops."""
+        self.world.signal(_pick(self.world.hosts, step), signal.SIGHUP)
 
     # -- the store
 
--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -97,10 +97,10 @@
         if process.returncode is None:
             process.send_signal(number)
 
-    async def ended(self, host: str) -> None:
-        """Wait until the process of an entry has ended."""
+    async def ended(self, host: str) -> int:
+        """Wait until the process of an entry has ended; its exit code."""
         async with asyncio.timeout(_LAST_END):
-            await self.processes[host].wait()
+            return await self.processes[host].wait()
 
     def front(self, host: str) -> str:
         """Address for callers of an entry."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -104,6 +104,13 @@
     assert violation.promise is Promise.RECOVERY
 
 
+def test_stop_that_ends_badly_is_noticed() -> None:
+    witness = Witness(_SERVICES, exits=[('one', -1), ('two', 0)])
+    (violation,) = witness.violations()
+    assert violation.promise is Promise.CLEAN_EXIT
+    assert violation.about == 'one'
+
+
 def test_seed_brings_the_same_faults_again() -> None:
     assert steps_of(5, 60) == steps_of(5, 60)
     assert steps_of(5, 60) != steps_of(6, 60)
