--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 $(READY): requirements/develop.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --require-hashes -r requirements/develop.txt
-	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --config-settings editable_mode=compat --editable .
 	touch $(READY)
 
 demo: $(READY)
