Read messages of other entries together when they come densely

Cause: each datagram woke an entry up.

Change: the socket is read until it is empty; when two reads are less than 20 ms apart, the next one comes 20 ms later. An isolated message is read at once.

Figures: 222 -> 100 wake-ups, 41 and 41 -> 31 and 25 ms a second (one real entry beside fakes, in turn, beside other load).

--- a/tests/steering/test_fleet.py
+++ b/tests/steering/test_fleet.py
@@ -30,6 +30,7 @@
 )
 from worksrail.core.steering.effects import (
     AnswerResult,
+    Decision,
     ExitProcess,
     SendDigest,
 )
@@ -242,6 +243,33 @@
     return [set(engine.state.fleet.entries) for engine, _ in engines]
 
 
+def test_messages_that_come_densely_are_all_taken_after_a_pause() -> None:
+    assert asyncio.run(_hear_many()) == {f'{number}' for number in range(200)}
+
+
+async def _hear_many() -> set[str]:
+    state = SteeringState.from_settings(settings(), Incarnation('one', 1), 0, 1)
+    engine = SteeringEngine(state, {Decision: lambda _: None})
+    udp = DigestPort(engine)
+    port = _free_port()
+    await udp.open(f'127.0.0.1:{port}')
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for number in range(200):
+            payload = pack_message(digest(f'{number}'))
+            sender.sendto(payload, ('127.0.0.1', port))
+    udp.read()
+    udp.read()
+    # It waits for no message now, but looks again soon.
+    paused = not asyncio.get_running_loop().remove_reader(udp.sock)
+    assert paused
+    for _ in range(200):
+        await asyncio.sleep(0.01)
+        if len(state.fleet.entries) == 200:
+            break
+    udp.close()
+    return set(state.fleet.entries)
+
+
 def _free_port() -> int:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
         probe.bind(('127.0.0.1', 0))
--- a/worksrail/daemon/steered/_digests.py
+++ b/worksrail/daemon/steered/_digests.py
@@ -1,8 +1,9 @@
 """Messages between entries: small datagrams, each of which may be lost."""
 
 import asyncio
+import socket
 from dataclasses import dataclass
-from typing import Any, Final, cast
+from typing import Final
 
 import msgspec
 from logbook import Logger
@@ -17,6 +18,16 @@
 _LOG: Final = Logger('worksrail.peers')
 # Bytes that a digest may grow to, so that no datagram can fill the memory.
 _LONGEST: Final = 1_000_000
+# Bytes of the longest datagram that IP carries.
+_LONGEST_DATAGRAM: Final = 65_536
+# Messages that are read in a row, before anything else gets its turn: 50 mates
+# send as many in 0.6 s.
+_MOST_AT_ONCE: Final = 150
+# Seconds between two reads while messages come more densely than that: a tenth
+# of the time between two digests of one entry. An entry that hears 49 others
+# wakes up 100 times a second instead of 222, and takes 25 and 31 ms of a core
+# instead of 41 and 41 (measured in turn beside other load, 8 s each).
+_READ_PAUSE: Final = 0.02
 PeerMessage = (
     EntryDigest | ZoneDigest | LimitReport | LimitReply | LimitHandover
 )
@@ -36,41 +47,87 @@
 
 
 @dataclass(slots=True)
-class DigestPort(asyncio.DatagramProtocol):
+class DigestPort:
     """Sends and receives messages at the peer address."""
 
     engine: SteeringEngine
     """Takes the events."""
 
-    transport: asyncio.DatagramTransport | None = None
+    sock: socket.socket | None = None
     """The socket, once it is open."""
 
+    read_at: float = 0
+    """When messages were read last."""
+
     async def open(self, address: str) -> None:
         """Listen at an IP number and port."""
         host, _, port = address.partition(':')
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(host, int(port))
-        )
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind((host, int(port)))
+        self._await_messages()
 
     def close(self) -> None:
         """Close the socket."""
-        if self.transport:
-            self.transport.close()
+        if self.sock:
+            asyncio.get_running_loop().remove_reader(self.sock)
+            self.sock.close()
+            self.sock = None
+
+    def send(self, effect: SendDigest) -> None:
+        """Send a digest to some entries."""
+        payload = pack_message(effect.digest)
+        for receiver in effect.receivers:
+            self._send(payload, receiver)
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Remember the socket."""
-        # The event loop's own datagram transport is no subclass of the
-        # abstract one.
-        self.transport = cast(asyncio.DatagramTransport, transport)
+    def send_limit_message(self, effect: SendLimitMessage) -> None:
+        """Tell another entry of a shared limit."""
+        self._send(pack_message(effect.message), effect.receiver)
 
-    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
+    def read(self) -> None:
+        """Take the messages that are there; pause if they come densely."""
+        now = self.engine.now()
+        dense = now - self.read_at < _READ_PAUSE
+        self.read_at = now
+        if dense:
+            self._pause()
+        for _ in range(_MOST_AT_ONCE):
+            if not self._read_one():
+                break
+
+    def _await_messages(self) -> None:
+        if self.sock:
+            loop = asyncio.get_running_loop()
+            loop.add_reader(self.sock, self.read)
+
+    def _pause(self) -> None:
+        if self.sock:
+            loop = asyncio.get_running_loop()
+            loop.remove_reader(self.sock)
+            loop.call_later(_READ_PAUSE, self._await_messages)
+
+    def _read_one(self) -> bool:
+        """Take one message; false if there is none left."""
+        if self.sock is None:
+            return False
+        try:
+            payload, (sender, _) = self.sock.recvfrom(_LONGEST_DATAGRAM)
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            # A datagram that was sent met nobody; the next one may.
+            _LOG.debug('datagram failed: {}', error)
+            return True
+        self._take(payload, sender)
+        return True
+
+    def _take(self, payload: bytes, sender: str) -> None:
         """Make an event of a message."""
         try:
-            message = unpack_message(data)
+            message = unpack_message(payload)
         except ValueError as error:
             _LOG.warning(
-                'malformed message', extra={'peer': addr[0], 'why': str(error)}
+                'malformed message', extra={'peer': sender, 'why': str(error)}
             )
             return
         now = self.engine.now()
@@ -79,22 +136,11 @@
         else:
             self.engine.dispatch(LimitMessageReceived(now, message))
 
-    def error_received(self, exc: Exception) -> None:
-        """A datagram could not be sent; the next one may."""
-        _LOG.debug('datagram failed: {}', exc)
-
-    def send(self, effect: SendDigest) -> None:
-        """Send a digest to some entries."""
-        payload = pack_message(effect.digest)
-        for receiver in effect.receivers:
-            self._send(payload, receiver)
-
-    def send_limit_message(self, effect: SendLimitMessage) -> None:
-        """Tell another entry of a shared limit."""
-        self._send(pack_message(effect.message), effect.receiver)
-
     def _send(self, payload: bytes, receiver: str) -> None:
-        if self.transport is None:
+        if self.sock is None:
             return
         host, _, port = receiver.partition(':')
-        self.transport.sendto(payload, (host, int(port)))
+        try:
+            self.sock.sendto(payload, (host, int(port)))
+        except OSError as error:
+            _LOG.debug('datagram failed: {}', error)
