--- a/tests/test_lookups.py
+++ b/tests/test_lookups.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from worksrail.bench.world import World, WorldPlan
+from worksrail.bench.world import Traffic, World, WorldPlan
 from worksrail.core.bundle import parse_bundle
 from worksrail.core.identity import Incarnation
 from worksrail.core.lookups import LookUpAnswer, look_up
@@ -39,7 +39,7 @@
     plan = WorldPlan(bundle, CoreSettings(), {'orders': 0.05})
     world = World.from_plan(plan)
     world.run_until(_SETTLED)
-    world.load('orders', 'north', rate, _END)
+    world.load(Traffic('orders', 'north', rate, _END))
     return world
 
 
--- a/worksrail/bench/decisions.py
+++ b/worksrail/bench/decisions.py
@@ -27,6 +27,7 @@
 from worksrail.bench.world import (
     FakeUpstream,
     RequestLog,
+    Traffic,
     VirtualClock,
     Watch,
     World,
@@ -60,16 +61,7 @@
     clock: VirtualClock
     upstreams: dict[str, FakeUpstream]
 
-    def load(
-        self,
-        service: str,
-        home: str,
-        rate: float,
-        end: float,
-        *,
-        writes: float = 0,
-        entry: str = '',
-    ) -> None:
+    def load(self, traffic: Traffic) -> None:
         """Send requests until a time."""
 
     def run_until(self, end: float) -> None:
@@ -150,12 +142,12 @@
     end: float,
 ) -> None:
     if case.trouble != 'skew':
-        world.load(service, region, rate, end)
+        world.load(Traffic(service, region, rate, end))
         return
     entry = _entry_names(world, region)[0]
-    world.load(service, region, rate * 5 / 7, end, entry=entry)
+    world.load(Traffic(service, region, rate * 5 / 7, end, entry=entry))
     for other in _entry_names(world, region)[1:]:
-        world.load(service, region, rate / 7, end, entry=other)
+        world.load(Traffic(service, region, rate / 7, end, entry=other))
 
 
 def _entry_names(world: Contender, region: str) -> list[str]:
--- a/worksrail/bench/naive/_world.py
+++ b/worksrail/bench/naive/_world.py
@@ -11,6 +11,7 @@
     FakeUpstream,
     Outcome,
     RequestLog,
+    Traffic,
     VirtualClock,
     Watch,
     WorldPlan,
@@ -102,29 +103,21 @@
             upstreams,
         )
 
-    def load(
-        self,
-        service: str,
-        home: str,
-        rate: float,
-        end: float,
-        *,
-        writes: float = 0,
-        entry: str = '',
-    ) -> None:
+    def load(self, traffic: Traffic) -> None:
         """Send requests with exponential gaps until a time."""
-        if self.clock.now >= end:
+        if self.clock.now >= traffic.end:
             return
         self.sent += 1
-        outcome = Outcome(f'r{self.sent}', service, home, '', self.clock.now)
+        home = traffic.home
+        outcome = Outcome(
+            f'r{self.sent}', traffic.service, home, '', self.clock.now
+        )
         self.log.outcomes[outcome.trace] = outcome
-        chosen = entry or f'{home}-{self.rng.randrange(3)}'
+        chosen = traffic.entry or f'{home}-{self.rng.randrange(3)}'
         self.clock.after(_HOP / 2, lambda: self._place(outcome, chosen, 1))
         self.clock.after(
-            self.rng.expovariate(rate),
-            lambda: self.load(
-                service, home, rate, end, writes=writes, entry=entry
-            ),
+            self.rng.expovariate(traffic.rate),
+            lambda: self.load(traffic),
         )
 
     def run_until(self, end: float) -> None:
--- a/worksrail/bench/scenarios/_actions.py
+++ b/worksrail/bench/scenarios/_actions.py
@@ -5,7 +5,7 @@
 
 from worksrail.bench.scenarios._bundles import variant
 from worksrail.bench.scenarios._steps import Doing
-from worksrail.bench.world import World
+from worksrail.bench.world import Traffic, World
 from worksrail.core.identity import Place
 from worksrail.core.requests import Ticket
 
@@ -38,7 +38,7 @@
     seconds = next(one for one in rest if isinstance(one, float))
 
     def do(world: World) -> None:
-        world.load(
+        traffic = Traffic(
             service,
             region,
             rate,
@@ -46,6 +46,7 @@
             writes=writes[0] if writes else 0,
             entry=entry[0] if entry else '',
         )
+        world.load(traffic)
 
     return do
 
--- a/worksrail/bench/slopes/_measures.py
+++ b/worksrail/bench/slopes/_measures.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Final
 
-from worksrail.bench.world import World, WorldPlan
+from worksrail.bench.world import Traffic, World, WorldPlan
 from worksrail.core.bundle import (
     Bundle,
     ClientBlock,
@@ -115,7 +115,7 @@
     world.run_until(10)
     process = next(iter(world.processes.values()))
     events = process.events
-    world.load('orders', 'only', 200, 30)
+    world.load(Traffic('orders', 'only', 200, 30))
     started = time.process_time()
     world.run_until(31)
     seconds = time.process_time() - started
--- a/worksrail/bench/world/__init__.py
+++ b/worksrail/bench/world/__init__.py
@@ -9,7 +9,7 @@
 from worksrail.bench.world._clock import VirtualClock
 from worksrail.bench.world._network import NetworkFaults
 from worksrail.bench.world._plan import WorldPlan
-from worksrail.bench.world._requests import Outcome, RequestLog
+from worksrail.bench.world._requests import Outcome, RequestLog, Traffic
 from worksrail.bench.world._store import FakeStore
 from worksrail.bench.world._upstreams import FakeUpstream
 from worksrail.bench.world._world import World
@@ -20,6 +20,7 @@
     'NetworkFaults',
     'Outcome',
     'RequestLog',
+    'Traffic',
     'Violation',
     'VirtualClock',
     'Watch',
--- a/worksrail/bench/world/_callers.py
+++ b/worksrail/bench/world/_callers.py
@@ -7,7 +7,7 @@
 from worksrail.bench.world._clock import WALL, VirtualClock
 from worksrail.bench.world._plan import WorldPlan
 from worksrail.bench.world._process import FakeProcess, Reply
-from worksrail.bench.world._requests import Outcome, RequestLog
+from worksrail.bench.world._requests import Outcome, RequestLog, Traffic
 from worksrail.core.customers import KeyDigest
 from worksrail.core.lookups import LookUpAnswer, look_up
 from worksrail.core.requests import NoTicket, RequestHead, Ticket
@@ -116,28 +116,16 @@
         )
         return outcome
 
-    def load(
-        self,
-        service: str,
-        home: str,
-        rate: float,
-        end: float,
-        *,
-        writes: float = 0,
-        entry: str = '',
-    ) -> None:
+    def load(self, traffic: Traffic) -> None:
         """Send requests with exponential gaps until a time."""
-        if self.world.clock.now >= end:
+        if self.world.clock.now >= traffic.end:
             return
-        write = self.world.rng.random() < writes
-        self.request(service, home, write=write, entry=entry)
-        gap = self.world.rng.expovariate(rate)
-        self.world.clock.after(
-            gap,
-            lambda: self.load(
-                service, home, rate, end, writes=writes, entry=entry
-            ),
+        write = self.world.rng.random() < traffic.writes
+        self.request(
+            traffic.service, traffic.home, write=write, entry=traffic.entry
         )
+        gap = self.world.rng.expovariate(traffic.rate)
+        self.world.clock.after(gap, lambda: self.load(traffic))
 
     def _arrive(self, target: str, head: RequestHead) -> None:
         process = self.world.processes.get(target)
--- a/worksrail/bench/world/_requests.py
+++ b/worksrail/bench/world/_requests.py
@@ -6,6 +6,29 @@
 from worksrail.core.results import Certainty, ResultCode
 
 
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """Requests that callers of one region send, with exponential gaps."""
+
+    service: str
+    """Service they are for."""
+
+    home: str
+    """Home region of the callers."""
+
+    rate: float
+    """Requests a second."""
+
+    end: float
+    """Virtual time after which none is sent."""
+
+    writes: float = 0
+    """Share of them that must not be repeated."""
+
+    entry: str = ''
+    """Entry that they go to; empty: as look-ups tell."""
+
+
 @dataclass(slots=True)
 class Outcome:
     """One caller's request."""
--- a/worksrail/bench/world/_world.py
+++ b/worksrail/bench/world/_world.py
@@ -11,7 +11,7 @@
 from worksrail.bench.world._plan import WorldPlan, places_of
 from worksrail.bench.world._platform import PlatformReader
 from worksrail.bench.world._process import Exchange, FakeProcess, Reply
-from worksrail.bench.world._requests import RequestLog
+from worksrail.bench.world._requests import RequestLog, Traffic
 from worksrail.bench.world._runner import EffectRunner
 from worksrail.bench.world._store import FakeHead, FakeStore
 from worksrail.bench.world._upstreams import FakeUpstream
@@ -216,18 +216,9 @@
             for effect in effects:
                 self.runner.run(process, effect)
 
-    def load(
-        self,
-        service: str,
-        home: str,
-        rate: float,
-        end: float,
-        *,
-        writes: float = 0,
-        entry: str = '',
-    ) -> None:
+    def load(self, traffic: Traffic) -> None:
         """Let callers of a region send requests until a time."""
-        self.callers.load(service, home, rate, end, writes=writes, entry=entry)
+        self.callers.load(traffic)
 
     def run_until(self, end: float) -> None:
         """Let time pass."""
--- a/worksrail/daemon/_signals.py
+++ b/worksrail/daemon/_signals.py
@@ -16,8 +16,6 @@
 
 _STOPPING: Final = (signal.SIGTERM, signal.SIGINT)
 _TAKEN: Final = (*_STOPPING, signal.SIGHUP)
-
-
 # An interrupt from a terminal may end a program that does not serve yet.
 _WAITING: Final = (signal.SIGTERM, signal.SIGHUP)
 
