--- a/tests/processes/test_signals.py
+++ b/tests/processes/test_signals.py
@@ -154,3 +154,15 @@
 def test_interrupt_is_a_stop(program: Program) -> None:
     program.process.send_signal(signal.SIGINT)
     assert program.process.wait(_PATIENCE) == 0
+
+
+def test_reload_right_after_the_start_ends_nothing(tmp_path: Path) -> None:
+    # What a process does with a signal before its first line of code it
+    # inherits from its starter: docs/incidents/signals-while-loading.md.
+    running = Program(_platform_entry, tmp_path)
+    try:
+        running.process.send_signal(signal.SIGHUP)
+        running.wait_serving()
+    finally:
+        running.process.kill()
+        running.process.wait()
