--- a/worksrail/core/steering/_on_answers.py
+++ b/worksrail/core/steering/_on_answers.py
@@ -21,8 +21,8 @@
 from worksrail.core.steering.state import SteeringState
 
 
-class StoreWord(Protocol):
-    """What one entry tells another one of the store's answers."""
+class StoreAges(Protocol):
+    """How long ago the store answered, as one entry tells another."""
 
     @property
     def store_age(self) -> int | None:
@@ -86,34 +86,37 @@
 
 def hear_of_store(
     state: SteeringState,
-    word: StoreWord,
+    told: StoreAges,
     now: float,
 ) -> Iterator[Effect]:
     """Take in what another entry tells of the store's answers."""
     pulse = state.catalog.pulse
-    before = (pulse.gap_ended_at, pulse.returned_at)
-    pulse.hear_age(word.store_age, now)
-    pulse.hear_return(word.store_return, now)
-    yield from _explain_gap(state, before, 0)
+    ended_at, returned_at = pulse.gap_ended_at, pulse.returned_at
+    pulse.hear_age(told.store_age, now)
+    pulse.hear_return(told.store_return, now)
+    yield from _explain_gap(state, ended_at, returned_at)
 
 
 def _hear(state: SteeringState, now: float) -> Iterator[Effect]:
     """Take in an answer to this entry."""
     pulse = state.catalog.pulse
-    before = (pulse.gap_ended_at, pulse.returned_at)
+    ended_at, returned_at = pulse.gap_ended_at, pulse.returned_at
     in_vain = pulse.time_in_vain(now)
     pulse.take_answer(now)
-    yield from _explain_gap(state, before, in_vain)
+    yield from _explain_gap(state, ended_at, returned_at, in_vain)
 
 
 def _explain_gap(
     state: SteeringState,
-    before: tuple[float, float],
-    in_vain: float,
+    ended_at: float,
+    returned_at: float,
+    in_vain: float = 0,
 ) -> Iterator[Effect]:
-    """Say whether a gap between answers that has ended was an outage."""
+    """Say whether a gap between answers that has just ended was an outage.
+
+    The times are those of the last gap and of the last return before.
+    """
     pulse = state.catalog.pulse
-    ended_at, returned_at = before
     outage = pulse.returned_at > returned_at
     heard_again = ended_at > -inf and pulse.gap_ended_at > ended_at
     if not (outage or heard_again):
