Name in the log which request an upstream's connection broke under

crash-suspected says, for each attempt whose connection broke before an answer, the fingerprint of the request: a keyed hash of customer, method, host, path, affinity key and body. Bodies that are streamed are known by their first 16 KiB and declared length; for that, a long body is handed on once these have come instead of with its head. No decision changes.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -397,6 +397,17 @@
     assert decoded.bounds.store_history == 20
 
 
+@pytest.mark.parametrize(
+    ('environment', 'key'),
+    [
+        ({'WORKSRAIL_FINGERPRINT_SECRET': 'long'}, b'long'),
+        ({}, SETTINGS['Platform']['Address'].encode()),
+    ],
+)
+def test_key_of_fingerprints(environment: dict[str, str], key: bytes) -> None:
+    assert decode_settings(SETTINGS, environment).fingerprint_key == key
+
+
 @pytest.mark.parametrize('missing', [key for key in SETTINGS if key != 'Seeds'])
 def test_settings_without_a_field(missing: str) -> None:
     short = {key: SETTINGS[key] for key in SETTINGS if key != missing}
--- /dev/null
+++ b/worksrail/core/quarantine/_fingerprints.py
@@ -0,0 +1,27 @@
+"""Fingerprints: what makes two arrivals the same request."""
+
+import hashlib
+from collections.abc import Iterable
+from typing import Final
+
+Fingerprint = int
+"""Keyed hash of a request, equal at all instances; never zero."""
+
+_SIZE: Final = 8
+_LARGEST_KEY: Final = 64
+
+
+def fingerprint(secret: bytes, parts: Iterable[bytes]) -> Fingerprint:
+    """Hash the parts of a request that repeat when it comes again.
+
+    The hash is keyed: who reads it in a log or a message cannot try out which
+    cookie or body it stands for.
+
+    >>> fingerprint(b'k', (b'ab', b'c')) == fingerprint(b'k', (b'a', b'bc'))
+    False
+    """
+    hasher = hashlib.blake2b(digest_size=_SIZE, key=secret[:_LARGEST_KEY])
+    for part in parts:
+        hasher.update(len(part).to_bytes(_SIZE, 'big'))
+        hasher.update(part)
+    return int.from_bytes(hasher.digest(), 'big') or 1
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -15,6 +15,7 @@
     retry_pause,
     version_of,
 )
+from worksrail.core.steering._quarantining import fingerprint_of, learn_crash
 from worksrail.core.steering._repeating import NOT_EXECUTED, denial_of
 from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._routes import (
@@ -108,6 +109,7 @@
     if request is None or event.attempt != request.attempts:
         return
     yield from learn(state, request, event)
+    yield from learn_crash(state, request, event)
     request.last_upstream = request.upstream
     request.upstream = ''
     if event.outcome is AttemptOutcome.ANSWERED:
@@ -161,7 +163,7 @@
     allowed = route.timeout
     if event.head.time_left is not None:
         allowed = min(allowed, event.head.time_left)
-    return SteeredRequest(
+    request = SteeredRequest(
         event.request,
         event.head,
         route,
@@ -171,6 +173,8 @@
         customer,
         regions,
     )
+    request.fingerprint = fingerprint_of(state, request, event.body_digest)
+    return request
 
 
 def _route(
--- a/worksrail/core/steering/_request.py
+++ b/worksrail/core/steering/_request.py
@@ -4,6 +4,7 @@
 
 from worksrail.core.customers import Customer, NoCustomer
 from worksrail.core.identity import RegionName, ServiceName
+from worksrail.core.quarantine import Fingerprint
 from worksrail.core.steering._routes import Route
 from worksrail.core.steering.events import RequestNumber, SteeredHead
 
@@ -75,6 +76,9 @@
     moving: bool = False
     """Its attempt was cut off here because the upstream is silent."""
 
+    fingerprint: Fingerprint = 0
+    """What it has in common with its repetitions by the caller."""
+
     maybe_executed: bool = False
     """An upstream may have executed it."""
 
--- a/worksrail/core/steering/_settings.py
+++ b/worksrail/core/steering/_settings.py
@@ -111,6 +111,14 @@
     limits: EntryLimits = field(default_factory=EntryLimits)
     """What the instance has."""
 
+    fingerprint_secret: str = ''
+    """Key of the fingerprints of requests, the same at all entries."""
+
+    @property
+    def fingerprint_key(self) -> bytes:
+        """The secret, or what else all entries have in common."""
+        return (self.fingerprint_secret or self.store).encode()
+
     @property
     def capacity(self) -> float:
         """Requests a second that the processor and the link can pass on."""
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -147,6 +147,7 @@
     REQUEST_FAILED = 'request ended without an answer of an upstream'
     REQUEST_DROPPED = 'request ended after its caller had left'
     CALLER_GONE = 'caller left before the end of its answer'
+    CRASH_SUSPECTED = 'an upstream may have crashed under a request'
     CONFIGURATION_APPLIED = 'configuration in force'
     CONFIGURATION_IGNORED = 'older configuration ignored'
     UPSTREAM_KNOWN = 'upstream listed'
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -248,6 +248,9 @@
     head: SteeredHead
     """What the decisions need to know of it."""
 
+    body_digest: bytes = b''
+    """Hash of its body, or of what is known of a long one."""
+
 
 @dataclass(frozen=True, slots=True)
 class CallerGone:
--- a/worksrail/daemon/http/_body.py
+++ b/worksrail/daemon/http/_body.py
@@ -1,12 +1,16 @@
 """A request body on its way: streamed, and kept while it is small."""
 
 import asyncio
+import hashlib
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Final
 
 REPLAY_LIMIT: Final = 65_536
 _HIGH_WATER: Final = 262_144
+# Bytes at the begin of a body by which a long one is known again.
+_LEAD_BYTES: Final = 16_384
+_DIGEST_BYTES: Final = 16
 
 
 @dataclass(slots=True)
@@ -20,6 +24,9 @@
     kept: list[bytes] = field(default_factory=list)
     """All chunks so far, while the body is small."""
 
+    lead: bytearray = field(default_factory=bytearray)
+    """The first bytes of the body."""
+
     pending: deque[bytes] = field(default_factory=deque)
     """Chunks that have not been read."""
 
@@ -54,6 +61,33 @@
         """Whether the body so far is kept in full."""
         return self.size <= REPLAY_LIMIT
 
+    @property
+    def has_lead(self) -> bool:
+        """Whether enough has come to know a long body again."""
+        return len(self.lead) >= _LEAD_BYTES
+
+    def digest(self, declared: str) -> bytes:
+        """Hash of the body, or of what is known of a long one.
+
+        A body that goes on while it is sent is known by its first bytes and
+        its declared length; the chunks in which it comes make no difference.
+
+        >>> BodyStream(ended=True).digest('')
+        b''
+        """
+        if self.ended and self.replayable:
+            if not self.size:
+                return b''
+            known = b''.join(self.kept)
+            return _hash(b'whole', known)
+        return _hash(f'long {declared}'.encode(), bytes(self.lead))
+
+    def note_lead(self, chunk: bytes) -> None:
+        """Keep the first bytes; called before a chunk is fed."""
+        room = _LEAD_BYTES - len(self.lead)
+        if room > 0:
+            self.lead += chunk[:room]
+
     async def feed(self, chunk: bytes) -> None:
         """Add a chunk; waits while too much has not been read."""
         self.size += len(chunk)
@@ -97,3 +131,9 @@
         self.waiting_bytes -= len(chunk)
         self.drained.set()
         return chunk
+
+
+def _hash(kind: bytes, content: bytes) -> bytes:
+    hasher = hashlib.blake2b(content, digest_size=_DIGEST_BYTES)
+    hasher.update(kind)
+    return hasher.digest()
--- a/worksrail/daemon/http/_exchange.py
+++ b/worksrail/daemon/http/_exchange.py
@@ -76,6 +76,10 @@
     task: asyncio.Task[None] | None = None
     """The attempt that is under way."""
 
+    def body_digest(self) -> bytes:
+        """Hash of the body, by which a repeated request is known again."""
+        return self.body.digest(self.headers.get('Content-Length', ''))
+
     # -- answers passed through
 
     def judge(self, status: int, headers: httputil.HTTPHeaders) -> AnswerUse:
--- a/worksrail/daemon/http/_server.py
+++ b/worksrail/daemon/http/_server.py
@@ -65,6 +65,7 @@
     client: str
     exchange: Exchange | None = None
     handed_over: bool = False
+    streamed: bool = False
 
     def headers_received(
         self,
@@ -95,17 +96,19 @@
             closing(self.on_connection_close)
         # An answer before the end of the body costs the connection, so a
         # small body is read first; only a large one is streamed.
-        if int(headers.get('Content-Length', '0')) > REPLAY_LIMIT:
-            self._hand_over()
+        self.streamed = int(headers.get('Content-Length', '0')) > REPLAY_LIMIT
 
     async def data_received(self, chunk: bytes) -> None:  # type: ignore
         """Take a part of the body."""
         exchange = self.exchange
         if exchange is None or exchange.ended:
             return
-        if exchange.body.size + len(chunk) > REPLAY_LIMIT:
+        body = exchange.body
+        body.note_lead(chunk)
+        known = self.streamed and body.has_lead
+        if known or body.size + len(chunk) > REPLAY_LIMIT:
             self._hand_over()
-        await exchange.body.feed(chunk)
+        await body.feed(chunk)
 
     def finish(self) -> None:
         """The body is complete."""
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -119,7 +119,12 @@
             return
         self.exchanges[exchange.number] = exchange
         self.engine.dispatch(
-            RequestArrived(self.engine.now(), exchange.number, head)
+            RequestArrived(
+                self.engine.now(),
+                exchange.number,
+                head,
+                exchange.body_digest(),
+            )
         )
 
     def caller_gone(self, exchange: Exchange) -> None:
--- a/worksrail/platform/_names.py
+++ b/worksrail/platform/_names.py
@@ -43,6 +43,7 @@
 # -- environment
 
 SETTINGS_PATH: Final = 'WORKSRAIL_CONFIG'
+FINGERPRINT_SECRET: Final = 'WORKSRAIL_FINGERPRINT_SECRET'
 
 # -- kinds of objects in the store
 
--- a/worksrail/platform/_settings.py
+++ b/worksrail/platform/_settings.py
@@ -40,8 +40,11 @@
     return decode_settings(document)
 
 
-def decode_settings(document: Any) -> EntrySettings:
-    """Decode the settings file's document."""
+def decode_settings(
+    document: Any,
+    environment: Mapping[str, str] = os.environ,
+) -> EntrySettings:
+    """Decode the settings file's document; a secret is in the environment."""
     fields = Fields.from_value(document, 'settings')
     listen = fields.part('Listen')
     zones = fields.part('Zones')
@@ -62,6 +65,7 @@
         fields.part('Platform').text('Address'),
         _bounds(fields),
         _limits(fields),
+        environment.get(names.FINGERPRINT_SECRET, ''),
     )
 
 
