--- a/tests/steering/fleet_world.py
+++ b/tests/steering/fleet_world.py
@@ -25,6 +25,7 @@
 )
 from worksrail.core.steering.effects import (
     CheckStore,
+    Effect,
     FetchNews,
     ListStore,
     SendDigest,
@@ -44,7 +45,7 @@
 )
 from worksrail.core.steering.kinds import StoreKind
 
-_STEP = 0.05
+STEP = 0.05
 
 
 class FleetWorld:
@@ -145,7 +146,7 @@
         """Let time pass."""
         end = self.now + seconds
         while self.now < end:
-            self.now += _STEP
+            self.now += STEP
             arriving, self.under_way = self.under_way, []
             for receiver, digest in arriving:
                 name = receiver.partition(':')[0]
@@ -196,7 +197,10 @@
                 self.tell_store(name, self.store, self.listed)
 
     def _run(self, name: str, event: Event) -> None:
-        effects = reduce(self.states[name], event)
+        self._perform(name, reduce(self.states[name], event))
+
+    def _perform(self, name: str, effects: list[Effect]) -> None:
+        """Run the effects of an entry."""
         listed = of_type(effects, ListStore)
         self.calls['list'] += len(listed) * len(StoreKind)
         unheard = self.silent or name in self.turned_away | self.cut_off
