--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 
 policies: $(READY)
 	$(BIN)/python -m tests.steering.policies
+	$(BIN)/python -m tests.steering.crash_policies
 
 slopes: $(READY)
 	$(BIN)/python -m worksrail.bench.slopes every
