--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,111 @@
+"""Requests under which upstreams crash, with upstreams named in a bundle."""
+
+from collections import Counter
+
+import pytest
+
+from worksrail.bench.world import Outcome, Traffic, World, WorldPlan
+from worksrail.core.bundle import Bundle, parse_bundle
+from worksrail.core.settings import CoreSettings
+
+_FAULTY = '/faulty'
+_ZONES = {'north-a': 'north', 'south-a': 'south'}
+_SLOTS = 4
+_SETTLED = 8.0
+_STEP = 0.05
+# Seconds after which the caller of the faulty request comes back.
+_RETURN_AFTER = 0.2
+# Upstreams after which a request is known to crash them; seconds after that from
+# which few more may get it, and how many may.
+_PROOFS = 3
+_STABLE_WINDOW = 4.0
+_MOST_AFTER = 3
+
+
+def _bundle(upstreams: int) -> Bundle:
+    lines = [
+        'format: worksrail/1',
+        'name: crashing',
+        'answer_age: 1',
+        'regions:',
+        *(
+            f'  - {{name: {region}, seats: 3, headroom: 0.1}}'
+            for region in _ZONES.values()
+        ),
+        'zones:',
+        *(
+            f'  - {{name: {zone}, region: {region}}}'
+            for zone, region in _ZONES.items()
+        ),
+        'services:',
+        '  - name: orders',
+        '    host: orders.example',
+        '    deadline: 3',
+        '    upstreams:',
+    ]
+    for number in range(upstreams):
+        zone = sorted(_ZONES)[number % len(_ZONES)]
+        lines.append(
+            f'      - {{name: orders-{number}, zone: {zone}, slots: {_SLOTS}, '
+            f'address: "127.30.1.{number + 1}:9300"}}'
+        )
+    bundle = parse_bundle('\n'.join(lines))
+    assert isinstance(bundle, Bundle), bundle
+    return bundle
+
+
+def _world(entries: int, upstreams: int, seed: int) -> World:
+    plan = WorldPlan(
+        _bundle(upstreams),
+        CoreSettings(),
+        {'orders': 0.05},
+        entries_per_region=entries,
+        seed=seed,
+    )
+    world = World.from_plan(plan)
+    world.run_until(_SETTLED)
+    world.crashing.add(_FAULTY)
+    return world
+
+
+def _crashes(world: World) -> list[float]:
+    return sorted(
+        at for one in world.upstreams.values() for at in one.crashed_at
+    )
+
+
+def _play(world: World, seconds: float) -> Counter[str]:
+    """Let a faulty request come again and again; its results."""
+    results: Counter[str] = Counter()
+    end = world.clock.now + seconds
+    world.load(Traffic('orders', 'north', 20, end))
+    last = _ask(world)
+    while world.clock.now < end:
+        world.run_until(world.clock.now + _STEP)
+        over = last.ended_at
+        if over is not None and world.clock.now - over >= _RETURN_AFTER:
+            results[last.code.name if last.code else ''] += 1
+            last = _ask(world)
+    return results
+
+
+def _ask(world: World) -> Outcome:
+    return world.callers.request('orders', 'north', path=_FAULTY)
+
+
+# Entries of each region, upstreams, seed.
+_FLEETS = ((1, 6, 1), (3, 8, 2), (3, 24, 3))
+
+
+@pytest.mark.parametrize(('entries', 'upstreams', 'seed'), _FLEETS)
+def test_request_that_crashed_three_upstreams_reaches_few_more(
+    entries: int,
+    upstreams: int,
+    seed: int,
+) -> None:
+    world = _world(entries, upstreams, seed)
+    _play(world, 20)
+    crashes = _crashes(world)
+    proved_at = crashes[_PROOFS - 1]
+    late = [at for at in crashes if at > proved_at + _STABLE_WINDOW]
+    assert len(late) <= _MOST_AFTER
--- a/worksrail/bench/world/_effect_world.py
+++ b/worksrail/bench/world/_effect_world.py
@@ -38,6 +38,10 @@
     def upstreams(self) -> dict[str, FakeUpstream]:
         """Upstreams by name."""
 
+    @property
+    def crashing(self) -> set[str]:
+        """Paths of requests under which upstreams crash."""
+
     @property
     def processes(self) -> dict[str, FakeProcess]:
         """Processes by the name of their instance."""
--- a/worksrail/bench/world/_runner.py
+++ b/worksrail/bench/world/_runner.py
@@ -168,8 +168,10 @@
             world.log.executed(exchange.trace)
             self._check_shift(process, exchange, effect)
         exchange.upstream = upstream
+        head = process.instance.requests[effect.request].head
         exchange.execution = upstream.take(
-            lambda outcome: self._attempt_ended(process, effect, outcome)
+            lambda outcome: self._attempt_ended(process, effect, outcome),
+            crashes=head.path in world.crashing,
         )
         occupied = upstream.in_flight + len(upstream.waiting)
         world.watch.occupation(
--- a/worksrail/bench/world/_upstreams.py
+++ b/worksrail/bench/world/_upstreams.py
@@ -10,6 +10,10 @@
 from worksrail.core.events import AttemptOutcome
 
 _CANCEL_TIME: Final = 0.01
+# Seconds from the begin of an execution that crashes its upstream to the crash,
+# and until the upstream is back.
+_CRASH_AFTER: Final = 0.1
+_AWAY: Final = 2.0
 
 Ended = Callable[[AttemptOutcome], None]
 
@@ -27,6 +31,9 @@
     started: bool = False
     """It is in a slot."""
 
+    crashes: bool = False
+    """The upstream crashes a moment after it has begun this."""
+
 
 @dataclass(slots=True)
 class FakeUpstream:
@@ -83,15 +90,21 @@
     highest: int = 0
     """Most requests it had at once, waiting ones included."""
 
+    running: list[Execution] = field(default_factory=list)
+    """Requests in slots, those that were just given up not included."""
+
+    crashed_at: list[float] = field(default_factory=list)
+    """When it crashed."""
+
     executed: int = 0
     """Executions so far."""
 
     last_start: float = -1
     """When the last execution began."""
 
-    def take(self, ended: Ended) -> Execution:
+    def take(self, ended: Ended, *, crashes: bool = False) -> Execution:
         """Take a request; tells later how it ended."""
-        execution = Execution(ended)
+        execution = Execution(ended, crashes=crashes)
         if self.down:
             self._tell(execution, AttemptOutcome.NOT_SENT)
         elif self.shed or len(self.waiting) >= self.queue_limit:
@@ -109,10 +122,24 @@
             return
         execution.over = True
         if execution.started:
-            self.clock.after(_CANCEL_TIME, self._freed)
+            self.running.remove(execution)
+            self.clock.after(_CANCEL_TIME, self._freeing())
         elif execution in self.waiting:
             self.waiting.remove(execution)
 
+    def crash(self) -> None:
+        """Break all connections, and be away for a while."""
+        self.down = True
+        self.crashed_at.append(self.clock.now)
+        self.clock.after(_AWAY, self._return)
+        broken = (*self.running, *self.waiting)
+        self.running.clear()
+        self.waiting.clear()
+        self.in_flight = 0
+        for execution in broken:
+            execution.over = True
+            execution.ended(AttemptOutcome.BROKE_BEFORE_ANSWER)
+
     def load(self) -> float | None:
         """The load report that goes with an answer."""
         true = self.in_flight / self.upstream.slots
@@ -128,12 +155,16 @@
         while self.waiting and self.in_flight < self.upstream.slots:
             execution = self.waiting.pop(0)
             execution.started = True
+            self.running.append(execution)
             self.in_flight += 1
             self.executed += 1
             self.last_start = self.clock.now
             factor = self.rng.lognormvariate(0, self.spread) * self.slow
             if self.executed <= self.warm_after:
                 factor *= self.cold_factor
+            if execution.crashes:
+                self.clock.after(_CRASH_AFTER, self._crashing(execution))
+                continue
             self.clock.after(
                 self.service_time * factor, self._ending(execution)
             )
@@ -143,12 +174,32 @@
             if execution.over:
                 return
             execution.over = True
+            self.running.remove(execution)
             self._freed()
             broke = AttemptOutcome.BROKE_BEFORE_ANSWER
             execution.ended(broke if self.breaks else AttemptOutcome.ANSWERED)
 
         return end
 
+    def _crashing(self, execution: Execution) -> Callable[[], None]:
+        def end() -> None:
+            if not execution.over:
+                self.crash()
+
+        return end
+
+    def _return(self) -> None:
+        self.down = False
+
+    def _freeing(self) -> Callable[[], None]:
+        life = len(self.crashed_at)
+
+        def free() -> None:
+            if life == len(self.crashed_at):
+                self._freed()
+
+        return free
+
     def _freed(self) -> None:
         self.in_flight -= 1
         self._fill()
--- a/worksrail/bench/world/_world.py
+++ b/worksrail/bench/world/_world.py
@@ -53,6 +53,9 @@
     upstreams: dict[str, FakeUpstream]
     """Upstreams by name."""
 
+    crashing: set[str] = field(default_factory=set)
+    """Paths of requests under which upstreams crash."""
+
     processes: dict[str, FakeProcess] = field(default_factory=dict)
     """Processes by the name of their instance."""
 
