Play a request that crashes upstreams in the soak; key fingerprints by what all entries share

The default key is the names of the zones.

A ninth promise: three more at the most from 4 s after the third crash, by entries in touch.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -401,7 +401,7 @@
     ('environment', 'key'),
     [
         ({'WORKSRAIL_FINGERPRINT_SECRET': 'long'}, b'long'),
-        ({}, SETTINGS['Platform']['Address'].encode()),
+        ({}, b'z1,z2'),
     ],
 )
 def test_key_of_fingerprints(environment: dict[str, str], key: bytes) -> None:
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -17,20 +17,28 @@
 
 
 @pytest.mark.parametrize(
-    ('seed', 'seconds', 'entries'),
+    ('seed', 'seconds', 'entries', 'crashing'),
     [
         # Found that a connection which was reset before its first use ended
         # the process: RECOVERY.
-        (20261202, 8, 2),
+        (20261202, 8, 2, False),
         # Found that an entry which got SIGHUP 0.15 s after its start ended, as
         # it was still loading: RECOVERY.
-        (1796267376, 15, 3),
+        (1796267376, 15, 3, False),
+        # A request that crashes upstreams comes all the while.
+        (40, 14, 3, True),
     ],
 )
 def test_seed_breaks_no_promise(
-    seed: int, seconds: float, entries: int, tmp_path: Path
+    seed: int,
+    seconds: float,
+    entries: int,
+    crashing: bool,
+    tmp_path: Path,
 ) -> None:
-    result = asyncio.run(play_seed(seed, seconds, entries, tmp_path))
+    result = asyncio.run(
+        play_seed(seed, seconds, entries, tmp_path, crashing=crashing)
+    )
     assert result.steps
     assert result.served
     assert not result.violations
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -16,6 +16,8 @@
     entries: int = 3,
     seeds: int = 1,
     logs: str = '',
+    *,
+    crashing: bool = True,
 ) -> None:
     """Play seeds, and end with 1 if a promise was broken.
 
@@ -28,7 +30,9 @@
         with tempfile.TemporaryDirectory() as temporary:
             folder = Path(logs or temporary) / str(number)
             folder.mkdir(parents=True)
-            result = asyncio.run(play_seed(number, seconds, entries, folder))
+            result = asyncio.run(
+                play_seed(number, seconds, entries, folder, crashing=crashing)
+            )
         faults = ' '.join(step.fault.name for step in result.steps)
         print(
             f'seed {number}: {result.requests} requests, '
--- a/tests/soak/_listening.py
+++ b/tests/soak/_listening.py
@@ -20,10 +20,11 @@
     """Open connections."""
 
     async def open(self) -> Self:
-        """Listen at a free port."""
-        self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
-        host, port = self.server.sockets[0].getsockname()[:2]
-        self.address = f'{host}:{port}'
+        """Listen at a free port, or where it listened before."""
+        known, _, port = (self.address or '127.0.0.1:0').partition(':')
+        self.server = await asyncio.start_server(self.serve, known, int(port))
+        host, number = self.server.sockets[0].getsockname()[:2]
+        self.address = f'{host}:{number}'
         return self
 
     @abstractmethod
--- a/tests/soak/_promises.py
+++ b/tests/soak/_promises.py
@@ -8,6 +8,11 @@
 # Statuses that say: not executed, and it never will be.
 _REFUSALS = frozenset((408, 421, 429, 503))
 _OK = 200
+# Upstreams after which a request is known to crash them, and how many more may
+# get it from some seconds later on.
+_PROOFS = 3
+_STABLE_WINDOW = 4.0
+_MOST_AFTER = 3
 # Seconds before a request in which an unplanned fault may still cut it.
 _CALM = 4.0
 
@@ -24,6 +29,7 @@
     PLANNED_STOP = 'a planned stop cuts no request that is executed'
     CLEAN_EXIT = 'an entry that was told to stop ends with exit code 0'
     RECOVERY = 'all entries serve again once the faults are over'
+    FEW_CRASHES = 'a request that crashed three upstreams reaches few more'
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +89,17 @@
     """When."""
 
 
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """An upstream that crashed under a request."""
+
+    trace: str
+    """Identifier of the request."""
+
+    at: float
+    """When."""
+
+
 @dataclass(frozen=True, slots=True)
 class Violation:
     """A promise that was broken."""
@@ -130,6 +147,12 @@
     exits: list[tuple[str, int | None]] = field(default_factory=list)
     """Entries that were told to stop, and their exit codes."""
 
+    crashes: list[Crash] = field(default_factory=list)
+    """Crashes under the request that causes them, in order."""
+
+    starts: dict[str, float] = field(default_factory=dict)
+    """When entries were last started."""
+
     def violations(self) -> list[Violation]:
         """All promises that were broken."""
         found = [
@@ -141,6 +164,7 @@
             for entry, code in self.exits
             if code
         ]
+        found += self._of_crashes()
         for trace, executions in self.executed.items():
             found += self._of_executions(trace, executions)
         for trace in self.ended:
@@ -180,5 +204,26 @@
             return [Violation(Promise.PLANNED_STOP, sent.trace, details)]
         return []
 
+    def _of_crashes(self) -> list[Violation]:
+        if len(self.crashes) < _PROOFS:
+            return []
+        known_at = self.crashes[_PROOFS - 1].at + _STABLE_WINDOW
+        late = [
+            crash
+            for crash in self.crashes
+            if crash.at > known_at and self._was_in_touch(crash)
+        ]
+        if len(late) <= _MOST_AFTER:
+            return []
+        details = f'{len(late)} more, first at {late[0].at:.2f}'
+        return [Violation(Promise.FEW_CRASHES, late[0].trace, details)]
+
+    def _was_in_touch(self, crash: Crash) -> bool:
+        entry = self.sent[crash.trace].entry
+        started = self.starts.get(entry, crash.at - _CALM)
+        return started <= crash.at - _CALM and self._was_calm(
+            crash.at, crash.at
+        )
+
     def _was_calm(self, begin: float, end: float) -> bool:
         return not any(begin - _CALM <= at <= end for at in self.faults)
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -1,6 +1,7 @@
 """Plays the faults of a seed against a world, with callers all the while."""
 
 import asyncio
+import contextlib
 import random
 import signal
 from collections.abc import Awaitable, Callable
@@ -12,7 +13,7 @@
 from tests.soak._faults import Fault, Step, steps_of
 from tests.soak._promises import Sent, Violation
 from tests.soak._proxy import Link
-from tests.soak._upstreams import Habit
+from tests.soak._upstreams import CRASHING_PATH, Habit
 from tests.soak._world import SoakWorld
 from worksrail.standins.objects import StoreMood
 
@@ -23,6 +24,8 @@
 # Seconds for which the entries may take to serve, first and after the faults;
 # generous, since the machine may be busy.
 _PATIENCE = 60.0
+# Seconds after which the request that crashes upstreams comes again.
+_CRASH_PAUSE = 0.2
 _BAD_MOODS = [mood for mood in StoreMood if mood is not StoreMood.WELL]
 _BAD_LINKS = [link for link in Link if link is not Link.PASSING]
 _BAD_HABITS = [habit for habit in Habit if habit is not Habit.WELL]
@@ -212,8 +215,13 @@
     seconds: float,
     entries: int,
     folder: Path,
+    *,
+    crashing: bool = True,
 ) -> Result:
-    """Play one seed from start to end."""
+    """Play one seed from start to end.
+
+    A request that crashes upstreams comes all the while, unless it is left out.
+    """
     world = SoakWorld(folder, entries, seed)
     steps = steps_of(seed, seconds)
     callers: list[asyncio.Task[None]] = []
@@ -221,6 +229,8 @@
         await world.open()
         await _all_serve(world)
         callers = _start_callers(world)
+        if crashing:
+            callers.append(asyncio.ensure_future(_crash_upstreams(world, seed)))
         await Soak(world).play(steps, seconds)
         world.witness.silent = await _all_serve(world)
     finally:
@@ -256,6 +266,20 @@
     )
 
 
+async def _crash_upstreams(world: SoakWorld, seed: int) -> None:
+    """Send the request that crashes upstreams to one entry after another."""
+    rng = random.Random(f'crashes of {seed}')
+    await asyncio.sleep(rng.uniform(0, 2))
+    number = 0
+    while True:
+        host = rng.choice(world.hosts)
+        number += 1
+        trace = f'crash-{number}'
+        sent = Sent(trace, CRASHING_PATH, b'', False, host, world.clock())
+        await _ask_once(world, host, sent)
+        await asyncio.sleep(_CRASH_PAUSE)
+
+
 async def _all_serve(world: SoakWorld) -> set[str]:
     """Wait until all entries serve; gives those that do not."""
     silent = set(world.hosts)
@@ -271,18 +295,20 @@
 
 
 async def _serves(world: SoakWorld, host: str, trace: str) -> bool:
+    sent = Sent(trace, '/r/1', b'', False, host, world.clock())
+    await _ask_once(world, host, sent)
+    end = world.witness.ended.get(trace)
+    return end is not None and end.status == 200
+
+
+async def _ask_once(world: SoakWorld, host: str, sent: Sent) -> None:
+    """Send a request on a connection of its own."""
     address, _, port = world.front(host).partition(':')
-    try:
+    with contextlib.suppress(OSError, TimeoutError):
         async with asyncio.timeout(5):
             reader, writer = await asyncio.open_connection(address, int(port))
-            sent = Sent(trace, '/r/1', b'', False, host, world.clock())
-            caller = _caller(world, host, 'probe')
-            await caller.ask(sent, reader, writer)
+            await _caller(world, host, 'probe').ask(sent, reader, writer)
             writer.close()
-    except (OSError, TimeoutError):
-        return False
-    end = world.witness.ended.get(trace)
-    return end is not None and end.status == 200
 
 
 def _pick(choices: list[_Choice], step: Step) -> _Choice:
--- a/tests/soak/_upstreams.py
+++ b/tests/soak/_upstreams.py
@@ -13,6 +13,8 @@
 _LENGTH = re.compile(rb'\r\nContent-Length: (\d+)', re.IGNORECASE)
 _TRACE = re.compile(rb'\r\nRequest-Id: (\S+)', re.IGNORECASE)
 _TARGET = re.compile(rb'\r\nTarget-Instance: (\S+)', re.IGNORECASE)
+# Path of a request that crashes each upstream which begins it.
+CRASHING_PATH = '/r/crash'
 # Seconds that an execution takes.
 _EXECUTION = (0.005, 0.08)
 
@@ -44,6 +46,9 @@
     rng: random.Random
     """Draws times and faults."""
 
+    crash: Callable[['Upstream', str], None]
+    """Is told which request crashes it."""
+
     habit: Habit = Habit.WELL
     """How it answers now."""
 
@@ -81,6 +86,9 @@
             return True
         path = head.split(b' ', 2)[1].decode()
         self.note(Executed(trace, path, body, self.service))
+        if path == CRASHING_PATH:
+            self.crash(self, trace)
+            return False
         await asyncio.sleep(self.rng.uniform(*_EXECUTION))
         return self._write(writer, trace, answer_of(trace, path, body))
 
--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -14,7 +14,7 @@
 
 from tests.hangups import take_hangups
 from tests.platform.test_decoding import CONFIGURATION, SETTINGS
-from tests.soak._promises import Witness
+from tests.soak._promises import Crash, Witness
 from tests.soak._proxy import Proxy
 from tests.soak._upstreams import Upstream
 from worksrail.standins.objects import ObjectStore, application
@@ -23,6 +23,8 @@
 _PORTS = ('Front', 'Ready', 'Control', 'Directory')
 # Services by route; the unsafe route moves between its two.
 SERVICES = {'w': frozenset(('a', 'c')), 'r': frozenset(('a', 'b'))}
+# Seconds for which an upstream that crashed refuses connections.
+_AWAY = 1.5
 # Seconds that a process may take to end once it was told to.
 _LAST_END = 30.0
 
@@ -47,6 +49,7 @@
         self.store_links: dict[str, Proxy] = {}
         self.upstreams: list[Upstream] = []
         self.upstream_links: list[Proxy] = []
+        self.returns: set[asyncio.Task[None]] = set()
 
     async def open(self) -> None:
         """Start everything."""
@@ -66,6 +69,8 @@
             if process.returncode is None:
                 process.kill()
                 await process.wait()
+        for task in self.returns:
+            task.cancel()
         for closable in (
             *self.upstreams,
             *self.upstream_links,
@@ -78,6 +83,7 @@
 
     async def start(self, host: str) -> None:
         """Start an entry."""
+        self.witness.starts[host] = self.clock()
         path = self.folder / f'{host}.json'
         path.write_text(json.dumps(self._settings(host)))
         log = (self.folder / f'{host}.log').open('ab')
@@ -169,6 +175,14 @@
         self.lives += 1
         self.upstreams[number].name = f'i-{self.lives}'
 
+    def _crash(self, upstream: Upstream, trace: str) -> None:
+        """An upstream breaks all connections and is away for a while."""
+        self.witness.crashes.append(Crash(trace, self.clock()))
+        link = self.upstream_links[self.upstreams.index(upstream)]
+        link.close()
+        upstream.abort_all()
+        self.returns.add(asyncio.ensure_future(_come_back(link)))
+
     async def _add_upstream(self, service: str) -> None:
         number = len(self.upstreams)
         upstream = Upstream(
@@ -176,6 +190,7 @@
             f'i-first-{number}',
             lambda one: self.witness.executed[one.trace].append(one),
             random.Random(self.rng.random()),
+            self._crash,
         )
         self.upstreams.append(await upstream.open())
         link = await Proxy(upstream.address).open()
@@ -183,6 +198,11 @@
         self.list_upstream(number, 'ready')
 
 
+async def _come_back(link: Proxy) -> None:
+    await asyncio.sleep(_AWAY)
+    await link.open()
+
+
 def _free_port() -> int:
     sock, port = bind_unused_port(address='127.0.0.1')
     sock.close()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,7 @@
 
 from tests.soak._faults import Fault, steps_of
 from tests.soak._promises import (
+    Crash,
     Ended,
     Executed,
     Promise,
@@ -104,6 +105,29 @@
     assert violation.promise is Promise.RECOVERY
 
 
+# Seconds at which upstreams crash, whether the entry had just started, and
+# whether that is too often.
+@pytest.mark.parametrize(
+    ('late', 'started', 'broken'),
+    [
+        ([20, 21, 22, 23], 0, True),
+        ([20, 21, 22], 0, False),
+        ([13, 13.5, 13.9, 14], 0, False),
+        ([20, 21, 22, 23], 19.5, False),
+    ],
+)
+def test_request_that_goes_on_to_crash_upstreams_is_noticed(
+    late: list[float],
+    started: float,
+    *,
+    broken: bool,
+) -> None:
+    witness = Witness(_SERVICES, sent={'t': _READ}, starts={'one': started})
+    witness.crashes = [Crash('t', at) for at in (10, 10.1, 10.2, *late)]
+    found = {one.promise for one in witness.violations()}
+    assert found == ({Promise.FEW_CRASHES} if broken else set())
+
+
 def test_stop_that_ends_badly_is_noticed() -> None:
     witness = Witness(_SERVICES, exits=[('one', -1), ('two', 0)])
     (violation,) = witness.violations()
--- a/tests/test_fingerprints.py
+++ b/tests/test_fingerprints.py
@@ -65,6 +65,17 @@
     assert (found[0] == found[1]) is same
 
 
+def test_entries_that_reach_the_store_differently_know_the_same_request() -> (
+    None
+):
+    one, other = (
+        World((route('read'),), (upstream('1'),), name=name)
+        for name in ('one', 'two')
+    )
+    other.state.settings = replace(other.state.settings, store='10.8.9.9:80')
+    assert _fingerprint(one) == _fingerprint(other)
+
+
 def test_parts_do_not_run_into_each_other() -> None:
     assert fingerprint(b'', (b'ab', b'c')) != fingerprint(b'', (b'a', b'bc'))
 
--- a/worksrail/core/quarantine/_fingerprints.py
+++ b/worksrail/core/quarantine/_fingerprints.py
@@ -2,13 +2,13 @@
 
 import hashlib
 from collections.abc import Iterable
+from functools import lru_cache
 from typing import Final
 
 Fingerprint = int
 """Keyed hash of a request, equal at all instances; never zero."""
 
 _SIZE: Final = 8
-_LARGEST_KEY: Final = 64
 
 
 def fingerprint(secret: bytes, parts: Iterable[bytes]) -> Fingerprint:
@@ -20,13 +20,18 @@
     >>> fingerprint(b'k', (b'ab', b'c')) == fingerprint(b'k', (b'a', b'bc'))
     False
     """
-    hasher = hashlib.blake2b(digest_size=_SIZE, key=secret[:_LARGEST_KEY])
+    hasher = hashlib.blake2b(digest_size=_SIZE, key=_key_of(secret))
     for part in parts:
         hasher.update(len(part).to_bytes(_SIZE, 'big'))
         hasher.update(part)
     return int.from_bytes(hasher.digest(), 'big') or 1
 
 
+@lru_cache(maxsize=4)
+def _key_of(secret: bytes) -> bytes:
+    return hashlib.blake2b(secret).digest()
+
+
 def label(request: Fingerprint) -> str:
     """A fingerprint as logs spell it.
 
--- a/worksrail/core/steering/_settings.py
+++ b/worksrail/core/steering/_settings.py
@@ -121,8 +121,9 @@
 
     @property
     def fingerprint_key(self) -> bytes:
-        """The secret, or what else all entries have in common."""
-        return (self.fingerprint_secret or self.store).encode()
+        """The secret, or the zones: entries may reach the store differently."""
+        zones = ','.join(sorted(self.regions))
+        return (self.fingerprint_secret or zones).encode()
 
     @property
     def capacity(self) -> float:
