--- a/tests/soak/_promises.py
+++ b/tests/soak/_promises.py
@@ -150,8 +150,10 @@
     crashes: list[Crash] = field(default_factory=list)
     """Crashes under the request that causes them, in order."""
 
-    starts: dict[str, float] = field(default_factory=dict)
-    """When entries were last started."""
+    disturbed: dict[str, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    """When entries were started, frozen or let go on."""
 
     def violations(self) -> list[Violation]:
         """All promises that were broken."""
@@ -219,11 +221,8 @@
         return [Violation(Promise.FEW_CRASHES, late[0].trace, details)]
 
     def _was_in_touch(self, crash: Crash) -> bool:
-        entry = self.sent[crash.trace].entry
-        started = self.starts.get(entry, crash.at - _CALM)
-        return started <= crash.at - _CALM and self._was_calm(
-            crash.at, crash.at
-        )
+        times = self.disturbed[self.sent[crash.trace].entry]
+        return not any(crash.at - _CALM <= at <= crash.at for at in times)
 
     def _was_calm(self, begin: float, end: float) -> bool:
         return not any(begin - _CALM <= at <= end for at in self.faults)
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -122,9 +122,12 @@
     async def freeze(self, step: Step) -> None:
         """Stop an entry for a while by a signal."""
         host = _pick(self.world.hosts, step)
+        disturbed = self.world.witness.disturbed[host]
+        disturbed.append(self.world.clock())
         self.world.signal(host, signal.SIGSTOP)
         await asyncio.sleep(step.lasts)
         self.world.signal(host, signal.SIGCONT)
+        disturbed.append(self.world.clock())
 
     async def hup(self, step: Step) -> None:
         """Let an entry read its settings again, also while it stops."""
--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -83,7 +83,7 @@
 
     async def start(self, host: str) -> None:
         """Start an entry."""
-        self.witness.starts[host] = self.clock()
+        self.witness.disturbed[host].append(self.clock())
         path = self.folder / f'{host}.json'
         path.write_text(json.dumps(self._settings(host)))
         log = (self.folder / f'{host}.log').open('ab')
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -105,7 +105,7 @@
     assert violation.promise is Promise.RECOVERY
 
 
-# Seconds at which upstreams crash, whether the entry had just started, and
+# Seconds at which upstreams crash, when the entry was started, and
 # whether that is too often.
 @pytest.mark.parametrize(
     ('late', 'started', 'broken'),
@@ -122,7 +122,9 @@
     *,
     broken: bool,
 ) -> None:
-    witness = Witness(_SERVICES, sent={'t': _READ}, starts={'one': started})
+    witness = Witness(
+        _SERVICES, sent={'t': _READ}, disturbed={'one': [started]}
+    )
     witness.crashes = [Crash('t', at) for at in (10, 10.1, 10.2, *late)]
     found = {one.promise for one in witness.violations()}
     assert found == ({Promise.FEW_CRASHES} if broken else set())
