--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from tests.steering.world import World, route, upstream
 from worksrail.core.steering.effects import Decision, DecisionKind
+from worksrail.core.steering.events import AttemptOutcome
 from worksrail.daemon.steered._metrics import SteeringMetrics
 
 
@@ -49,3 +51,14 @@
         for sample in family.samples
         if sample.name.endswith('_total')
     ] == [({'kind': 'upstreams'}, 1)]
+
+
+def test_held_requests_are_shown() -> None:
+    world = World((route('read'),), [upstream(name) for name in '123'])
+    for _ in range(2):
+        number = world.ask()
+        while number in world.state.requests:
+            world.end(number, AttemptOutcome.BROKE_BEFORE_ANSWER)
+    metrics = SteeringMetrics.create()
+    shown = metrics.render(world.state, world.now, 0).decode()
+    assert 'worksrail_requests_held 1.0' in shown
--- a/worksrail/core/quarantine/_quarantine.py
+++ b/worksrail/core/quarantine/_quarantine.py
@@ -100,7 +100,8 @@
     ) -> float:
         """Seconds for which a request is still held; zero if it is not.
 
-        One that was begun with a number as high as the crashes may go on.
+        The request of a trial may go on until a further crash is known: it
+        gives the number that a crash of its attempt would have.
         """
         record = self._record(request, now)
         if record is None or not record.held or record.count <= number:
@@ -188,7 +189,7 @@
         chosen += rng.sample(held, min(len(held), most - len(chosen)))
         return tuple(self._told(key, now) for key in chosen)
 
-    def held(self, now: float) -> int:
+    def count_held(self, now: float) -> int:
         """How many requests are held."""
         return sum(bool(self.hold_time(key, now)) for key in list(self.records))
 
--- a/worksrail/core/steering/_placing.py
+++ b/worksrail/core/steering/_placing.py
@@ -7,7 +7,7 @@
 from worksrail.core.quarantine import label
 from worksrail.core.results import ResultCode
 from worksrail.core.steering._choosing import Choice, choose
-from worksrail.core.steering._quarantining import begin, hold_time
+from worksrail.core.steering._quarantining import hold_time, note_sent
 from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._routes import RoutingConfiguration
 from worksrail.core.steering.effects import (
@@ -76,7 +76,7 @@
     request.queue = choice.queue
     if upstream.cold_until > now:
         state.cold.note_sent(upstream.name, now)
-    yield from begin(state, request, now)
+    yield from note_sent(state, request, now)
     yield SendUpstream(
         request.number,
         request.attempts,
--- a/worksrail/core/steering/_quarantining.py
+++ b/worksrail/core/steering/_quarantining.py
@@ -53,16 +53,16 @@
     )
 
 
-def begin(
+def note_sent(
     state: SteeringState,
     request: SteeredRequest,
     now: float,
 ) -> Iterator[Decision]:
-    """A request is sent: what is known of it now decides what a crash says."""
+    """A request is sent: what is known of it now tells what a crash means."""
     number = state.quarantine.begin(request.fingerprint, now)
     request.crash_number = number
     if number > CRASHES_UNTIL_HELD:
-        yield _decision(DecisionKind.QUARANTINE_TRIED, request, number)
+        yield _decision(DecisionKind.QUARANTINE_TRIED, request, number - 1)
 
 
 def learn_crash(
--- a/worksrail/daemon/steered/_metrics.py
+++ b/worksrail/daemon/steered/_metrics.py
@@ -66,6 +66,9 @@
     store_age: Gauge
     """Seconds since the store is known to have answered any entry."""
 
+    requests_held: Gauge
+    """Requests that are held because upstreams crashed under them."""
+
     lines_dropped: Gauge
     """Log lines that nobody took."""
 
@@ -101,6 +104,7 @@
             gauge('worksrail_configuration_version', 'Version in force'),
             gauge('worksrail_store_lost', 'Kinds that cannot be read'),
             gauge('worksrail_store_answer_age_seconds', 'Since an answer'),
+            gauge('worksrail_requests_held', 'Requests held for crashes'),
             gauge('worksrail_log_lines_dropped', 'Log lines dropped'),
         )
 
@@ -142,6 +146,7 @@
         self.store_lost.set(len(state.lost))
         age = state.catalog.pulse.age(now)
         self.store_age.set(inf if age is None else age)
+        self.requests_held.set(state.quarantine.count_held(now))
         self.lines_dropped.set(dropped)
         return generate_latest(self.registry)
 
