Run timers of programs that serve by the clock that counts suspensions

Serving processes decide by CLOCK_BOOTTIME, but the timers of their event loop (time-outs of attempts, pauses of readers, gRPC calls) ran on the steady clock: after a suspension of s seconds each was late by up to s, so a request whose deadline had passed was still waited for.

Both programs run on a loop whose clock is that of their decisions. With clocks that part from each other a deadline of an hour that passed in the gap ends within five ticks; on the usual loop it doesn't (tests/test_loop.py). worksrail.client runs on its caller's loop and is as before.

--- /dev/null
+++ b/tests/test_loop.py
@@ -0,0 +1,87 @@
+"""Timers of a machine that was suspended."""
+
+import asyncio
+import time
+from dataclasses import dataclass
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from tests.steering.world import settings
+from worksrail.daemon import main
+from worksrail.daemon._loop import ServingLoop
+from worksrail.daemon.steered import _daemon
+
+_LONG = 3600.0
+_TICK = 0.001
+_TICKS = 5
+_FLAGS = {
+    'name': 'one',
+    'zone': 'a1',
+    'region': 'a',
+    'caller': '127.0.0.1:1',
+    'operator': '127.0.0.1:2',
+    'peer': '127.0.0.1:3',
+    'passing': '127.0.0.1:4',
+    'store': '127.0.0.1:5',
+    'ticket_secrets': 'a-secret-of-some-length',
+}
+
+
+@dataclass
+class _Clock:
+    """A clock that counts the time of suspensions."""
+
+    suspended: float = 0
+
+    def __call__(self) -> float:
+        return time.monotonic() + self.suspended
+
+
+async def _tick() -> None:
+    for _ in range(_TICKS):
+        await asyncio.sleep(_TICK)
+
+
+@pytest.mark.parametrize(('seconds', 'ends'), [(_LONG + 1, True), (1, False)])
+def test_deadline_that_passed_in_a_suspension_ends_at_once(
+    seconds: float,
+    *,
+    ends: bool,
+) -> None:
+    clock = _Clock()
+
+    async def wait() -> bool:
+        deadline = asyncio.ensure_future(asyncio.sleep(_LONG))
+        await _tick()
+        clock.suspended = seconds
+        await _tick()
+        ended = deadline.done()
+        deadline.cancel()
+        return ended
+
+    with asyncio.Runner(loop_factory=lambda: ServingLoop(clock)) as runner:
+        assert runner.run(wait()) is ends
+
+
+@pytest.mark.parametrize('program', ['worksraild', 'entry'])
+def test_programs_run_on_the_loop_that_counts_suspensions(
+    program: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    loops: list[type] = []
+
+    async def note(*_: Any) -> None:
+        loops.append(type(asyncio.get_running_loop()))
+
+    if program == 'entry':
+        adapter: Any = SimpleNamespace(read_settings=settings)
+        monkeypatch.setattr(_daemon, '_serve', note)
+        monkeypatch.setattr(_daemon, 'install_logs', lambda *_: None)
+        _daemon.serve(adapter)
+    else:
+        monkeypatch.setattr(main, '_serve', note)
+        monkeypatch.setattr(main, 'install_logs', lambda *_: None)
+        main.serve(**_FLAGS)
+    assert loops == [ServingLoop]
--- a/worksrail/daemon/main.py
+++ b/worksrail/daemon/main.py
@@ -23,6 +23,7 @@
 from worksrail.daemon import _clock
 from worksrail.daemon._engine import Engine
 from worksrail.daemon._logs import install_logs
+from worksrail.daemon._loop import run_serving
 from worksrail.daemon._metrics import Metrics
 from worksrail.daemon._peers import (
     PeerClient,
@@ -247,7 +248,7 @@
         sys.stdout.write('the settings are valid\n')
         return
     install_logs(settings.name, settings.log_level)
-    asyncio.run(_serve(settings))
+    run_serving(_serve(settings))
 
 
 async def _serve(settings: DaemonSettings) -> None:
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -38,6 +38,7 @@
 from worksrail.core.steering.kinds import StoreKind
 from worksrail.daemon import _clock
 from worksrail.daemon._logs import LineSink, install_logs
+from worksrail.daemon._loop import run_serving
 from worksrail.daemon._signals import (
     hold_last_signals,
     keep_signals_from_threads,
@@ -327,7 +328,7 @@
         sys.stderr.write(json.dumps(document) + '\n')
         sys.exit(code.value.exit_code)
     sink = install_logs(settings.name, 'INFO')
-    asyncio.run(_serve(adapter, settings, sink))
+    run_serving(_serve(adapter, settings, sink))
 
 
 async def _serve(
