--- a/tests/steering/test_crashing_requests.py
+++ b/tests/steering/test_crashing_requests.py
@@ -3,7 +3,10 @@
 import pytest
 
 from tests.steering.crashing_world import CrashingWorld, Faults
+from tests.steering.world import World, of_type, route, upstream
 from worksrail.core.results import ResultCode
+from worksrail.core.steering.effects import AnswerResult
+from worksrail.core.steering.events import AttemptOutcome
 
 _FAULTY = '/read/faulty'
 _ZONES = ('a1', 'a2', 'b1', 'b2', 'c1', 'c2')
@@ -150,3 +153,15 @@
     in_touch = [one for one in after if one.entry not in world.cut_off]
     assert len(in_touch) <= _MOST_AFTER
     assert len(after) <= _MOST_AFTER + len(world.cut_off) * _PROOFS
+
+
+def test_held_request_costs_no_repeat_of_the_budget() -> None:
+    upstreams = [upstream(str(number)) for number in range(6)]
+    world = World((route('read', max_attempts=6),), upstreams)
+    number = world.ask()
+    while number in world.state.requests:
+        world.end(number, AttemptOutcome.BROKE_BEFORE_ANSWER)
+    assert len(world.sent(number)) == _PROOFS
+    assert len(world.state.budget('orders').repeats) == _PROOFS - 1
+    (answer,) = of_type(world.effects, AnswerResult)
+    assert answer.code is ResultCode.UPSTREAM_BROKE
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -4,6 +4,11 @@
 
 from worksrail.bench.world import Outcome, Traffic, World, WorldPlan
 from worksrail.core.bundle import Bundle, parse_bundle
+from worksrail.core.effects import AnswerResult, SendUpstream
+from worksrail.core.events import PassEnded
+from worksrail.core.reducer import reduce
+from worksrail.core.requests import RequestHead
+from worksrail.core.requests.active import ActiveRequest, RequestState
 from worksrail.core.results import ResultCode
 from worksrail.core.settings import CoreSettings
 
@@ -132,3 +137,21 @@
     held = [one for one in sound if one.code is ResultCode.REQUEST_HELD]
     assert len(held) <= len(sound) * _MOST_HELD
     assert sum(one.is_ok for one in sound) >= len(sound) * _SERVED
+
+
+def test_request_that_another_instance_holds_is_not_tried_elsewhere() -> None:
+    world = _world(3, 8, 1)
+    process = world.live()[0]
+    head = RequestHead('t', 'orders.example', 'GET', _FAULTY, '')
+    active = ActiveRequest(
+        999, head, 'orders', 'north', world.clock.now + 2, idempotent=True
+    )
+    active.state = RequestState.PASSED
+    process.instance.requests[active.number] = active
+    ended = PassEnded(
+        world.clock.now, active.number, ResultCode.REQUEST_HELD, 12
+    )
+    effects = reduce(process.instance, ended)
+    (answer,) = (one for one in effects if isinstance(one, AnswerResult))
+    assert (answer.code, answer.retry_after) == (ResultCode.REQUEST_HELD, 12)
+    assert not [one for one in effects if isinstance(one, SendUpstream)]
