--- a/tests/steering/fleet_world.py
+++ b/tests/steering/fleet_world.py
@@ -158,6 +158,14 @@
                 if name not in self.frozen:
                     self._run(name, Ticked(self.now))
 
+    def digests_of(self, seconds: float) -> list[tuple[str, Digest]]:
+        """What entries tell in some seconds, with its receivers."""
+        told: list[tuple[str, Digest]] = []
+        for _ in range(round(seconds / STEP)):
+            self.wait(STEP)
+            told += self.under_way
+        return told
+
     def named(self, asked: str, zone: str) -> set[str]:
         """Entries that one of them names to callers of a zone."""
         found = look_up(self.states[asked], self.regions[zone], zone, self.now)
--- a/tests/steering/test_crashing_requests.py
+++ b/tests/steering/test_crashing_requests.py
@@ -5,6 +5,7 @@
 from tests.steering.crashing_world import CrashingWorld, Faults
 from tests.steering.world import World, of_type, route, upstream
 from worksrail.core.results import ResultCode
+from worksrail.core.steering import ZoneDigest
 from worksrail.core.steering.effects import AnswerResult
 from worksrail.core.steering.events import AttemptOutcome
 
@@ -165,3 +166,15 @@
     assert len(world.state.budget('orders').repeats) == _PROOFS - 1
     (answer,) = of_type(world.effects, AnswerResult)
     assert answer.code is ResultCode.UPSTREAM_BROKE
+
+
+def test_digests_of_a_held_request_stay_small() -> None:
+    world = _world(dict.fromkeys(_ZONES, 4), 0, 1, rate=0)
+    world.ask(_FAULTY, faulty=True)
+    world.wait(8)
+    told = [
+        len(digest.crashes)
+        for _, digest in world.digests_of(2)
+        if not isinstance(digest, ZoneDigest)
+    ]
+    assert 0 < sum(told) <= len(told) / 4
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -139,3 +139,14 @@
 
 def test_nothing_is_told_where_nothing_crashes() -> None:
     assert not Quarantine().to_tell(4, 1, random.Random(1))
+
+
+@pytest.mark.parametrize(('with_held', 'told'), [(True, 1), (False, 0)])
+def test_what_has_not_changed_is_told_only_now_and_then(
+    *,
+    with_held: bool,
+    told: int,
+) -> None:
+    quarantine = _held_since(0)
+    news = quarantine.to_tell(4, 5, random.Random(1), with_held=with_held)
+    assert len(news) == told
--- a/worksrail/core/quarantine/_quarantine.py
+++ b/worksrail/core/quarantine/_quarantine.py
@@ -166,10 +166,12 @@
         most: int,
         now: float,
         rng: random.Random,
+        *,
+        with_held: bool = True,
     ) -> tuple[ToldCrashes, ...]:
-        """What to tell others: changes first, then some held requests.
+        """What to tell others: changes, and some requests that are held.
 
-        Instances that have just started know of no held request yet.
+        Instances that have just started know of none that are held.
         """
         if not self.records:
             return ()
@@ -183,7 +185,7 @@
         held = [
             key
             for key, record in self.records.items()
-            if record.held and key not in fresh
+            if with_held and record.held and key not in fresh
         ]
         chosen = fresh[: most - bool(held)]
         chosen += rng.sample(held, min(len(held), most - len(chosen)))
--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -47,6 +47,9 @@
 # Requests with crashes under them, in a digest of one entry and of a zone.
 _CRASHES_LIMIT: Final = 4
 _ZONE_CRASHES_LIMIT: Final = 16
+# A digest in so many tells what is held although nothing has changed, besides
+# those that greet an entry.
+_HELD_EVERY: Final = 5
 
 
 def on_digest(
@@ -69,10 +72,12 @@
     mates = fleet.mates(now)
     receivers = {contact.peer for contact in mates}
     receivers.update(state.greeted, fleet.newcomers(now, state.rng))
+    with_held = bool(state.greeted) or not state.digests % _HELD_EVERY
     state.greeted.clear()
     if state.digests % _DISCOVERY == 1:
         receivers.update(fleet.distant(now, state.rng))
-    yield SendDigest(tuple(sorted(receivers)), _digest_of(state, now))
+    digest = _digest_of(state, now, with_held=with_held)
+    yield SendDigest(tuple(sorted(receivers)), digest)
     own = own_contact(state, now)
     if now < state.next_zone_digest_at:
         return
@@ -81,8 +86,8 @@
         state.next_zone_digest_at = now + _ZONE_DIGEST_INTERVAL * _ON_THE_DOT
         speakers = fleet.speakers(now)
         if speakers:
-            digest = _zone_digest(state, (own, *mates), now)
-            yield SendDigest(tuple(speakers), digest)
+            told = _zone_digest(state, (own, *mates), now, with_held=with_held)
+            yield SendDigest(tuple(speakers), told)
 
 
 def tell_at_once(state: SteeringState, now: float) -> None:
@@ -202,7 +207,12 @@
     return f'zone {zone}'
 
 
-def _digest_of(state: SteeringState, now: float) -> Digest:
+def _digest_of(
+    state: SteeringState,
+    now: float,
+    *,
+    with_held: bool,
+) -> Digest:
     mates = [mate.peer for mate in state.fleet.mates(now)]
     alive = [entry.contact.peer for entry in state.fleet.alive(now)]
     known = state.rng.sample(mates, min(_KNOWN_LIMIT, len(mates)))
@@ -215,7 +225,9 @@
         _told_keys(state, [], now),
         state.catalog.pulse.told_age(now),
         state.catalog.pulse.told_return(now),
-        state.quarantine.to_tell(_CRASHES_LIMIT, now, state.rng),
+        state.quarantine.to_tell(
+            _CRASHES_LIMIT, now, state.rng, with_held=with_held
+        ),
     )
 
 
@@ -223,6 +235,8 @@
     state: SteeringState,
     members: tuple[Contact, ...],
     now: float,
+    *,
+    with_held: bool,
 ) -> Digest:
     mates = [member.name for member in members if member.who != state.who]
     return ZoneDigest(
@@ -234,7 +248,9 @@
         keys=_told_keys(state, mates, now),
         store_age=state.catalog.pulse.told_age(now),
         store_return=state.catalog.pulse.told_return(now),
-        crashes=state.quarantine.to_tell(_ZONE_CRASHES_LIMIT, now, state.rng),
+        crashes=state.quarantine.to_tell(
+            _ZONE_CRASHES_LIMIT, now, state.rng, with_held=with_held
+        ),
     )
 
 
