--- a/tests/test_fingerprints.py
+++ b/tests/test_fingerprints.py
@@ -77,7 +77,8 @@
 
 
 def test_parts_do_not_run_into_each_other() -> None:
-    assert fingerprint(b'', (b'ab', b'c')) != fingerprint(b'', (b'a', b'bc'))
+    one = fingerprint(b'', ('ab', 'c'), b'')
+    assert one != fingerprint(b'', ('a', 'bc'), b'')
 
 
 def test_line_of_a_crash_names_the_request_and_nothing_of_its_content() -> None:
--- a/worksrail/core/_quarantining.py
+++ b/worksrail/core/_quarantining.py
@@ -33,11 +33,9 @@
     Its trace and idempotency key are of one arrival or one order only.
     """
     head = event.head
-    parts = (active.customer, head.method, head.host, head.path)
-    encoded = (part.encode(errors='surrogateescape') for part in parts)
-    return fingerprint(
-        instance.settings.fingerprint_key, (*encoded, event.body_digest)
-    )
+    texts = (active.customer, head.method, head.host, head.path)
+    key = instance.settings.fingerprint_key
+    return fingerprint(key, texts, event.body_digest)
 
 
 def hold_time(instance: Instance, active: ActiveRequest, now: float) -> float:
--- a/worksrail/core/quarantine/_fingerprints.py
+++ b/worksrail/core/quarantine/_fingerprints.py
@@ -11,17 +11,23 @@
 _SIZE: Final = 8
 
 
-def fingerprint(secret: bytes, parts: Iterable[bytes]) -> Fingerprint:
+def fingerprint(
+    secret: bytes,
+    texts: Iterable[str],
+    body_digest: bytes,
+) -> Fingerprint:
     """Hash the parts of a request that repeat when it comes again.
 
     The hash is keyed: who reads it in a log or a message cannot try out which
     cookie or body it stands for.
 
-    >>> fingerprint(b'k', (b'ab', b'c')) == fingerprint(b'k', (b'a', b'bc'))
+    >>> one = fingerprint(b'k', ('ab', 'c'), b'')
+    >>> one == fingerprint(b'k', ('a', 'bc'), b'')
     False
     """
     hasher = hashlib.blake2b(digest_size=_SIZE, key=_key_of(secret))
-    for part in parts:
+    encoded = (text.encode(errors='surrogateescape') for text in texts)
+    for part in (*encoded, body_digest):
         hasher.update(len(part).to_bytes(_SIZE, 'big'))
         hasher.update(part)
     return int.from_bytes(hasher.digest(), 'big') or 1
--- a/worksrail/core/steering/_quarantining.py
+++ b/worksrail/core/steering/_quarantining.py
@@ -31,15 +31,14 @@
     The identifier and the time left are of one arrival only.
     """
     head = request.head
-    parts = (
+    texts = (
         request.customer_name,
         head.method,
         head.host,
         head.target,
         head.key,
     )
-    encoded = (part.encode(errors='surrogateescape') for part in parts)
-    return fingerprint(state.settings.fingerprint_key, (*encoded, body_digest))
+    return fingerprint(state.settings.fingerprint_key, texts, body_digest)
 
 
 def hold_time(
