--- a/worksrail/core/limits/_accounts.py
+++ b/worksrail/core/limits/_accounts.py
@@ -13,9 +13,8 @@
 # and that owners leave to entries which they cannot hear.  Customers ask for
 # this share of their quota on the mean, as operators set it.
 SILENT_SHARE: Final = 0.6
-# Share of a bucket that an entry may admit before the owner hears of it.
-# Without a bound 60 requests in one instant at three entries got 52 of them
-# admitted within a quota of 20 a second and 10 at once (virtual clock).
+# Share of a bucket that an entry may admit before the owner hears of it: a
+# burst in one instant would pass the quota otherwise.
 _UNHEARD_SHARE: Final = 0.5
 # How much more than its usual use an entry admits without the owner's word,
 # and how many at once: each of a large fleet may be without it.
--- a/worksrail/core/limits/_quota.py
+++ b/worksrail/core/limits/_quota.py
@@ -10,8 +10,7 @@
 
 # Share of what operators tolerate beyond a quota that callers get, since their
 # requests come unevenly.  The rest covers what entries admit before the word of
-# a shortage reaches them: with half of it a customer at 7.5 times its usual
-# passed its bound by 0.03 when 60 of 100 entries were killed (virtual clock).
+# a shortage reaches them.
 _GIVEN_BEYOND: Final = 0.2
 
 
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -43,12 +43,10 @@
 _FAILURE_LOSS: Final = 3.0
 # Share of a service's slots in use, queues included, from which a key is not
 # sent to another upstream for a queue at its own: cold work would take slots
-# from warm.  At the warm capacity 0.59 of the credit is earned with this and
-# 0.31 without, 0.96 and 0.99 at three quarters of it (virtual clock, three
-# seeds).
+# from warm.
 _NO_ROOM: Final = 1.0
 # Upstreams that are weighed for one request besides its homes, drawn anew each
-# time: the best of so many is as good as any, and to weigh 3,000 takes 20 ms.
+# time: the best of so many is as good as any.
 _MOST_WEIGHED: Final = 128
 # Times slower that a cold upstream is taken to be.
 _COLD_SLOWNESS: Final = 2.0
@@ -248,8 +246,6 @@
 
     Keys are drawn unevenly: one upstream has a queue while others have free
     slots.  The answer may be late, but the key is warm there from then on.
-    At three quarters of the warm capacity 0.94 to 0.96 are in time with this
-    and 0.71 to 0.84 without (virtual clock, three seeds).
     """
     if scale.used >= _NO_ROOM:
         return None
--- a/worksrail/core/steering/_learning.py
+++ b/worksrail/core/steering/_learning.py
@@ -125,7 +125,6 @@
     if telling:
         # A cold execution where a warm one was expected is no slow upstream:
         # taken for one, it sends keys away to where they are cold once more.
-        # Worth 0.006 to 0.027 on six days of a site of 12 entries.
         state.loads.of(name).note_speed(ratio, event.now)
     upstream = state.catalog.upstreams.get(name)
     if upstream is None:
@@ -145,9 +144,6 @@
     """Whether an upstream that has forgotten a key could take so long.
 
     Then it says nothing of its speed, nor of the time of a warm execution.
-    Learning from such executions as well costs 0.04 of the credit of the first
-    six seconds, 0.04 and 0.20 where few keys are remembered; it gains 0.10 at
-    three quarters of the warm capacity (virtual clock, three seeds).
     """
     cold = times.cold.typical / max(times.warm.typical, _LEAST_EXPECTED)
     return _ORDINARY < ratio < cold * _ORDINARY
--- a/worksrail/core/steering/_load.py
+++ b/worksrail/core/steering/_load.py
@@ -195,8 +195,7 @@
     def in_flight_at(self, names: Iterable[str]) -> int:
         """Requests of all entries in flight at some upstreams.
 
-        Asked for with nearly every request, so it makes no objects: 0.3 ms at
-        600 upstreams instead of 3 (cProfile of an entry).
+        Asked for with nearly every request, so it makes no objects.
         """
         loads = self.loads
         return sum(
--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -25,7 +25,7 @@
 from worksrail.core.steering.events import DigestReceived
 from worksrail.core.steering.state import SteeringState
 
-# Seconds between two digests: fresher ones brought no more in trials.
+# Seconds between two digests.
 _DIGEST_INTERVAL: Final = 0.2
 # Seconds between two digests of a zone to the others.  They cross zones and
 # regions, whose bytes are dear, and what is in flight there changes slowly.
--- a/worksrail/core/steering/_repeating.py
+++ b/worksrail/core/steering/_repeating.py
@@ -8,10 +8,9 @@
 from worksrail.core.steering.state import SteeringState
 
 # Attempts that do not meet the upstream they are meant for, because there is no
-# connection or another one has its address, leave the route's attempts alone;
-# so many are made at the most.  Where addresses change hands, 25 of 15,285
-# callers were refused with most of their time left otherwise, none with it (a
-# day of a site of 51 entries).
+# connection or another one has its address, leave the route's attempts alone:
+# where addresses change hands, callers would be refused with most of their time
+# left.  So many are made at the most.
 _MISSED_ATTEMPTS: Final = 4
 NOT_EXECUTED: Final = frozenset(
     (
--- a/worksrail/core/steering/_request.py
+++ b/worksrail/core/steering/_request.py
@@ -93,9 +93,8 @@
         """What an upstream remembers of it; empty if that makes no difference.
 
         An upstream that has executed a key on one route is cold for the same
-        key on another one (first executions on a second route took the cold
-        time in 62 of 70 cases that were logged), so these are kept apart: a key
-        of two routes would draw both to one upstream and leave others empty.
+        key on another one, so these are kept apart: a key of two routes would
+        draw both to one upstream and leave others empty.
         """
         if not self.route.affinity or not self.head.key:
             return ''
--- a/worksrail/core/steering/_settings.py
+++ b/worksrail/core/steering/_settings.py
@@ -13,9 +13,7 @@
 _MEGABITS_PER_REQUEST: Final = 0.1
 SETTLING: Final = 0.5
 """Seconds for which a fresh entry may not have heard of all others: it serves,
-but takes no part of what all share and names no entries to callers.  To wait
-with serving as well costs 0.002 to 0.018 of the worth of days on which all
-entries of a fleet of twelve restart at once."""
+but takes no part of what all share and names no entries to callers."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/worksrail/core/steering/_waiting.py
+++ b/worksrail/core/steering/_waiting.py
@@ -10,18 +10,11 @@
 from worksrail.core.steering._request import SteeredRequest
 
 # Share of the target latency that an answer should take, and the least share
-# that may be spent waiting for a slot whatever the work takes.  0.75 instead
-# of 0.9 costs 0.01 to 0.06 of the credit from three quarters of the capacity
-# on, the whole target nothing to speak of (virtual clock, three seeds).
+# that may be spent waiting for a slot whatever the work takes.
 _ON_TIME: Final = 0.9
 _LEAST_WAIT: Final = 0.15
 # Target latencies that a request which came back after a refusal may wait: it
-# is late in any case, but better served than refused twice.  With 0.2 more are
-# in time and more are refused for good: worth 0.014 less on five days of a site
-# of 12 entries (one run each).  What speaks for it is overload that lasts: at
-# the warm capacity 0.10 are in time with 1 and 0.90 with 0.2 (virtual clock).
-# Yet 0.2 once slots have been short for 0.7 s loses 0.05 of the worth of a day
-# of overload on a site of 9 entries (two runs each), refused 0.11 for 0.07.
+# is late in any case, but better served than refused twice.
 _RETURNED_WAIT: Final = 1.0
 
 
--- a/worksrail/core/steering/_watching.py
+++ b/worksrail/core/steering/_watching.py
@@ -39,8 +39,7 @@
 # other one still tells the region, and other regions tell it as well.
 _WATCHERS: Final = 2
 # Seconds after which a fresh entry has heard enough of its region to take up
-# the duty: of 195 entries that start together 193 take it for theirs after
-# 0.1 s, 90 after 0.5 s, 76 after 1 s (virtual clock).
+# the duty.
 _UNDECIDED: Final = 1.0
 # Seconds after which it watches in any case if it lacks anything.
 _PATIENCE: Final = 2.0
--- a/worksrail/daemon/platform/_duties.py
+++ b/worksrail/daemon/platform/_duties.py
@@ -53,8 +53,7 @@
 _Record = TypeVar('_Record')
 _LOG: Final = Logger('worksrail.platform')
 # Seconds that a watch waits.  One that the store has forgotten, since it has
-# been silent, is given up two seconds later: a roll is then read within 4 s,
-# where watches of 10 s let 12 s pass (virtual clock).  Each zone has one watch.
+# been silent, is given up two seconds later.  Each zone has one watch.
 _WATCH_SECONDS: Final = 2.0
 # Seconds that it waits while it is not known whether the store answers: what a
 # silent store is asked is never answered.
--- a/worksrail/daemon/steered/_digests.py
+++ b/worksrail/daemon/steered/_digests.py
@@ -20,13 +20,10 @@
 _LONGEST: Final = 1_000_000
 # Bytes of the longest datagram that IP carries.
 _LONGEST_DATAGRAM: Final = 65_536
-# Messages that are read in a row, before anything else gets its turn: 50 mates
-# send as many in 0.6 s.
+# Messages that are read in a row, before anything else gets its turn.
 _MOST_AT_ONCE: Final = 150
-# Seconds between two reads while messages come more densely than that: a tenth
-# of the time between two digests of one entry. An entry that hears 49 others
-# wakes up 59 and 62 times a second instead of 180 and 153, and takes 16 and 25
-# ms of a core instead of 50 and 43 (in turn, beside other load, 8 s each).
+# Seconds between two reads while messages come more densely than that, so that
+# not each of them wakes this entry up.
 _READ_PAUSE: Final = 0.02
 PeerMessage = (
     EntryDigest | ZoneDigest | LimitReport | LimitReply | LimitHandover
