--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -3,11 +3,13 @@
 import pytest
 
 from worksrail.bench.world import Outcome, Traffic, World, WorldPlan
+from worksrail.core._on_requests import pump
 from worksrail.core.bundle import Bundle, parse_bundle
 from worksrail.core.effects import AnswerResult, SendUpstream
 from worksrail.core.events import PassEnded
+from worksrail.core.quarantine import Crash
 from worksrail.core.reducer import reduce
-from worksrail.core.requests import RequestHead
+from worksrail.core.requests import RequestHead, Waiting
 from worksrail.core.requests.active import ActiveRequest, RequestState
 from worksrail.core.results import ResultCode
 from worksrail.core.settings import CoreSettings
@@ -155,3 +157,22 @@
     (answer,) = (one for one in effects if isinstance(one, AnswerResult))
     assert (answer.code, answer.retry_after) == (ResultCode.REQUEST_HELD, 12)
     assert not [one for one in effects if isinstance(one, SendUpstream)]
+
+
+def test_request_that_is_held_while_it_waits_is_not_sent() -> None:
+    world = _world(3, 8, 1)
+    instance, now = world.live()[0].instance, world.clock.now
+    head = RequestHead('t', 'orders.example', 'GET', _FAULTY, '')
+    active = ActiveRequest(
+        999, head, 'orders', 'north', now + 2, idempotent=True
+    )
+    active.state, active.fingerprint = RequestState.WAITING, 7
+    instance.requests[active.number] = active
+    instance.service_state('orders').queue.put(Waiting(999, now + 2))
+    for number in range(_PROOFS):
+        crash = Crash(str(number), instance.quarantine.begin(7, now))
+        instance.quarantine.note_crash(7, crash, now)
+    effects = list(pump(instance, 'orders', now))
+    (answer,) = (one for one in effects if isinstance(one, AnswerResult))
+    assert answer.code is ResultCode.REQUEST_HELD
+    assert not [one for one in effects if isinstance(one, SendUpstream)]
