Read the limit that an upstream names, and log when it begins, changes and ends

Change: the header is decoded in the platform's dialect; an answer tells it with the end of its attempt, with the time at which its head was read; upstream-limited, upstream-unlimited and upstream-limit-unreadable are logged (rate, rate before, told or own). Nothing decides by it yet. What is no decimal number neither begins nor ends a limit; an answer of another upstream at the address, or a late one to another request, is not heard. Shown: tests of 17 values on three statuses, and of five kinds of answers over sockets.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -15,6 +15,7 @@
     Quota,
     digest_of_key,
 )
+from worksrail.core.pacing import NoRate
 from worksrail.core.steering import EntryList, Route, RouteKind
 from worksrail.core.steering.events import ReportedLoad
 from worksrail.platform import (
@@ -482,6 +483,41 @@
     assert answer.load == load
 
 
+@pytest.mark.parametrize(
+    ('texts', 'rate'),
+    [
+        ([], NoRate.NOT_NAMED),
+        (['5.1'], 5.1),
+        (['50'], 50),
+        (['0'], 0),
+        (['0.0'], 0),
+        (['0.2'], 0.2),
+        (['1e9'], 1e9),
+        (['7', '5.1'], 5.1),
+        (['5.1', 'x'], NoRate.UNREADABLE),
+        (['5,1'], NoRate.UNREADABLE),
+        (['-1'], NoRate.UNREADABLE),
+        (['nan'], NoRate.UNREADABLE),
+        (['inf'], NoRate.UNREADABLE),
+        (['1e99'], NoRate.UNREADABLE),
+        (['5²'], NoRate.UNREADABLE),
+        ([''], NoRate.UNREADABLE),
+        (['9' * 400], NoRate.UNREADABLE),
+    ],
+)
+@pytest.mark.parametrize('status', [200, 429, 503])
+def test_limit_that_an_answer_names(
+    status: int,
+    texts: list[str],
+    rate: float | NoRate,
+) -> None:
+    headers = HTTPHeaders()
+    for text in texts:
+        headers.add('Server-Limit', text)
+    answer = PlatformUpstreams().read_answer(status, headers)
+    assert answer.rate == rate
+
+
 def test_look_up_document() -> None:
     dialect = PlatformCallers()
     asked = dialect.read_look_up('/-/resolve?Name=h&Region=r&Zone=z')
--- a/tests/platform/test_upstream_faults.py
+++ b/tests/platform/test_upstream_faults.py
@@ -20,6 +20,7 @@
     AnswerResult,
     CancelAttempt,
     Decision,
+    DecisionKind,
     ExitProcess,
     SendDigest,
     SendUpstream,
@@ -276,6 +277,68 @@
     assert [found and found[2] for found in answers] == [b'done'] * 3
 
 
+_LIMIT = 'Server-Limit: 5.1\r\n'
+_LIMIT_ANSWERS = {
+    'its answer': (lambda trace: answer(trace, extra=_LIMIT), 5.1),
+    'not executed': (
+        lambda trace: (
+            f'HTTP/1.1 503 No\r\nNot-Executed: 1\r\n{_LIMIT}'
+            'Content-Length: 0\r\n\r\n'
+        ).encode(),
+        5.1,
+    ),
+    'another upstream': (
+        lambda trace: (
+            f'HTTP/1.1 421 No\r\n{_LIMIT}Content-Length: 0\r\n\r\n'
+        ).encode(),
+        None,
+    ),
+    'late answer to another request': (
+        lambda trace: answer('t0', 'late', _LIMIT) + answer(trace),
+        None,
+    ),
+    'unreadable': (
+        lambda trace: answer(trace, extra='Server-Limit: soon\r\n'),
+        None,
+    ),
+}
+
+
+@pytest.mark.parametrize('kind', _LIMIT_ANSWERS)
+def test_limit_is_taken_from_the_upstreams_own_answer(kind: str) -> None:
+    payload, rate = _LIMIT_ANSWERS[kind]
+
+    async def run() -> Entry:
+        raw = await RawUpstream(lambda _, trace: Reply(payload(trace))).open()
+        entry = Entry(raw)
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', entry.open()
+        )
+        writer.write(_request('read', 't1'))
+        await _read_answer(reader)
+        await asyncio.sleep(0.05)
+        writer.close()
+        entry.server.stop()
+        return entry
+
+    entry = asyncio.run(run())
+    assert entry.engine.state.rates.named.rate_of('i-0') == rate
+    told = [
+        one
+        for one in entry.notes
+        if one.kind is DecisionKind.UPSTREAM_LIMIT_UNREADABLE
+    ]
+    assert bool(told) is (kind == 'unreadable')
+
+
+def test_limit_in_an_answer_is_passed_on_to_the_caller() -> None:
+    answers, _ = _run(
+        lambda number, trace: Reply(answer(trace, extra=_LIMIT)), ('read',)
+    )
+    assert answers[0] is not None
+    assert _LIMIT in answers[0][1]
+
+
 def test_cut_answer_does_not_look_whole() -> None:
     answers, _ = _run(
         lambda number, trace: Reply(answer(trace)[:-2], close=True), ('read',)
--- a/tests/steering/test_choice_against_naive.py
+++ b/tests/steering/test_choice_against_naive.py
@@ -60,7 +60,7 @@
     request = world.state.requests[number]
     # What the request itself has changed is taken back.
     world.state.loads.of(request.upstream).own -= 1
-    world.state.cold.last_sent.clear()
+    world.state.rates.cold.last_sent.clear()
     chosen = choose(world.state, request, world.now)
     scale = choosing._Scale.from_request(world.state, request, world.now)
     naive = choosing._best_of_all(scale)
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -188,7 +188,9 @@
         )
         if own not in sharers:
             return False
-        return state.cold.allows(upstream.name, rate, len(sharers), self.now)
+        return state.rates.cold.allows(
+            upstream.name, rate, len(sharers), self.now
+        )
 
 
 def choose(
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -9,6 +9,7 @@
 from worksrail.core.steering._admitting import admit
 from worksrail.core.steering._identifying import allowed_regions, identify
 from worksrail.core.steering._learning import learn
+from worksrail.core.steering._pacing import learn_limit
 from worksrail.core.steering._placing import (
     place,
     refuse,
@@ -108,8 +109,7 @@
     request = state.requests.get(event.request)
     if request is None or event.attempt != request.attempts:
         return
-    yield from learn(state, request, event)
-    yield from learn_crash(state, request, event)
+    yield from _learn(state, request, event)
     request.last_upstream = request.upstream
     request.upstream = ''
     if event.outcome is AttemptOutcome.ANSWERED:
@@ -133,6 +133,16 @@
     yield from place(state, request, event.now)
 
 
+def _learn(
+    state: SteeringState,
+    request: SteeredRequest,
+    event: AttemptEnded,
+) -> Iterator[Effect]:
+    yield from learn(state, request, event)
+    yield from learn_crash(state, request, event)
+    yield from learn_limit(state, request, event)
+
+
 def _recognised(
     state: SteeringState,
     event: RequestArrived,
--- a/worksrail/core/steering/_on_store.py
+++ b/worksrail/core/steering/_on_store.py
@@ -139,10 +139,10 @@
     yield from _few_or_count(known, DecisionKind.UPSTREAMS_KNOWN)
     yield from _few_or_count(cold, DecisionKind.UPSTREAMS_COLD)
     state.loads.keep_only(state.catalog.upstreams.keys())
-    state.cold.forget(
+    state.rates.cold.forget(
         {
             name
-            for name in state.cold.last_sent
+            for name in state.rates.cold.last_sent
             if not _is_cold(state, name, now)
         }
     )
--- a/worksrail/core/steering/_placing.py
+++ b/worksrail/core/steering/_placing.py
@@ -75,7 +75,7 @@
     request.warm = choice.warm
     request.queue = choice.queue
     if upstream.cold_until > now:
-        state.cold.note_sent(upstream.name, now)
+        state.rates.cold.note_sent(upstream.name, now)
     yield from note_sent(state, request, now)
     yield SendUpstream(
         request.number,
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -9,6 +9,7 @@
 from worksrail.core.customers import KeyDigest
 from worksrail.core.identity import ZoneName
 from worksrail.core.limits import LimitMessage
+from worksrail.core.pacing import NamedLimit
 from worksrail.core.steering._catalog import UpstreamRecord
 from worksrail.core.steering._digests import Digest
 from worksrail.core.steering._news import StoreNews
@@ -291,6 +292,9 @@
     replayable: bool = True
     """The body of the request is still held in full."""
 
+    limit: NamedLimit | None = None
+    """What its answer says of a limit; None if no answer came."""
+
 
 @dataclass(frozen=True, slots=True)
 class StopRequested:
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -10,11 +10,11 @@
 from worksrail.core.quarantine import Quarantine
 from worksrail.core.steering._affinity import Affinity
 from worksrail.core.steering._catalog import Catalog
-from worksrail.core.steering._cold import ColdLimits
 from worksrail.core.steering._fleet import Fleet
 from worksrail.core.steering._load import LearnedTime, LoadTable
 from worksrail.core.steering._nearness import Nearness
 from worksrail.core.steering._news import Mirror
+from worksrail.core.steering._rates import UpstreamRates
 from worksrail.core.steering._reach import Reach
 from worksrail.core.steering._repeats import RepeatBudget
 from worksrail.core.steering._request import SteeredRequest
@@ -92,8 +92,8 @@
     splits: Splits = field(default_factory=Splits)
     """Traffic splits."""
 
-    cold: ColdLimits = field(default_factory=ColdLimits)
-    """Limits on cold upstreams."""
+    rates: UpstreamRates = field(default_factory=UpstreamRates)
+    """Limits on what single upstreams get."""
 
     budgets: dict[ServiceName, RepeatBudget] = field(default_factory=dict)
     """Budgets of repeats by service."""
--- a/worksrail/daemon/steered/_adapter.py
+++ b/worksrail/daemon/steered/_adapter.py
@@ -12,6 +12,7 @@
 
 from worksrail.core.customers import CustomerName
 from worksrail.core.identity import RegionName, ZoneName
+from worksrail.core.pacing import NoRate
 from worksrail.core.steering import (
     EntryList,
     EntrySettings,
@@ -84,6 +85,9 @@
     load: ReportedLoad | None
     """The upstream's load, if it tells it."""
 
+    rate: float | NoRate = NoRate.NOT_NAMED
+    """Requests a second that it takes from all entries together."""
+
 
 class UpstreamDialect(Protocol):
     """Spells requests to upstreams and reads their answers."""
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -1,11 +1,13 @@
 """Runs the effects that concern requests of callers."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import inf
 from typing import Final
 
 from tornado import httputil
 
+from worksrail.core.pacing import NamedLimit
 from worksrail.core.results import ResultCode
 from worksrail.core.steering.effects import (
     AnswerResult,
@@ -56,9 +58,15 @@
     adapter: Adapter
     """Reads the answer."""
 
+    clock: Callable[[], float]
+    """Monotonic time in seconds."""
+
     answer: UpstreamAnswer | None = None
     """What the head of the last answer said."""
 
+    answered_at: float = 0
+    """When that head was read."""
+
     def judge(self, status: int, headers: httputil.HTTPHeaders) -> AnswerUse:
         """Whether an answer is to this request, and whose body it has."""
         answer = self.adapter.upstreams.read_answer(status, headers)
@@ -69,10 +77,20 @@
             if not refused:
                 return AnswerUse.REJECT
         self.answer = answer
+        self.answered_at = self.clock()
         if refused:
             return AnswerUse.HOLD_BACK
         return AnswerUse.REJECT if answer.altered else AnswerUse.PASS_ON
 
+    def named_limit(self) -> NamedLimit | None:
+        """What the answer says of its upstream's limit.
+
+        Another upstream at the address speaks for itself only.
+        """
+        if self.answer is None or self.answer.misdirected:
+            return None
+        return NamedLimit(self.answer.rate, self.answered_at)
+
     async def start_answer(
         self,
         start: httputil.ResponseStartLine,
@@ -168,7 +186,7 @@
         exchange: Exchange,
         effect: SendUpstream,
     ) -> None:
-        sink = SteeredSink(exchange, self.adapter)
+        sink = SteeredSink(exchange, self.adapter, self.engine.now)
         attempt = HttpAttempt(
             self.upstreams,
             self.engine.now,
@@ -189,6 +207,7 @@
             sink.answer.load if sink.answer else None,
             report.connect_time,
             _rewound(exchange),
+            sink.named_limit(),
         )
         self.engine.dispatch(event)
         if effect.request not in self.engine.state.requests:
--- a/worksrail/platform/_dialect.py
+++ b/worksrail/platform/_dialect.py
@@ -8,6 +8,7 @@
 from tornado.httputil import HTTPHeaders
 
 from worksrail.core.customers import CustomerName, KeyDigest, digest_of_key
+from worksrail.core.pacing import read_rate
 from worksrail.core.results import ResultCode
 from worksrail.core.steering import EntryList
 from worksrail.core.steering.events import ReportedLoad, SteeredHead
@@ -122,6 +123,7 @@
             status == names.MISDIRECTED,
             encoding not in _IDENTITY,
             _load(headers.get(names.LOAD, '')),
+            read_rate(headers.get_list(names.RATE_LIMIT)),
         )
 
 
--- a/worksrail/platform/_names.py
+++ b/worksrail/platform/_names.py
@@ -22,6 +22,8 @@
 NOT_EXECUTED: Final = 'Not-Executed'
 # Executing and waiting requests and slots, separated by commas.
 LOAD: Final = 'Server-Load'
+# Requests a second that the upstream takes from all entries together.
+RATE_LIMIT: Final = 'Server-Limit'
 # A caller's API key, and nothing else.
 API_KEY: Final = 'Credential'
 # Name of the customer that holds the key; for upstreams, set by entries only.
