Keep the limits that upstreams name over all entries, with tokens that one of them issues

What callers saw: an upstream in need names a limit of 5.2 requests a second and gets 54 in 4 s (36 allowed); answers there take up to 1.1 s instead of 0.25. Cause: no entry read the limit; and the second hypothesis, each entry alone can't keep it: the limit is for all entries together, and none knows what the others send. Change (core/pacing): each upstream has one issuer of tokens among the entries of its region, drawn by rendezvous hashing. A request may be sent only with a token; one whose best upstream needs one waits for the issuer's word, milliseconds in the region, far away only while tokens are not scarce; otherwise it goes to the next best at once, or is refused with result 2114 and the time to the next token. Tokens that nobody uses are returned after 0.3 s. Limits travel with answers, with requests for tokens and with digests (changes, and some of all in one of five). The issuer leaves the share of entries that it can't hear.

--- a/worksrail/core/limits/__init__.py
+++ b/worksrail/core/limits/__init__.py
@@ -14,6 +14,7 @@
     LimitReport,
     LimitStanding,
 )
+from worksrail.core.limits._owner import OwnedLimit
 from worksrail.core.limits._quota import (
     QuotaBounds,
     limit_of,
@@ -37,6 +38,7 @@
     'LimitReport',
     'LimitStanding',
     'Members',
+    'OwnedLimit',
     'QuotaBounds',
     'Settled',
     'SharedLimit',
--- a/worksrail/core/pacing/__init__.py
+++ b/worksrail/core/pacing/__init__.py
@@ -1,14 +1,41 @@
-"""Paces requests to upstreams that name a rate limit in their answers."""
+"""Paces requests to upstreams that name a rate limit in their answers.
+
+An upstream says in its answers how many requests a second it takes from all
+instances together.  One instance issues tokens for it; a request may be sent to
+it only with a token.
+"""
 
 from worksrail.core.pacing._beliefs import LimitChange, NamedLimits
+from worksrail.core.pacing._messages import (
+    AddressedRequest,
+    PacingMessage,
+    TokenGrant,
+    TokenRequest,
+    TokenShare,
+)
 from worksrail.core.pacing._named import NamedLimit, NoRate, read_rate
+from worksrail.core.pacing._pacer import (
+    ALL_REGIONS,
+    Pacer,
+    Permission,
+    hear_limits,
+)
 from worksrail.core.pacing._told import ToldLimit
 
 __all__ = (
+    'ALL_REGIONS',
+    'AddressedRequest',
     'LimitChange',
     'NamedLimit',
     'NamedLimits',
     'NoRate',
+    'Pacer',
+    'PacingMessage',
+    'Permission',
+    'TokenGrant',
+    'TokenRequest',
+    'TokenShare',
     'ToldLimit',
+    'hear_limits',
     'read_rate',
 )
--- a/worksrail/core/results.py
+++ b/worksrail/core/results.py
@@ -214,6 +214,12 @@
         'Upstreams crashed each time that they began this request.',
         'Do not repeat it before the time in Retry-After; tell the operators.',
     )
+    UPSTREAMS_LIMITED = _not_run(
+        2114,
+        503,
+        'The upstreams take no more requests a second.',
+        _RETRY_LATER,
+    )
     ALREADY_RUN = ResultDefinition(
         3001,
         Certainty.RUN,
--- a/worksrail/core/steering/_admitting.py
+++ b/worksrail/core/steering/_admitting.py
@@ -6,17 +6,15 @@
 from worksrail.core.limits import (
     Addressed,
     Admission,
-    Members,
     Verdict,
     quota_name,
 )
+from worksrail.core.pacing import ALL_REGIONS
 from worksrail.core.results import ResultCode
-from worksrail.core.steering._placing import place, refuse
+from worksrail.core.steering._members import members_by_region
+from worksrail.core.steering._placing import drop, place, refuse
 from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering.effects import (
-    AnswerResult,
-    Decision,
-    DecisionKind,
     Effect,
     SendLimitMessage,
 )
@@ -54,7 +52,8 @@
     if not state.limits.limits:
         return
     if state.settled(now):
-        state.limits.join(_members(state, now), now)
+        members = members_by_region(state, now)[ALL_REGIONS]
+        state.limits.join(members, now)
     state.limits.tick(now)
     yield from follow_limits(state, now)
 
@@ -78,7 +77,7 @@
 ) -> Iterator[Effect]:
     request.admitted = verdict.admission is Admission.ADMITTED
     if request.caller_gone:
-        yield from _drop(state, request)
+        yield from drop(state, request)
     elif request.admitted:
         yield from place(state, request, now)
     else:
@@ -86,27 +85,3 @@
         yield from refuse(
             state, request, ResultCode.QUOTA_REACHED, now, pause=pause
         )
-
-
-def _drop(state: SteeringState, request: SteeredRequest) -> Iterator[Effect]:
-    """End a request whose caller left while it waited for its quota."""
-    state.requests.pop(request.number)
-    if request.admitted:
-        state.limits.give_back(quota_name(request.customer_name))
-    yield Decision(
-        DecisionKind.REQUEST_DROPPED, 'before any attempt', request.number
-    )
-    yield AnswerResult(request.number, ResultCode.DEADLINE_EXPIRED)
-
-
-def _members(state: SteeringState, now: float) -> Members:
-    fleet = state.fleet
-    peers = {
-        name: entry.contact.peer
-        for name, entry in fleet.entries.items()
-        if entry.takes_requests(now)
-    }
-    if state.ready and not state.leaving:
-        peers[state.who.name] = fleet.peer
-    staying = sum(not entry.contact.leaving for entry in fleet.entries.values())
-    return Members(peers, 1 + staying)
--- a/worksrail/core/steering/_catalog.py
+++ b/worksrail/core/steering/_catalog.py
@@ -200,6 +200,11 @@
         """The present life of an upstream, if it is known."""
         return self.upstreams.get(self.lives.get(identifier, ''))
 
+    def region_of(self, name: str) -> RegionName:
+        """Region of an upstream; empty if it is not known."""
+        upstream = self.upstreams.get(name)
+        return upstream.region if upstream else ''
+
     def names_of(self, service: ServiceName) -> tuple[str, ...]:
         """Names of the upstreams of a service that may get requests."""
         return self.names.get(service, ())
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -1,10 +1,11 @@
 """Which upstream a request goes to: the one that costs least time."""
 
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from worksrail.core.identity import RegionName
+from worksrail.core.pacing import Permission
 from worksrail.core.results import ResultCode
 from worksrail.core.steering._affinity import Homes
 from worksrail.core.steering._catalog import Upstream
@@ -21,6 +22,7 @@
     price_of,
     use_of_slots,
 )
+from worksrail.core.steering._tokens import may_wait_for_token
 from worksrail.core.steering._waiting import patience
 from worksrail.core.steering.state import SteeringState
 
@@ -91,6 +93,7 @@
     used: float
     policy: ServicePolicy | None
     failure_loss: float
+    limited: list[str] = field(default_factory=list)
 
     @classmethod
     def from_request(
@@ -133,6 +136,7 @@
         wait = queue * self.usual * slowness
         own = work + distance(self.state, upstream.region).typical
         cost = wait + own + self._preference(upstream)
+        cost += self._token_wait(upstream)
         cost += load.failing_now(self.now) * self.failure_loss
         cost += work * (crowding(used / slots) + self.shortage)
         return Choice(upstream, cost, wait, own, queue, lost == 0)
@@ -149,9 +153,10 @@
         regions = self.request.regions
         if regions and upstream.region not in regions:
             return False
-        if upstream.cold_until <= self.now or self.policy is None:
-            return True
-        return self._cold_allows(upstream, self.policy.cold_rate)
+        if upstream.cold_until > self.now and self.policy is not None:
+            if not self._cold_allows(upstream, self.policy.cold_rate):
+                return False
+        return self._limit_allows(upstream.name)
 
     def _slowness(self, upstream: Upstream) -> float:
         learned = self.state.loads.of(upstream.name).slowness_now(self.now)
@@ -166,6 +171,14 @@
             return self.loss * _STRANGER_LOSS
         return self.loss * _SERVED_LOSS if name in self.served else self.loss
 
+    def _token_wait(self, upstream: Upstream) -> float:
+        """Seconds until a token comes, if one has to be asked for."""
+        pacer = self.state.rates.named
+        asked = pacer.permission(upstream.name, self.now)
+        if asked is Permission.ASKABLE:
+            return distance(self.state, upstream.region).typical
+        return 0
+
     def _preference(self, upstream: Upstream) -> float:
         settings = self.state.settings
         if upstream.region != settings.region:
@@ -174,6 +187,16 @@
             return 0
         return 0 if upstream.record.zone == settings.zone else _OTHER_ZONE
 
+    def _limit_allows(self, name: str) -> bool:
+        permission = self.state.rates.named.permission(name, self.now)
+        if permission is Permission.GRANTED:
+            return True
+        if permission is Permission.ASKABLE:
+            if may_wait_for_token(self.request, self.now):
+                return True
+        self.limited.append(name)
+        return False
+
     def _cold_allows(self, upstream: Upstream, rate: float) -> bool:
         region = self.state.settings.region
         if upstream.region != region or not self.state.settled(self.now):
@@ -201,7 +224,13 @@
     """Choose the upstream for the next attempt of a request."""
     scale = _Scale.from_request(state, request, now)
     best = _best_home(scale) or _best_of_all(scale)
+    if scale.limited:
+        # The key's own upstreams are weighed first.
+        state.rates.named.want(scale.limited[0])
     if best is None:
+        if scale.limited:
+            state.rates.named.want(state.rng.choice(scale.limited))
+            return ResultCode.UPSTREAMS_LIMITED
         return ResultCode.NO_SLOT
     if _is_in_time(scale, best):
         return best
--- a/worksrail/core/steering/_digests.py
+++ b/worksrail/core/steering/_digests.py
@@ -10,6 +10,7 @@
     ServiceName,
     ZoneName,
 )
+from worksrail.core.pacing import ToldLimit
 from worksrail.core.quarantine import ToldCrashes
 from worksrail.core.steering.kinds import StoreKind
 
@@ -106,6 +107,9 @@
     crashes: tuple[ToldCrashes, ...] = ()
     """Requests under which upstreams crashed."""
 
+    limits: tuple[ToldLimit, ...] = ()
+    """Limits that upstreams named."""
+
 
 class ZoneDigest(msgspec.Struct, frozen=True, array_like=True, tag='zone'):
     """What the speaker of a zone tells the other zones' entries."""
@@ -141,5 +145,8 @@
     crashes: tuple[ToldCrashes, ...] = ()
     """Requests under which upstreams crashed."""
 
+    limits: tuple[ToldLimit, ...] = ()
+    """Limits that upstreams named."""
+
 
 Digest = EntryDigest | ZoneDigest
--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -14,6 +14,7 @@
     ZoneDigest,
 )
 from worksrail.core.steering._on_answers import hear_of_store
+from worksrail.core.steering._pacing import hear_of_limits
 from worksrail.core.steering._quarantining import hear_of_crashes
 from worksrail.core.steering.effects import (
     MANY,
@@ -47,6 +48,9 @@
 # Requests with crashes under them, in a digest of one entry and of a zone.
 _CRASHES_LIMIT: Final = 4
 _ZONE_CRASHES_LIMIT: Final = 16
+# Limits that upstreams named, the same.
+_NAMED_LIMITS_LIMIT: Final = 32
+_ZONE_NAMED_LIMITS_LIMIT: Final = 96
 # A digest in so many tells what is held although nothing has changed, besides
 # those that greet an entry.
 _HELD_EVERY: Final = 5
@@ -125,6 +129,7 @@
         return
     yield from hear_of_store(state, digest, now)
     yield from hear_of_crashes(state, digest.crashes, now)
+    yield from hear_of_limits(state, digest.limits, now)
     if digest.sender.zone == state.settings.zone:
         state.loads.take(name, digest.in_flight)
         _take_keys(state, name, digest.sender.region, digest.keys, now)
@@ -143,6 +148,7 @@
         return
     yield from hear_of_store(state, digest, now)
     yield from hear_of_crashes(state, digest.crashes, now)
+    yield from hear_of_limits(state, digest.limits, now)
     state.loads.take(_label(digest.zone), digest.in_flight)
     region = state.settings.regions.get(digest.zone, '')
     _take_keys(state, _label(digest.zone), region, digest.keys, now)
@@ -228,6 +234,9 @@
         state.quarantine.to_tell(
             _CRASHES_LIMIT, now, state.rng, with_held=with_held
         ),
+        state.rates.named.limits.to_tell(
+            _NAMED_LIMITS_LIMIT, now, with_all=with_held
+        ),
     )
 
 
@@ -251,6 +260,9 @@
         crashes=state.quarantine.to_tell(
             _ZONE_CRASHES_LIMIT, now, state.rng, with_held=with_held
         ),
+        limits=state.rates.named.limits.to_tell(
+            _ZONE_NAMED_LIMITS_LIMIT, now, with_all=with_held
+        ),
     )
 
 
--- a/worksrail/core/steering/_on_time.py
+++ b/worksrail/core/steering/_on_time.py
@@ -12,6 +12,7 @@
     tell_at_once,
 )
 from worksrail.core.steering._on_store import expire_upstreams
+from worksrail.core.steering._pacing import tend_pacing
 from worksrail.core.steering._routes import RoutingConfiguration
 from worksrail.core.steering._silence import move_from_silent
 from worksrail.core.steering._watching import keep_up
@@ -46,6 +47,7 @@
     if event.now >= state.next_upkeep_at:
         yield from _look_around(state, event.now)
     yield from check_store(state, event.now)
+    yield from tend_pacing(state, event.now)
     if event.now >= state.next_digest_at:
         yield from tell(state, event.now)
     yield from _exit_when_done(state, event.now)
@@ -74,6 +76,7 @@
     for name in tuple(state.loads.told):
         state.loads.forget(name)
     state.limits.note_pause(now)
+    state.rates.named.note_pause()
     state.catalog.pulse.note_pause(now)
     yield Decision(DecisionKind.PAUSED, inputs=(('seconds', round(gap, 3)),))
 
--- a/worksrail/core/steering/_pacing.py
+++ b/worksrail/core/steering/_pacing.py
@@ -1,13 +1,35 @@
-"""Limits that upstreams name: learnt and told."""
+"""Limits that upstreams name: learnt, told, and kept with tokens."""
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterable, Iterator
+from typing import Final
 
-from worksrail.core.pacing import LimitChange, NoRate
+from worksrail.core.pacing import (
+    LimitChange,
+    NoRate,
+    TokenRequest,
+    ToldLimit,
+    hear_limits,
+)
+from worksrail.core.steering._members import members_by_region
+from worksrail.core.steering._placing import drop, place
 from worksrail.core.steering._request import SteeredRequest
-from worksrail.core.steering.effects import Decision, DecisionKind
-from worksrail.core.steering.events import AttemptEnded
+from worksrail.core.steering._tokens import send_token_requests
+from worksrail.core.steering.effects import (
+    Decision,
+    DecisionKind,
+    Effect,
+    SendPacingMessage,
+)
+from worksrail.core.steering.events import (
+    AttemptEnded,
+    PacingMessageReceived,
+    RequestNumber,
+)
 from worksrail.core.steering.state import SteeringState
 
+# Seconds between two looks at which entries may issue tokens.
+_LOOK_INTERVAL: Final = 0.5
+
 
 def learn_limit(
     state: SteeringState,
@@ -23,11 +45,82 @@
             request.upstream,
             request.number,
         )
-    change = state.rates.named.note(request.upstream, event.limit)
+    limits = state.rates.named.limits
+    change = limits.note(request.upstream, event.limit)
     if change:
         yield _decision(change, request.number)
 
 
+def hear_of_limits(
+    state: SteeringState,
+    told: Iterable[ToldLimit],
+    now: float,
+) -> Iterator[Decision]:
+    """Take in what another entry tells of limits that upstreams name."""
+    known = state.catalog.upstreams
+    for change in hear_limits(state.rates.named, told, known, now):
+        yield _decision(change)
+
+
+def on_pacing_message(
+    state: SteeringState,
+    event: PacingMessageReceived,
+) -> Iterator[Effect]:
+    """Issue tokens, or go on with the requests that waited for some."""
+    now = event.now
+    message = event.message
+    yield from hear_of_limits(state, message.limits, now)
+    pacer = state.rates.named
+    if isinstance(message, TokenRequest):
+        yield SendPacingMessage(message.peer, pacer.serve(message, now))
+    else:
+        yield from _resume(state, pacer.take(message, now), now)
+
+
+def tend_pacing(state: SteeringState, now: float) -> Iterator[Effect]:
+    """Follow who issues tokens; ask, return, and give up on who is silent."""
+    pacer = state.rates.named
+    if not pacer.limits.beliefs:
+        return
+    if now >= state.rates.next_look_at and state.settled(now):
+        state.rates.next_look_at = now + _LOOK_INTERVAL
+        pacer.forget(state.catalog.upstreams, now)
+        pacer.follow(members_by_region(state, now))
+    yield from _resume(state, pacer.give_up(now), now)
+    yield from send_token_requests(state, now)
+
+
+def _resume(
+    state: SteeringState,
+    upstreams: Collection[str],
+    now: float,
+) -> Iterator[Effect]:
+    """Place the requests that waited for some upstreams, by their rank."""
+    waiting = state.rates.waiting
+    numbers = [
+        number for number, upstream in waiting.items() if upstream in upstreams
+    ]
+    found = [_taken(state, number) for number in numbers]
+    requests = [request for request in found if request]
+    for request in sorted(requests, key=_rank):
+        if request.caller_gone:
+            yield from drop(state, request)
+        else:
+            yield from place(state, request, now)
+
+
+def _taken(
+    state: SteeringState,
+    number: RequestNumber,
+) -> SteeredRequest | None:
+    state.rates.waiting.pop(number)
+    return state.requests.get(number)
+
+
+def _rank(request: SteeredRequest) -> tuple[int, float]:
+    return request.priority, request.arrived_at
+
+
 def _decision(change: LimitChange, request: int = 0) -> Decision:
     kind = DecisionKind.UPSTREAM_LIMITED
     if change.after is None:
--- a/worksrail/core/steering/_placing.py
+++ b/worksrail/core/steering/_placing.py
@@ -4,12 +4,17 @@
 from typing import Final
 
 from worksrail.core.limits import quota_name
+from worksrail.core.pacing import Permission
 from worksrail.core.quarantine import label
 from worksrail.core.results import ResultCode
 from worksrail.core.steering._choosing import Choice, choose
 from worksrail.core.steering._quarantining import hold_time, note_sent
 from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._routes import RoutingConfiguration
+from worksrail.core.steering._tokens import (
+    await_token,
+    pause_until_token,
+)
 from worksrail.core.steering.effects import (
     AnswerResult,
     Decision,
@@ -45,11 +50,41 @@
             state, request, ResultCode.REQUEST_HELD, now, pause=held
         )
         return
-    choice = choose(state, request, now)
+    choice, permission = _choose_permitted(state, request, now)
     if isinstance(choice, ResultCode):
-        yield from refuse(state, request, choice, now)
-        return
-    yield from _send(state, request, choice, now)
+        limited = choice is ResultCode.UPSTREAMS_LIMITED
+        pause = pause_until_token(state, request, now) if limited else 0
+        yield from refuse(state, request, choice, now, pause=pause)
+    elif permission is Permission.ASKABLE:
+        yield from await_token(state, request, choice.upstream.name, now)
+    else:
+        yield from _send(state, request, choice, now)
+
+
+def drop(state: SteeringState, request: SteeredRequest) -> Iterator[Effect]:
+    """End a request whose caller left while it waited to be placed."""
+    state.requests.pop(request.number)
+    if request.admitted:
+        state.limits.give_back(quota_name(request.customer_name))
+    yield Decision(
+        DecisionKind.REQUEST_DROPPED, 'before any attempt', request.number
+    )
+    yield AnswerResult(request.number, ResultCode.DEADLINE_EXPIRED)
+
+
+def _choose_permitted(
+    state: SteeringState,
+    request: SteeredRequest,
+    now: float,
+) -> tuple[Choice | ResultCode, Permission]:
+    """The best upstream, and whether a token of it has to be asked for."""
+    while True:
+        choice = choose(state, request, now)
+        if isinstance(choice, ResultCode):
+            return choice, Permission.DENIED
+        permission = state.rates.named.obtain(choice.upstream.name, now)
+        if permission is not Permission.DENIED:
+            return choice, permission
 
 
 def _send(
@@ -76,6 +111,7 @@
     request.queue = choice.queue
     if upstream.cold_until > now:
         state.rates.cold.note_sent(upstream.name, now)
+    state.rates.named.note_sent(upstream.name, now)
     yield from note_sent(state, request, now)
     yield SendUpstream(
         request.number,
--- a/worksrail/core/steering/_rates.py
+++ b/worksrail/core/steering/_rates.py
@@ -2,16 +2,41 @@
 
 from dataclasses import dataclass, field
 
-from worksrail.core.pacing import NamedLimits
+from worksrail.core.pacing import Pacer
+from worksrail.core.steering._catalog import Catalog
 from worksrail.core.steering._cold import ColdLimits
+from worksrail.core.steering._settings import EntrySettings
+from worksrail.core.steering.events import RequestNumber
 
 
 @dataclass(slots=True)
 class UpstreamRates:
     """Limits on what single upstreams get."""
 
+    named: Pacer
+    """Upstreams that name a limit in their answers."""
+
     cold: ColdLimits = field(default_factory=ColdLimits)
     """Upstreams that have just started, or have become cold again."""
 
-    named: NamedLimits = field(default_factory=NamedLimits)
-    """Upstreams that name a limit in their answers."""
+    waiting: dict[RequestNumber, str] = field(default_factory=dict)
+    """Requests that wait for a token of an upstream."""
+
+    next_look_at: float = 0
+    """When to look next at which entries may issue tokens."""
+
+    @classmethod
+    def begin(
+        cls,
+        settings: EntrySettings,
+        catalog: Catalog,
+    ) -> 'UpstreamRates':
+        """Begin an incarnation that knows of no limit."""
+        return cls(
+            Pacer(
+                settings.name,
+                settings.addresses.peer,
+                settings.region,
+                catalog.region_of,
+            )
+        )
--- a/worksrail/core/steering/_reducer.py
+++ b/worksrail/core/steering/_reducer.py
@@ -14,6 +14,7 @@
     _on_requests,
     _on_store,
     _on_time,
+    _pacing,
     _watching,
 )
 from worksrail.core.steering.effects import Effect
@@ -25,6 +26,7 @@
     LimitMessageReceived,
     NewsFetched,
     NewsMissed,
+    PacingMessageReceived,
     RequestArrived,
     StopRequested,
     Ticked,
@@ -39,6 +41,7 @@
     NewsMissed: _watching.on_missed,
     DigestReceived: _on_digests.on_digest,
     LimitMessageReceived: _admitting.on_limit_message,
+    PacingMessageReceived: _pacing.on_pacing_message,
     StopRequested: _on_time.on_stop,
     **_on_answers.HANDLERS,
     **_on_store.HANDLERS,
--- a/worksrail/core/steering/_request.py
+++ b/worksrail/core/steering/_request.py
@@ -70,6 +70,9 @@
     warm: bool = False
     """Whether its key was expected to be warm there."""
 
+    asking_since: float = 0
+    """When it first asked for a token of an upstream; zero if it did not."""
+
     tried: set[str] = field(default_factory=set)
     """Upstreams that it shall not go to again."""
 
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -6,6 +6,7 @@
 
 from worksrail.core.customers import CustomerName
 from worksrail.core.limits import LimitMessage
+from worksrail.core.pacing import PacingMessage
 from worksrail.core.results import ResultCode
 from worksrail.core.steering._digests import Digest
 from worksrail.core.steering.events import RequestNumber
@@ -82,6 +83,17 @@
     """What to tell."""
 
 
+@dataclass(frozen=True, slots=True)
+class SendPacingMessage:
+    """Ask another entry for tokens, or grant them; it may be lost."""
+
+    receiver: str
+    """Its peer address."""
+
+    message: PacingMessage
+    """What to tell."""
+
+
 @dataclass(frozen=True, slots=True)
 class DropConnections:
     """Close idle connections: whoever accepted them has ended."""
@@ -141,6 +153,7 @@
 
     REQUEST_SENT = 'request sent to an upstream'
     REQUEST_REPEATED = 'request sent to one more upstream'
+    TOKEN_AWAITED = 'request waits for a token of an upstream with a limit'
     REPEAT_DENIED = 'request not sent once more'
     REQUEST_REFUSED = 'request refused; it was not executed'
     REQUEST_ANSWERED = 'answer of an upstream passed on'
@@ -214,6 +227,7 @@
     | CancelAttempt
     | SendDigest
     | SendLimitMessage
+    | SendPacingMessage
     | DropConnections
     | FollowStore
     | ListStore
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -9,7 +9,7 @@
 from worksrail.core.customers import KeyDigest
 from worksrail.core.identity import ZoneName
 from worksrail.core.limits import LimitMessage
-from worksrail.core.pacing import NamedLimit
+from worksrail.core.pacing import NamedLimit, PacingMessage
 from worksrail.core.steering._catalog import UpstreamRecord
 from worksrail.core.steering._digests import Digest
 from worksrail.core.steering._news import StoreNews
@@ -236,6 +236,17 @@
     """What it told."""
 
 
+@dataclass(frozen=True, slots=True)
+class PacingMessageReceived:
+    """Another entry asks for tokens of an upstream, or grants some."""
+
+    now: float
+    """Monotonic time in seconds."""
+
+    message: PacingMessage
+    """What it told."""
+
+
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
     """A request came from a caller."""
@@ -317,6 +328,7 @@
     | NewsMissed
     | DigestReceived
     | LimitMessageReceived
+    | PacingMessageReceived
     | RequestArrived
     | CallerGone
     | AttemptEnded
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -63,6 +63,9 @@
     limits: SharedLimits
     """Limits that all entries share."""
 
+    rates: UpstreamRates
+    """Limits on what single upstreams get."""
+
     started_at: float
     """When this incarnation began."""
 
@@ -92,9 +95,6 @@
     splits: Splits = field(default_factory=Splits)
     """Traffic splits."""
 
-    rates: UpstreamRates = field(default_factory=UpstreamRates)
-    """Limits on what single upstreams get."""
-
     budgets: dict[ServiceName, RepeatBudget] = field(default_factory=dict)
     """Budgets of repeats by service."""
 
@@ -180,18 +180,21 @@
         seed: int,
     ) -> 'SteeringState':
         """Begin an incarnation that knows its settings only."""
-        fleet = Fleet(who.name, settings.zone, settings.addresses.peer)
+        peer = settings.addresses.peer
+        fleet = Fleet(who.name, settings.zone, peer)
         fleet.learn_all(settings.seeds, now)
+        catalog = Catalog.from_regions(
+            settings.regions, settings.bounds.heartbeat
+        )
         return cls(
             settings,
             who,
             random.Random(seed),
-            Catalog.from_regions(settings.regions, settings.bounds.heartbeat),
+            catalog,
             fleet,
             Nearness.from_regions(settings.regions.values()),
-            SharedLimits.begin(
-                who, settings.addresses.peer, now, settings.seeds
-            ),
+            SharedLimits.begin(who, peer, now, settings.seeds),
+            UpstreamRates.begin(settings, catalog),
             now,
             now,
         )
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -32,6 +32,7 @@
     ListStore,
     SendDigest,
     SendLimitMessage,
+    SendPacingMessage,
     SendUpstream,
 )
 from worksrail.core.steering.events import StopRequested
@@ -171,6 +172,7 @@
             DropConnections: self.requests.drop_connections,
             SendDigest: self.digests.send,
             SendLimitMessage: self.digests.send_limit_message,
+            SendPacingMessage: self.digests.send_pacing_message,
             FollowStore: self.follow,
             ListStore: self.list_store,
             CheckStore: self.check_store,
--- a/worksrail/daemon/steered/_decisions.py
+++ b/worksrail/daemon/steered/_decisions.py
@@ -20,6 +20,7 @@
         DecisionKind.REQUEST_SENT,
         DecisionKind.REQUEST_REPEATED,
         DecisionKind.REPEAT_DENIED,
+        DecisionKind.TOKEN_AWAITED,
         DecisionKind.CALLER_GONE,
     )
 )
--- a/worksrail/daemon/steered/_digests.py
+++ b/worksrail/daemon/steered/_digests.py
@@ -9,9 +9,18 @@
 from logbook import Logger
 
 from worksrail.core.limits import LimitHandover, LimitReply, LimitReport
+from worksrail.core.pacing import TokenGrant, TokenRequest
 from worksrail.core.steering import EntryDigest, ZoneDigest
-from worksrail.core.steering.effects import SendDigest, SendLimitMessage
-from worksrail.core.steering.events import DigestReceived, LimitMessageReceived
+from worksrail.core.steering.effects import (
+    SendDigest,
+    SendLimitMessage,
+    SendPacingMessage,
+)
+from worksrail.core.steering.events import (
+    DigestReceived,
+    LimitMessageReceived,
+    PacingMessageReceived,
+)
 from worksrail.daemon.steered._engine import SteeringEngine
 from worksrail.daemon.steered._packing import pack, unpack
 
@@ -26,7 +35,13 @@
 # not each of them wakes this entry up.
 _READ_PAUSE: Final = 0.02
 PeerMessage = (
-    EntryDigest | ZoneDigest | LimitReport | LimitReply | LimitHandover
+    EntryDigest
+    | ZoneDigest
+    | LimitReport
+    | LimitReply
+    | LimitHandover
+    | TokenRequest
+    | TokenGrant
 )
 """What one datagram holds."""
 
@@ -82,6 +97,10 @@
         """Tell another entry of a shared limit."""
         self._send(pack_message(effect.message), effect.receiver)
 
+    def send_pacing_message(self, effect: SendPacingMessage) -> None:
+        """Ask another entry for tokens, or grant some."""
+        self._send(pack_message(effect.message), effect.receiver)
+
     def read(self) -> None:
         """Take the messages that are there, now that the socket has some."""
         now = self.engine.now()
@@ -140,6 +159,8 @@
         now = self.engine.now()
         if isinstance(message, EntryDigest | ZoneDigest):
             self.engine.dispatch(DigestReceived(now, message))
+        elif isinstance(message, TokenRequest | TokenGrant):
+            self.engine.dispatch(PacingMessageReceived(now, message))
         else:
             self.engine.dispatch(LimitMessageReceived(now, message))
 
