Leave scarce tokens to more urgent requests; test how named limits are used

Cause: where all upstreams name limits, whoever came first took a token, so urgent requests were refused as often as others. Change: for a second after a request was refused for want of a token, nine of ten less urgent ones leave theirs; the tenth keeps a kind of request from starving.

--- a/tests/steering/fleet_world.py
+++ b/tests/steering/fleet_world.py
@@ -22,6 +22,7 @@
     EntryAddresses,
     EntryLimits,
     EntryList,
+    Route,
     SteeringState,
     UpstreamRecord,
     look_up,
@@ -58,6 +59,12 @@
 class FleetWorld:
     """Entries that tell each other; datagrams take one step, or are lost."""
 
+    routes: tuple[Route, ...] = (route(),)
+    """Routes of the configuration."""
+
+    cold_rate: float = 0
+    """Requests a second that a cold upstream takes."""
+
     def __init__(
         self,
         zones: dict[str, int],
@@ -122,7 +129,7 @@
         records: tuple[UpstreamRecord, ...] = (),
     ) -> None:
         """An entry reads everything in the store as of a revision."""
-        version = configuration(revision, (route(),))
+        version = configuration(revision, self.routes, self.cold_rate)
         for event in (
             StoreAnswered(self.now, StoreKind.UPSTREAMS),
             ConfigurationRead(self.now, version, revision),
--- a/tests/steering/limiting_world.py
+++ b/tests/steering/limiting_world.py
@@ -8,10 +8,10 @@
 import random
 from collections import Counter, defaultdict
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from tests.steering.fleet_world import STEP, FleetWorld
-from tests.steering.world import HOST, of_type, upstream
+from tests.steering.world import HOST, of_type, route, upstream
 from worksrail.core.pacing import (
     NamedLimit,
     NoRate,
@@ -32,12 +32,14 @@
 # Seconds of an execution, and for which callers wait.
 _WORK = 0.3
 _PATIENCE = 2.5
+# Seconds for which an upstream stays cold.
+_COLD_TIME = 20.0
 _SLOTS = 60
 # What an upstream with a limit may get in a window of so many seconds: a
 # multiple of its limit, and some requests besides.
 WINDOW = 4.0
-_FACTOR = 1.5
-_EXTRA = 5
+FACTOR = 1.5
+EXTRA = 5
 # Seconds after an upstream has named its limit from which it is to be kept.
 STABLE = 4.0
 
@@ -75,6 +77,12 @@
     keys: int = 0
     """Affinity keys among which requests are drawn; zero means none."""
 
+    urgent: float = 0
+    """Share of the requests that come on a more urgent route."""
+
+    cold_rate: float = 0
+    """Requests a second that a cold upstream takes."""
+
     lost: float = 0
     """Share of the answers whose connection breaks instead."""
 
@@ -116,6 +124,11 @@
         self.delays: list[float] = []
         self.pauses: list[float] = []
         self.codes: Counter[str] = Counter()
+        self.by_route: dict[str, Counter[str]] = defaultdict(Counter)
+        self.route_of: dict[tuple[str, int], str] = {}
+        self.pacing_messages = 0
+        self.cold_rate = demand.cold_rate if demand else 0
+        self.routes = (route(), route('urgent', priority=0))
         self.records = ()
         super().__init__(zones, regions, loss)
         placed = sorted(zones)
@@ -144,6 +157,17 @@
         """Let some upstreams name a limit, or another one."""
         self.limiting.rates.update(dict.fromkeys(names, rate))
 
+    def make_cold(self, name: str) -> None:
+        """Let the store list an upstream as cold again."""
+        self.records = tuple(
+            replace(record, cold_time=_COLD_TIME, sequence=2)
+            if record.name == name
+            else record
+            for record in self.records
+        )
+        for entry in self.states:
+            self.tell_store(entry, 2, self.records)
+
     def unlimit(self, *names: str) -> None:
         """Let some upstreams name no limit any more."""
         for name in names:
@@ -191,7 +215,7 @@
                 )
             )
         for answer in of_type(effects, AnswerResult):
-            self.codes[answer.code.name] += 1
+            self._count(name, answer.request, answer.code.name)
             self.delays.append(self.now - self.arrived_at[name, answer.request])
             self.pauses.append(answer.retry_after)
 
@@ -204,7 +228,11 @@
         """Messages about tokens come at once within a region."""
         target = receiver.partition(':')[0]
         near = self._region_of(name) == self._region_of(target)
-        if not near or not isinstance(message, TokenRequest | TokenGrant):
+        if isinstance(message, TokenRequest | TokenGrant):
+            self.pacing_messages += 1
+        else:
+            near = False
+        if not near:
             super()._send(name, receiver, message)
         elif name not in self.cut_off and self.rng.random() >= self.loss:
             if self._is_reached(target):
@@ -213,6 +241,10 @@
     def _region_of(self, entry: str) -> str:
         return self.regions[entry.partition('-')[0]]
 
+    def _count(self, entry: str, request: int, code: str) -> None:
+        self.codes[code] += 1
+        self.by_route[self.route_of[entry, request]][code] += 1
+
     def _execute(self) -> None:
         done = [one for one in self.executing if one.ends_at <= self.now]
         self.executing = [
@@ -237,7 +269,7 @@
         rate = self.limiting.rates.get(one.upstream, NoRate.NOT_NAMED)
         if rate is not NoRate.NOT_NAMED:
             self.limiting.named_at.setdefault(one.upstream, self.now)
-        self.codes['OK'] += 1
+        self._count(one.entry, one.request, 'OK')
         self._run(
             one.entry,
             AttemptEnded(
@@ -266,8 +298,11 @@
         key = ''
         if self.demand.keys:
             key = str(self.draw.randrange(self.demand.keys))
+        urgent = self.draw.random() < self.demand.urgent
+        name = 'urgent' if urgent else 'read'
+        self.route_of[entry, self.asked] = name
         head = SteeredHead(
-            f't{self.asked}', HOST, 'GET', '/read/x', _PATIENCE, key
+            f't{self.asked}', HOST, 'GET', f'/{name}/x', _PATIENCE, key
         )
         self.arrived_at[entry, self.asked] = self.now
         self._run(entry, RequestArrived(self.now, self.asked, head))
@@ -275,4 +310,4 @@
 
 def allowed(rate: float) -> float:
     """Most requests that a limit allows in one window."""
-    return rate * _FACTOR * WINDOW + _EXTRA
+    return rate * FACTOR * WINDOW + EXTRA
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -50,6 +50,9 @@
 # Upstreams that are weighed for one request besides its homes, drawn anew each
 # time: the best of so many is as good as any.
 _MOST_WEIGHED: Final = 128
+# Share of the less urgent requests that leave their tokens to more urgent ones
+# while these are refused.
+_YIELDING: Final = 0.9
 # Times slower that a cold upstream is taken to be.
 _COLD_SLOWNESS: Final = 2.0
 
@@ -93,6 +96,7 @@
     used: float
     policy: ServicePolicy | None
     failure_loss: float
+    yields: bool = False
     limited: list[str] = field(default_factory=list)
 
     @classmethod
@@ -123,6 +127,7 @@
             used,
             policy,
             request.route.target_latency * _FAILURE_LOSS,
+            _yields_tokens(state, request, now),
         )
 
     def weigh(self, upstream: Upstream) -> Choice:
@@ -189,7 +194,7 @@
 
     def _limit_allows(self, name: str) -> bool:
         permission = self.state.rates.named.permission(name, self.now)
-        if permission is Permission.GRANTED:
+        if permission is Permission.GRANTED and not self.yields:
             return True
         if permission is Permission.ASKABLE:
             if may_wait_for_token(self.request, self.now):
@@ -230,6 +235,7 @@
     if best is None:
         if scale.limited:
             state.rates.named.want(state.rng.choice(scale.limited))
+            state.rates.refused[request.priority] = now
             return ResultCode.UPSTREAMS_LIMITED
         return ResultCode.NO_SLOT
     if _is_in_time(scale, best):
@@ -247,6 +253,21 @@
     return known
 
 
+def _yields_tokens(
+    state: SteeringState,
+    request: SteeredRequest,
+    now: float,
+) -> bool:
+    """Whether a request leaves scarce tokens to more urgent ones.
+
+    A part of the less urgent ones does not, so that none of them starves.
+    """
+    rates = state.rates
+    if not rates.is_wanted_by_more_urgent(request.priority, now):
+        return False
+    return state.rng.random() < _YIELDING
+
+
 def _best_home(scale: _Scale) -> Choice | None:
     """The best of the upstreams that the key belongs to, if no other wins.
 
--- a/worksrail/core/steering/_rates.py
+++ b/worksrail/core/steering/_rates.py
@@ -1,6 +1,7 @@
 """How many requests a second upstreams take from all entries together."""
 
 from dataclasses import dataclass, field
+from typing import Final
 
 from worksrail.core.pacing import Pacer
 from worksrail.core.steering._catalog import Catalog
@@ -8,6 +9,9 @@
 from worksrail.core.steering._settings import EntrySettings
 from worksrail.core.steering.events import RequestNumber
 
+# Seconds for which a refused request leaves tokens to others as urgent.
+_URGENCY: Final = 1.0
+
 
 @dataclass(slots=True)
 class UpstreamRates:
@@ -22,9 +26,19 @@
     waiting: dict[RequestNumber, str] = field(default_factory=dict)
     """Requests that wait for a token of an upstream."""
 
+    refused: dict[int, float] = field(default_factory=dict)
+    """When a request of each priority was refused last for want of a token."""
+
     next_look_at: float = 0
     """When to look next at which entries may issue tokens."""
 
+    def is_wanted_by_more_urgent(self, priority: int, now: float) -> bool:
+        """Whether more urgent requests were refused for want of a token."""
+        return any(
+            rank < priority and now - at < _URGENCY
+            for rank, at in self.refused.items()
+        )
+
     @classmethod
     def begin(
         cls,
