--- a/tests/steering/fleet_world.py
+++ b/tests/steering/fleet_world.py
@@ -237,11 +237,11 @@
             for receiver in effect.receivers:
                 places = (name.partition('-')[0], receiver.partition('-')[0])
                 self.sent[places] += 1
-                self._send(name, receiver, effect.digest)
+                self._post(name, receiver, effect.digest)
         for one in of_type(effects, SendPacingMessage):
-            self._send(name, one.receiver, one.message)
+            self._post(name, one.receiver, one.message)
 
-    def _send(
+    def _post(
         self,
         name: str,
         receiver: str,
--- a/tests/steering/limiting_world.py
+++ b/tests/steering/limiting_world.py
@@ -219,7 +219,7 @@
             self.delays.append(self.now - self.arrived_at[name, answer.request])
             self.pauses.append(answer.retry_after)
 
-    def _send(
+    def _post(
         self,
         name: str,
         receiver: str,
@@ -233,7 +233,7 @@
         else:
             near = False
         if not near:
-            super()._send(name, receiver, message)
+            super()._post(name, receiver, message)
         elif name not in self.cut_off and self.rng.random() >= self.loss:
             if self._is_reached(target):
                 self._run(target, PacingMessageReceived(self.now, message))
