Keep the limits that upstreams name in the product's own mode too

Change: the header Worksrail-Limit, told with heartbeats; tokens as in the other mode, by the same building block (core/pacing). Fake upstreams of the virtual worlds name limits and note what reaches them.

--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -133,7 +133,7 @@
 def _pacer(name: str, *others: str) -> Pacer:
     pacer = Pacer(name, f'{name}:1', 'r', lambda _: 'r')
     group = Members({one: f'{one}:1' for one in (name, *others)}, 1)
-    pacer.follow({'r': group, ALL_REGIONS: group})
+    pacer.follow({'r': group, ALL_REGIONS: group}, 0)
     return pacer
 
 
--- a/worksrail/bench/world/_runner.py
+++ b/worksrail/bench/world/_runner.py
@@ -35,6 +35,8 @@
 _WRITE_DELAY: Final = 0.0005
 _STORE_DELAY: Final = 0.005
 _CONNECT_TIMEOUT: Final = 1.0
+# Ends of an attempt whose answer has a head.
+_ANSWERS: Final = frozenset((AttemptOutcome.ANSWERED, AttemptOutcome.SHED))
 
 
 class EffectRunner:
@@ -196,12 +198,15 @@
             exchange.on_end = None
         upstream = self.world.upstreams[effect.upstream]
         load = upstream.load()
+        named = upstream.named_limit() if outcome in _ANSWERS else None
         if outcome is AttemptOutcome.ANSWERED:
             exchange.reply(ResultCode.OK, 0)
         exchange.execution = None
         self.world.deliver(
             process,
-            lambda now: AttemptEnded(now, effect.request, outcome, load),
+            lambda now: AttemptEnded(
+                now, effect.request, outcome, load, limit=named
+            ),
         )
         self._forget(process, effect.request)
 
--- a/worksrail/bench/world/_upstreams.py
+++ b/worksrail/bench/world/_upstreams.py
@@ -8,6 +8,7 @@
 from worksrail.bench.world._clock import VirtualClock
 from worksrail.core.bundle import Upstream
 from worksrail.core.events import AttemptOutcome
+from worksrail.core.pacing import NamedLimit, NoRate
 
 _CANCEL_TIME: Final = 0.01
 # Seconds from the begin of an execution that crashes its upstream to the crash,
@@ -99,12 +100,20 @@
     executed: int = 0
     """Executions so far."""
 
+    limit: float | None = None
+    """Requests a second that it names in its answers."""
+
+    taken_at: list[float] = field(default_factory=list)
+    """When requests reached it."""
+
     last_start: float = -1
     """When the last execution began."""
 
     def take(self, ended: Ended, *, crashes: bool = False) -> Execution:
         """Take a request; tells later how it ended."""
         execution = Execution(ended, crashes=crashes)
+        if not self.down:
+            self.taken_at.append(self.clock.now)
         if self.down:
             self._tell(execution, AttemptOutcome.NOT_SENT)
         elif self.shed or len(self.waiting) >= self.queue_limit:
@@ -140,6 +149,11 @@
             execution.over = True
             execution.ended(AttemptOutcome.BROKE_BEFORE_ANSWER)
 
+    def named_limit(self) -> NamedLimit:
+        """What an answer says of its limit."""
+        rate = NoRate.NOT_NAMED if self.limit is None else self.limit
+        return NamedLimit(rate, self.clock.now)
+
     def load(self) -> float | None:
         """The load report that goes with an answer."""
         true = self.in_flight / self.upstream.slots
--- a/worksrail/core/_arriving.py
+++ b/worksrail/core/_arriving.py
@@ -1,9 +1,9 @@
 """Requests that arrive, and the quotas of the customers they come from."""
 
 from collections.abc import Iterator
-from typing import Final
 
 from worksrail.core._admission import admitted
+from worksrail.core._members import members_by_region
 from worksrail.core._on_requests import begin, finish, refusal
 from worksrail.core._quarantining import fingerprint_of
 from worksrail.core.effects import AnswerResult, Effect, SendMessage
@@ -13,17 +13,15 @@
     Addressed,
     Admission,
     LimitMessage,
-    Members,
     Verdict,
     quota_name,
 )
 from worksrail.core.messages import MemberStatus
+from worksrail.core.pacing import ALL_REGIONS
 from worksrail.core.requests import Passing
 from worksrail.core.requests.active import ActiveRequest, RequestState
 from worksrail.core.results import ResultCode
 
-_GONE: Final = frozenset((MemberStatus.LEAVING, MemberStatus.LEFT))
-
 
 def on_arrival(instance: Instance, event: RequestArrived) -> Iterator[Effect]:
     """Admit a request and begin with it, or refuse it."""
@@ -62,7 +60,8 @@
     if not instance.limits.limits:
         return
     if instance.status(now) is not MemberStatus.JOINING:
-        instance.limits.join(_members(instance, now), now)
+        members = members_by_region(instance, now)[ALL_REGIONS]
+        instance.limits.join(members, now)
     instance.limits.tick(now)
     yield from follow_limits(instance, now)
 
@@ -97,21 +96,3 @@
         yield from finish(
             instance, active, ResultCode.QUOTA_REACHED, now, pause
         )
-
-
-def _members(instance: Instance, now: float) -> Members:
-    """Who may own limits; instances are addressed by name."""
-    staying = [
-        member.record
-        for member in instance.membership.members.values()
-        if member.record.status not in _GONE
-    ]
-    live = instance.membership.live(now, instance.settings)
-    peers = {
-        record.who.name: record.who.name
-        for record in live
-        if record.status is MemberStatus.READY
-    }
-    if instance.status(now) is MemberStatus.READY:
-        peers[instance.who.name] = instance.who.name
-    return Members(peers, 1 + len(staying))
--- a/worksrail/core/_on_messages.py
+++ b/worksrail/core/_on_messages.py
@@ -6,6 +6,7 @@
 from worksrail.core._on_configuration import judge_head, take_drains
 from worksrail.core._on_requests import pump
 from worksrail.core._on_time import follow_seats
+from worksrail.core._pacing import hear_of_limits, take_pacing_message
 from worksrail.core._quarantining import hear_of_crashes
 from worksrail.core.effects import Effect, Note, NoteKind, SendMessage
 from worksrail.core.events import MessageReceived
@@ -24,6 +25,7 @@
     SeatOffer,
     SeatTaken,
 )
+from worksrail.core.pacing import PacingMessage, TokenGrant, TokenRequest
 from worksrail.core.permits import GroupKey, LoanId
 
 
@@ -49,7 +51,7 @@
         case LimitReport() | LimitReply() | LimitHandover():
             yield from on_limit_message(instance, message, now)
         case _:
-            yield from _on_loan_message(instance, event)
+            yield from _on_permission(instance, event)
 
 
 def _on_heartbeat(
@@ -69,6 +71,28 @@
             )
         yield from _catch_up_drains(instance, record)
     yield from hear_of_crashes(instance, message.crashes, now)
+    yield from hear_of_limits(instance, message.limits, now)
+
+
+def _on_permission(
+    instance: Instance,
+    event: MessageReceived,
+) -> Iterator[Effect]:
+    """Take in a message of tokens or of loans."""
+    if isinstance(event.message, TokenRequest | TokenGrant):
+        yield from _on_pacing_message(instance, event.message, event.now)
+    else:
+        yield from _on_loan_message(instance, event)
+
+
+def _on_pacing_message(
+    instance: Instance,
+    message: PacingMessage,
+    now: float,
+) -> Iterator[Effect]:
+    yield from take_pacing_message(instance, message, now)
+    for service in tuple(instance.services):
+        yield from pump(instance, service, now)
 
 
 def _catch_up_drains(
--- a/worksrail/core/_on_requests.py
+++ b/worksrail/core/_on_requests.py
@@ -1,10 +1,12 @@
 """The life of a request: admission, placing, retries, its end."""
 
 from collections.abc import Iterator
+from math import inf
 from typing import Final
 
 from worksrail.core._admission import ticket_owner
 from worksrail.core._borrowing import borrow
+from worksrail.core._pacing import learn_limit
 from worksrail.core._placing import (
     Placement,
     hold_until,
@@ -15,6 +17,12 @@
     send,
 )
 from worksrail.core._quarantining import hold_time, learn_crash
+from worksrail.core._tokens import (
+    TOKEN_PATIENCE,
+    expects_token,
+    pause_until_token,
+    send_token_requests,
+)
 from worksrail.core.effects import (
     AnswerResult,
     CancelRequest,
@@ -106,6 +114,7 @@
     _release_after(instance, active, event)
     _learn(instance, active, event)
     yield from learn_crash(instance, active, event)
+    yield from learn_limit(instance, active, event)
     if event.outcome in _FINAL_CODES:
         yield from _retry_or_finish(instance, active, event)
     else:
@@ -165,6 +174,9 @@
     if placement is ResultCode.REQUEST_HELD:
         yield from _refuse_held(instance, active, now)
         return
+    if placement is ResultCode.UPSTREAMS_LIMITED:
+        yield from _wait_for_token(instance, active, now)
+        return
     if _may_wait(instance, active, now, _QUICK_SHARE):
         yield from _wait(instance, active, now)
         return
@@ -179,6 +191,25 @@
     yield from finish(instance, active, placement, now)
 
 
+def _wait_for_token(
+    instance: Instance,
+    active: ActiveRequest,
+    now: float,
+) -> Iterator[Effect]:
+    """Let a request wait if a token was asked for; else it goes elsewhere."""
+    yield from send_token_requests(instance, now)
+    if expects_token(instance) and _may_wait(instance, active, now, 1):
+        yield from _wait(instance, active, now, TOKEN_PATIENCE)
+        return
+    target = _other_region(instance, active, now)
+    if target:
+        active.tried_regions.add(target.place.region)
+        yield from _pass_on(active, target)
+        return
+    wait = pause_until_token(instance, active.service, now)
+    yield from finish(instance, active, ResultCode.UPSTREAMS_LIMITED, now, wait)
+
+
 def pump(instance: Instance, service: str, now: float) -> Iterator[Effect]:
     """Send waiting requests as far as there are permits."""
     queue = instance.service_state(service).queue
@@ -322,10 +353,11 @@
     instance: Instance,
     active: ActiveRequest,
     now: float,
+    longest: float = inf,
 ) -> Iterator[Effect]:
     state = instance.service_state(active.service)
     active.state = RequestState.WAITING
-    give_up_at = now + _patience(instance, active, now)
+    give_up_at = now + min(longest, _patience(instance, active, now))
     state.queue.put(Waiting(active.number, give_up_at))
     group = slot_group(active.service)
     instance.lending.note_shortage(group, len(state.queue))
--- a/worksrail/core/_on_time.py
+++ b/worksrail/core/_on_time.py
@@ -12,6 +12,7 @@
     retry_fetch,
 )
 from worksrail.core._on_requests import give_up_waiting, pump
+from worksrail.core._pacing import limits_to_tell, tend_pacing
 from worksrail.core._quarantining import crashes_to_tell
 from worksrail.core.effects import (
     BecomeIncarnation,
@@ -52,10 +53,15 @@
     yield from _serve_waiting(instance, now)
     yield from borrow_all(instance, now)
     refresh_ceilings(instance, now)
-    yield from tend_limits(instance, now)
+    yield from _tend_rates(instance, now)
     yield from _slow_duties(instance, now)
 
 
+def _tend_rates(instance: Instance, now: float) -> Iterator[Effect]:
+    yield from tend_limits(instance, now)
+    yield from tend_pacing(instance, now)
+
+
 def _slow_duties(instance: Instance, now: float) -> Iterator[Effect]:
     yield from retry_fetch(instance, now)
     yield from _leave(instance, now)
@@ -81,7 +87,7 @@
     instance.seats.unheld_since.clear()
     instance.started_at = now
     instance.resting = False
-    instance.limits.note_pause(now)
+    _forget_shares(instance, now)
     for answer in instance.lending.abandon(now):
         yield sent(answer)
     yield from follow_seats(instance)
@@ -89,6 +95,11 @@
     yield Note(NoteKind.REJOINED, who.label)
 
 
+def _forget_shares(instance: Instance, now: float) -> None:
+    instance.limits.note_pause(now)
+    instance.pacer.note_pause()
+
+
 def on_instance_list(
     instance: Instance,
     event: InstanceListRead,
@@ -167,8 +178,12 @@
     instance.membership.forget_dead(now, instance.settings)
     targets = instance.membership.round_targets(now, instance.settings)
     sample = instance.membership.sample(instance.settings)
-    crashes = crashes_to_tell(instance, now)
-    message = Heartbeat(instance.record(now), sample, crashes)
+    message = Heartbeat(
+        instance.record(now),
+        sample,
+        crashes_to_tell(instance, now),
+        limits_to_tell(instance, now),
+    )
     for target in targets:
         yield SendMessage(target, message)
     _sum_region_use(instance, now)
--- a/worksrail/core/_placing.py
+++ b/worksrail/core/_placing.py
@@ -5,12 +5,14 @@
 from dataclasses import dataclass
 from typing import Final
 
+from worksrail.core._tokens import has_token
 from worksrail.core.bundle import ServiceView, Topology
 from worksrail.core.effects import Effect, Note, NoteKind, SendUpstream
 from worksrail.core.identity import RegionName
 from worksrail.core.instance import Instance, TimedRelease
 from worksrail.core.messages import MemberRecord
 from worksrail.core.permits import (
+    Group,
     Hold,
     NoPermit,
     PoolKey,
@@ -63,6 +65,8 @@
     slot = _slot_hold(instance, active, now)
     if isinstance(slot, NoPermit):
         release_all(instance, caps, now)
+        if slot is NoPermit.RATE_LIMITED:
+            return ResultCode.UPSTREAMS_LIMITED
         return ResultCode.NO_SLOT
     if shifted:
         instance.service_state(active.service).rise(active.home).note(now)
@@ -82,6 +86,7 @@
     active.attempts += 1
     active.upstream = placement.upstream
     active.sent_at = now
+    instance.pacer.note_sent(placement.upstream, now)
     active.crash_number = instance.quarantine.begin(active.fingerprint, now)
     active.holds = tuple(hold for hold in placement.holds if not _is_rate(hold))
     _hold_for_a_second(instance, placement.holds, now)
@@ -224,20 +229,29 @@
     typical = instance.service_state(active.service).typical
     drawn = [
         key
-        for key in group.available.draw(instance.rng, _DRAWS)
+        for key in group.available.draw(instance.rng, _draws(instance, group))
         if key not in active.tried
     ]
     drawn.sort(
         key=lambda key: instance.upstream_health(key).score(typical, now)
     )
     for key in drawn:
+        if not has_token(instance, key, now):
+            continue
         hold = instance.ledger.take(key, now)
         if isinstance(hold, Hold):
             instance.lending.note_use(group.key)
             return hold
+    if group.pools and all(map(instance.pacer.is_limited, group.pools)):
+        return NoPermit.RATE_LIMITED
     return NoPermit.ALL_IN_USE
 
 
+def _draws(instance: Instance, group: Group) -> int:
+    # Upstreams without a token may be drawn in vain.
+    return len(group.available.keys) if instance.pacer.has_limits else _DRAWS
+
+
 def _is_rate(hold: Hold) -> bool:
     return hold.pool.startswith(PoolKind.RATE.value)
 
--- a/worksrail/core/configuration/_generations.py
+++ b/worksrail/core/configuration/_generations.py
@@ -11,6 +11,8 @@
 from typing import Final
 
 from worksrail.core.bundle import Bundle, Drain, DrainKind, Topology
+from worksrail.core.identity import RegionName
+from worksrail.core.permits import PoolKey
 
 _SEPARATOR: Final = '/'
 _FETCH_RETRY: Final = 0.5
@@ -67,6 +69,15 @@
     listed_drains: frozenset[Drain] = field(default_factory=frozenset)
     """Drains on the list."""
 
+    def region_of(self, upstream: str) -> RegionName:
+        """Region of the upstream with a pool; empty if there is none."""
+        topology = self.topology
+        key = PoolKey(upstream)
+        if topology is None or key not in topology.upstreams:
+            return ''
+        _, found = topology.upstreams[key]
+        return topology.region_of_upstream(found)
+
     @property
     def drains(self) -> frozenset[Drain]:
         """All drains in force, of the bundle and of the list."""
--- a/worksrail/core/effects.py
+++ b/worksrail/core/effects.py
@@ -160,6 +160,9 @@
     QUARANTINED = 'quarantined'
     QUARANTINE_CLEARED = 'quarantine-cleared'
     UPSTREAM_EJECTED = 'upstream-ejected'
+    UPSTREAM_LIMITED = 'upstream-limited'
+    UPSTREAM_UNLIMITED = 'upstream-unlimited'
+    UPSTREAM_LIMIT_UNREADABLE = 'upstream-limit-unreadable'
     UPSTREAM_RETURNED = 'upstream-returned'
 
 
--- a/worksrail/core/events.py
+++ b/worksrail/core/events.py
@@ -12,6 +12,7 @@
 from worksrail.core.identity import Incarnation
 from worksrail.core.membership import ListedInstance
 from worksrail.core.messages import AnyMessage
+from worksrail.core.pacing import NamedLimit
 from worksrail.core.permits import SeatTable
 from worksrail.core.requests import RequestHead
 from worksrail.core.results import ResultCode
@@ -218,6 +219,9 @@
     replayable: bool = True
     """The body of the request is still held in full."""
 
+    limit: NamedLimit | None = None
+    """What its answer says of a limit; None if no answer came."""
+
 
 @dataclass(frozen=True, slots=True)
 class PassEnded:
--- a/worksrail/core/instance.py
+++ b/worksrail/core/instance.py
@@ -14,6 +14,7 @@
     MemberStatus,
     Spare,
 )
+from worksrail.core.pacing import Pacer
 from worksrail.core.permits import (
     Hold,
     Lending,
@@ -100,6 +101,9 @@
     limits: SharedLimits
     """Limits that all instances share."""
 
+    pacer: Pacer
+    """Limits that upstreams name in their answers."""
+
     started_at: float
     """When this incarnation began."""
 
@@ -165,6 +169,7 @@
         """A fresh instance that knows nobody and holds nothing."""
         ledger = PermitLedger(settings.loan_duration, settings.longest_run)
         retention = settings.ticket_age + _CLOCK_SKEW
+        configuration = Configuration()
         return cls(
             who,
             place,
@@ -172,12 +177,13 @@
             settings,
             random.Random(seed),
             Membership(who, place.region),
-            Configuration(),
+            configuration,
             SeatKeeper(who, place.region, now),
             ledger,
             Lending(settings, ledger),
             KeyMemory(settings.key_limit, retention),
             SharedLimits.begin(who, who.name, now),
+            Pacer(who.name, who.name, place.region, configuration.region_of),
             now,
             now,
         )
--- a/worksrail/core/messages.py
+++ b/worksrail/core/messages.py
@@ -17,6 +17,7 @@
     ServiceName,
 )
 from worksrail.core.limits import LimitHandover, LimitReply, LimitReport
+from worksrail.core.pacing import TokenGrant, TokenRequest, ToldLimit
 from worksrail.core.quarantine import ToldCrashes
 
 
@@ -112,6 +113,9 @@
     crashes: tuple[ToldCrashes, ...] = ()
     """Requests under which upstreams crashed."""
 
+    limits: tuple[ToldLimit, ...] = ()
+    """Limits that upstreams named."""
+
 
 class LoanPart(msgspec.Struct, frozen=True, array_like=True):
     """Some permits of one pool."""
@@ -231,6 +235,8 @@
     | LimitReport
     | LimitReply
     | LimitHandover
+    | TokenRequest
+    | TokenGrant
 )
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
--- a/worksrail/core/pacing/_pacer.py
+++ b/worksrail/core/pacing/_pacer.py
@@ -1,6 +1,12 @@
 """Both sides of all named limits at one instance."""
 
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import (
+    Callable,
+    Container,
+    Iterable,
+    Iterator,
+    Mapping,
+)
 from dataclasses import dataclass, field
 from enum import Enum, unique
 from typing import Final
@@ -23,6 +29,8 @@
 # another one: the way there and back fits in several times.
 _NEAR_ANSWER: Final = 0.08
 _FAR_ANSWER: Final = 0.2
+# Seconds between two looks at who may issue tokens.
+_LOOK_INTERVAL: Final = 0.5
 
 ALL_REGIONS: Final = ''
 """Group of the instances of all regions."""
@@ -79,6 +87,9 @@
     asked: dict[int, _Asked] = field(default_factory=dict)
     """Requests for tokens that were not answered yet, by number."""
 
+    next_look_at: float = 0
+    """When to look next at who may issue tokens."""
+
     numbered: int = 0
     """Requests for tokens so far."""
 
@@ -87,13 +98,22 @@
 
     # -- requests
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any upstream has named a limit lately."""
+        return bool(self.limits.beliefs)
+
     def rate_of(self, upstream: str) -> float | None:
         """Requests a second that an upstream takes; None for no limit."""
         return self.limits.rate_of(upstream)
 
+    def is_limited(self, upstream: str) -> bool:
+        """Whether an upstream names a limit."""
+        return self.limits.rate_of(upstream) is not None
+
     def permission(self, upstream: str, now: float) -> Permission:
         """Whether a request may go to an upstream."""
-        if self.limits.rate_of(upstream) is None:
+        if not self.is_limited(upstream):
             return Permission.GRANTED
         stock = self._stock(upstream)
         if stock.tokens:
@@ -114,7 +134,7 @@
 
     def note_sent(self, upstream: str, now: float) -> None:
         """A request is sent."""
-        if self.limits.rate_of(upstream) is not None:
+        if self.is_limited(upstream):
             self._stock(upstream).spend(now)
 
     def obtain(self, upstream: str, now: float) -> Permission:
@@ -134,8 +154,17 @@
 
     # -- what changes from outside
 
-    def follow(self, groups: Mapping[RegionName, Members]) -> None:
+    def is_look_due(self, now: float) -> bool:
+        """Whether to look at who may issue tokens."""
+        return now >= self.next_look_at
+
+    def follow(
+        self,
+        groups: Mapping[RegionName, Members],
+        now: float,
+    ) -> None:
         """Take in who may issue tokens."""
+        self.next_look_at = now + _LOOK_INTERVAL
         if groups == self.groups:
             return
         self.groups = groups
@@ -147,12 +176,13 @@
         }
         self.issuer.keep_only(owned)
 
-    def forget(self, known: Mapping[str, object], now: float) -> None:
+    def forget(self, known: Container[str], now: float) -> None:
         """Drop upstreams that are gone."""
         self.limits.forget(known, now)
         self.issuer.keep_only(known)
-        for gone in self.stocks.keys() - known.keys():
-            self.stocks.pop(gone)
+        for upstream in tuple(self.stocks):
+            if upstream not in known:
+                self.stocks.pop(upstream)
 
     def note_pause(self) -> None:
         """The process stood still: tokens are old, others issue by now."""
@@ -168,7 +198,7 @@
         unused: dict[InstanceName, dict[str, int]] = {}
         for upstream, stock in self.stocks.items():
             issuer = self._issuer_of(upstream)
-            if not issuer or self.limits.rate_of(upstream) is None:
+            if not issuer or not self.is_limited(upstream):
                 stock.clear()
                 continue
             returned = stock.take_unused(now)
@@ -313,7 +343,7 @@
 def hear_limits(
     pacer: Pacer,
     told: Iterable[ToldLimit],
-    known: Mapping[str, object],
+    known: Container[str],
     now: float,
 ) -> Iterator[LimitChange]:
     """Take in what another instance tells of upstreams that are known here."""
--- a/worksrail/core/permits/_holdings.py
+++ b/worksrail/core/permits/_holdings.py
@@ -19,6 +19,7 @@
     """Sentinel: why no permit could be taken."""
 
     UNKNOWN_POOL = 'the pool is not configured'
+    RATE_LIMITED = 'all upstreams name limits, and there is no token'
     ALL_IN_USE = 'all permits are in use, lent or expired'
 
 
--- a/worksrail/core/steering/_pacing.py
+++ b/worksrail/core/steering/_pacing.py
@@ -1,7 +1,6 @@
 """Limits that upstreams name: learnt, told, and kept with tokens."""
 
 from collections.abc import Collection, Iterable, Iterator
-from typing import Final
 
 from worksrail.core.pacing import (
     LimitChange,
@@ -27,9 +26,6 @@
 )
 from worksrail.core.steering.state import SteeringState
 
-# Seconds between two looks at which entries may issue tokens.
-_LOOK_INTERVAL: Final = 0.5
-
 
 def learn_limit(
     state: SteeringState,
@@ -80,12 +76,11 @@
 def tend_pacing(state: SteeringState, now: float) -> Iterator[Effect]:
     """Follow who issues tokens; ask, return, and give up on who is silent."""
     pacer = state.rates.named
-    if not pacer.limits.beliefs:
+    if not pacer.has_limits:
         return
-    if now >= state.rates.next_look_at and state.settled(now):
-        state.rates.next_look_at = now + _LOOK_INTERVAL
+    if pacer.is_look_due(now) and state.settled(now):
         pacer.forget(state.catalog.upstreams, now)
-        pacer.follow(members_by_region(state, now))
+        pacer.follow(members_by_region(state, now), now)
     yield from _resume(state, pacer.give_up(now), now)
     yield from send_token_requests(state, now)
 
--- a/worksrail/core/steering/_rates.py
+++ b/worksrail/core/steering/_rates.py
@@ -29,9 +29,6 @@
     refused: dict[int, float] = field(default_factory=dict)
     """When a request of each priority was refused last for want of a token."""
 
-    next_look_at: float = 0
-    """When to look next at which entries may issue tokens."""
-
     def is_wanted_by_more_urgent(self, priority: int, now: float) -> bool:
         """Whether more urgent requests were refused for want of a token."""
         return any(
--- a/worksrail/daemon/http/_headers.py
+++ b/worksrail/daemon/http/_headers.py
@@ -21,6 +21,7 @@
 CUSTOMER: Final = 'Worksrail-Customer'
 NOT_RUN: Final = 'Worksrail-Not-Run'
 LOAD: Final = 'Worksrail-Load'
+RATE_LIMIT: Final = 'Worksrail-Limit'
 
 _CONTENT_LENGTH: Final = 'Content-Length'
 _TRANSFER_ENCODING: Final = 'Transfer-Encoding'
--- a/worksrail/daemon/http/_requests.py
+++ b/worksrail/daemon/http/_requests.py
@@ -21,6 +21,7 @@
     PassEnded,
     RequestArrived,
 )
+from worksrail.core.pacing import NamedLimit, read_rate
 from worksrail.core.requests import (
     NoTicket,
     Passing,
@@ -225,6 +226,7 @@
                 _load(report.headers),
                 report.status >= _SERVER_ERROR,
                 self._rewound(exchange),
+                _limit(report, self.engine.now()),
             )
         )
         self._forget(exchange)
@@ -306,6 +308,13 @@
         return None
 
 
+def _limit(report: AttemptReport, now: float) -> NamedLimit | None:
+    if not report.status:
+        return None
+    texts = report.headers.get_list(names.RATE_LIMIT)
+    return NamedLimit(read_rate(texts), now)
+
+
 def _pass_code(report: AttemptReport) -> ResultCode:
     if report.end is not AttemptEnd.WHOLE:
         return _PASS_CODES.get(report.end, ResultCode.PEER_BROKE)
