Let the soak's upstreams name limits, and count what they get

Cause: no stand-in named a limit, so no soak could break one. Change: upstreams name limits of 0 to 20 a second in turn, one or all of a service, for 7 to 12 s (--limiting); a promise counts what reaches them in each 4 s from entries that were not started, frozen or let go on in the 4 s before.

--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -42,3 +42,12 @@
     assert result.steps
     assert result.served
     assert not result.violations
+
+
+@pytest.mark.parametrize('seed', [5100, 5101])
+def test_named_limits_are_kept_beside_faults(seed: int, tmp_path: Path) -> None:
+    result = asyncio.run(
+        play_seed(seed, 20, 3, tmp_path, crashing=False, limiting=True)
+    )
+    assert result.served
+    assert not result.violations
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -18,6 +18,7 @@
     logs: str = '',
     *,
     crashing: bool = True,
+    limiting: bool = True,
 ) -> None:
     """Play seeds, and end with 1 if a promise was broken.
 
@@ -31,7 +32,14 @@
             folder = Path(logs or temporary) / str(number)
             folder.mkdir(parents=True)
             result = asyncio.run(
-                play_seed(number, seconds, entries, folder, crashing=crashing)
+                play_seed(
+                    number,
+                    seconds,
+                    entries,
+                    folder,
+                    crashing=crashing,
+                    limiting=limiting,
+                )
             )
         faults = ' '.join(step.fault.name for step in result.steps)
         print(
--- a/tests/soak/_promises.py
+++ b/tests/soak/_promises.py
@@ -13,6 +13,11 @@
 _PROOFS = 3
 _STABLE_WINDOW = 4.0
 _MOST_AFTER = 3
+# What an upstream that names a limit may get in a window of so many seconds: a
+# multiple of the limit, and some requests besides.
+_LIMIT_WINDOW = 4.0
+_LIMIT_FACTOR = 1.5
+_LIMIT_EXTRA = 5
 # Seconds before a request in which an unplanned fault may still cut it.
 _CALM = 4.0
 
@@ -29,6 +34,7 @@
     PLANNED_STOP = 'a planned stop cuts no request that is executed'
     CLEAN_EXIT = 'an entry that was told to stop ends with exit code 0'
     RECOVERY = 'all entries serve again once the faults are over'
+    NAMED_LIMIT = 'an upstream that names a limit gets no more than it allows'
     FEW_CRASHES = 'a request that crashed three upstreams reaches few more'
 
 
@@ -100,6 +106,37 @@
     """When."""
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached an upstream."""
+
+    upstream: str
+    """Name of the upstream."""
+
+    trace: str
+    """Identifier of the request."""
+
+    at: float
+    """When."""
+
+
+@dataclass(frozen=True, slots=True)
+class Limited:
+    """A time in which an upstream named a limit."""
+
+    upstream: str
+    """Its name."""
+
+    rate: float
+    """Requests a second."""
+
+    begin: float
+    """When it began to name it."""
+
+    end: float
+    """When it ceased."""
+
+
 @dataclass(frozen=True, slots=True)
 class Violation:
     """A promise that was broken."""
@@ -150,6 +187,12 @@
     crashes: list[Crash] = field(default_factory=list)
     """Crashes under the request that causes them, in order."""
 
+    arrivals: list[Arrival] = field(default_factory=list)
+    """Requests that reached upstreams, in order."""
+
+    limited: list[Limited] = field(default_factory=list)
+    """Limits that upstreams named."""
+
     disturbed: dict[str, list[float]] = field(
         default_factory=lambda: defaultdict(list)
     )
@@ -167,6 +210,8 @@
             if code
         ]
         found += self._of_crashes()
+        for limited in self.limited:
+            found += self._of_limit(limited)
         for trace, executions in self.executed.items():
             found += self._of_executions(trace, executions)
         for trace in self.ended:
@@ -220,9 +265,27 @@
         details = f'{len(late)} more, first at {late[0].at:.2f}'
         return [Violation(Promise.FEW_CRASHES, late[0].trace, details)]
 
-    def _was_in_touch(self, crash: Crash) -> bool:
-        times = self.disturbed[self.sent[crash.trace].entry]
-        return not any(crash.at - _CALM <= at <= crash.at for at in times)
+    def _of_limit(self, limited: Limited) -> list[Violation]:
+        times = [
+            one.at
+            for one in self.arrivals
+            if one.upstream == limited.upstream
+            and limited.begin + _STABLE_WINDOW <= one.at <= limited.end
+            and self._was_in_touch(one)
+        ]
+        most = limited.rate * _LIMIT_FACTOR * _LIMIT_WINDOW + _LIMIT_EXTRA
+        for begin in times:
+            count = sum(begin <= at <= begin + _LIMIT_WINDOW for at in times)
+            if count > most:
+                details = f'{count} from {begin:.2f} on, {most:.1f} allowed'
+                about = limited.upstream
+                return [Violation(Promise.NAMED_LIMIT, about, details)]
+        return []
+
+    def _was_in_touch(self, one: Crash | Arrival) -> bool:
+        sent = self.sent.get(one.trace)
+        times = self.disturbed[sent.entry] if sent else []
+        return not any(one.at - _CALM <= at <= one.at for at in times)
 
     def _was_calm(self, begin: float, end: float) -> bool:
         return not any(begin - _CALM <= at <= end for at in self.faults)
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -26,6 +26,10 @@
 _PATIENCE = 60.0
 # Seconds after which the request that crashes upstreams comes again.
 _CRASH_PAUSE = 0.2
+# Limits that upstreams name, seconds for which they do, and pauses between two.
+_LIMITS = (0, 0.5, 2, 5, 20)
+_LIMITED_FOR = (7.0, 12.0)
+_LIMIT_PAUSE = (0.5, 3.0)
 _BAD_MOODS = [mood for mood in StoreMood if mood is not StoreMood.WELL]
 _BAD_LINKS = [link for link in Link if link is not Link.PASSING]
 _BAD_HABITS = [habit for habit in Habit if habit is not Habit.WELL]
@@ -220,10 +224,12 @@
     folder: Path,
     *,
     crashing: bool = True,
+    limiting: bool = False,
 ) -> Result:
     """Play one seed from start to end.
 
-    A request that crashes upstreams comes all the while, unless it is left out.
+    A request that crashes upstreams comes all the while, unless it is left out;
+    upstreams name limits if they are to.
     """
     world = SoakWorld(folder, entries, seed)
     steps = steps_of(seed, seconds)
@@ -234,7 +240,10 @@
         callers = _start_callers(world)
         if crashing:
             callers.append(asyncio.ensure_future(_crash_upstreams(world, seed)))
+        if limiting:
+            callers.append(asyncio.ensure_future(_name_limits(world, seed)))
         await Soak(world).play(steps, seconds)
+        _end_limits(world)
         world.witness.silent = await _all_serve(world)
     finally:
         for caller in callers:
@@ -283,6 +292,30 @@
         await asyncio.sleep(_CRASH_PAUSE)
 
 
+async def _name_limits(world: SoakWorld, seed: int) -> None:
+    """Let one upstream after another name a limit, or all of a service."""
+    rng = random.Random(f'limits of {seed}')
+    while True:
+        await asyncio.sleep(rng.uniform(*_LIMIT_PAUSE))
+        chosen = rng.choice(world.upstreams)
+        limited = [chosen]
+        if rng.random() < 0.5:
+            limited = [
+                one for one in world.upstreams if one.service == chosen.service
+            ]
+        for one in limited:
+            one.begin_limit(rng.choice(_LIMITS), world.clock())
+        await asyncio.sleep(rng.uniform(*_LIMITED_FOR))
+        _end_limits(world)
+
+
+def _end_limits(world: SoakWorld) -> None:
+    for one in world.upstreams:
+        span = one.end_limit(world.clock())
+        if span:
+            world.witness.limited.append(span)
+
+
 async def _all_serve(world: SoakWorld) -> set[str]:
     """Wait until all entries serve; gives those that do not."""
     silent = set(world.hosts)
--- a/tests/soak/_upstreams.py
+++ b/tests/soak/_upstreams.py
@@ -8,7 +8,7 @@
 from enum import Enum, unique
 
 from tests.soak._listening import LoopbackServer
-from tests.soak._promises import Executed, answer_of
+from tests.soak._promises import Executed, Limited, answer_of
 
 _LENGTH = re.compile(rb'\r\nContent-Length: (\d+)', re.IGNORECASE)
 _TRACE = re.compile(rb'\r\nRequest-Id: (\S+)', re.IGNORECASE)
@@ -52,6 +52,25 @@
     habit: Habit = Habit.WELL
     """How it answers now."""
 
+    limit: float | None = None
+    """Requests a second that it names in its answers."""
+
+    limited_since: tuple[str, float] = ('', 0)
+    """Its name when it began to, and when that was."""
+
+    def begin_limit(self, rate: float, now: float) -> None:
+        """Name a limit from now on."""
+        self.limit = rate
+        self.limited_since = (self.name, now)
+
+    def end_limit(self, now: float) -> Limited | None:
+        """Name none any more; tells what was named under one name."""
+        rate, self.limit = self.limit, None
+        name, since = self.limited_since
+        if rate is None or name != self.name:
+            return None
+        return Limited(name, rate, since, now)
+
     async def serve(
         self,
         reader: asyncio.StreamReader,
@@ -98,11 +117,12 @@
         trace: str,
         body: bytes,
     ) -> bool:
-        right = _answer(trace, 200, body, 'Response-Signature: s\r\n')
+        named = '' if self.limit is None else f'Server-Limit: {self.limit}\r\n'
+        right = _answer(trace, 200, body, f'Response-Signature: s\r\n{named}')
         if self.habit is Habit.WELL or self.rng.random() < 0.5:
             writer.write(right)
         elif self.habit is Habit.FAILS:
-            writer.write(_answer(trace, 500, b'no', ''))
+            writer.write(_answer(trace, 500, b'no', named))
         elif self.habit is Habit.REPEATS:
             writer.write(right + right)
         elif self.habit is Habit.SPOILS:
--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -14,7 +14,7 @@
 
 from tests.hangups import take_hangups
 from tests.platform.test_decoding import CONFIGURATION, SETTINGS
-from tests.soak._promises import Crash, Witness
+from tests.soak._promises import Arrival, Crash, Executed, Witness
 from tests.soak._proxy import Proxy
 from tests.soak._upstreams import Upstream
 from worksrail.standins.objects import ObjectStore, application
@@ -175,6 +175,11 @@
         self.lives += 1
         self.upstreams[number].name = f'i-{self.lives}'
 
+    def _note(self, number: int, one: Executed) -> None:
+        self.witness.executed[one.trace].append(one)
+        name = self.upstreams[number].name
+        self.witness.arrivals.append(Arrival(name, one.trace, self.clock()))
+
     def _crash(self, upstream: Upstream, trace: str) -> None:
         """An upstream breaks all connections and is away for a while."""
         self.witness.crashes.append(Crash(trace, self.clock()))
@@ -188,7 +193,7 @@
         upstream = Upstream(
             service,
             f'i-first-{number}',
-            lambda one: self.witness.executed[one.trace].append(one),
+            lambda one: self._note(number, one),
             random.Random(self.rng.random()),
             self._crash,
         )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,9 +9,11 @@
 
 from tests.soak._faults import Fault, steps_of
 from tests.soak._promises import (
+    Arrival,
     Crash,
     Ended,
     Executed,
+    Limited,
     Promise,
     Sent,
     Witness,
@@ -130,6 +132,30 @@
     assert found == ({Promise.FEW_CRASHES} if broken else set())
 
 
+# Requests a second that reach an upstream with a limit of 2, when their entry was
+# started, and whether that is too many.
+@pytest.mark.parametrize(
+    ('rate', 'started', 'broken'),
+    [(5, 0, True), (4, 0, False), (5, 15, False)],
+)
+def test_upstream_that_gets_more_than_it_named_is_noticed(
+    rate: float,
+    started: float,
+    *,
+    broken: bool,
+) -> None:
+    witness = Witness(
+        _SERVICES, sent={'t': _READ}, disturbed={'one': [started]}
+    )
+    witness.limited = [Limited('u', 2, 10, 22)]
+    witness.arrivals = [
+        Arrival('u', 't', 10 + number / rate)
+        for number in range(int(rate * 12))
+    ]
+    found = {one.promise for one in witness.violations()}
+    assert found == ({Promise.NAMED_LIMIT} if broken else set())
+
+
 def test_stop_that_ends_badly_is_noticed() -> None:
     witness = Witness(_SERVICES, exits=[('one', -1), ('two', 0)])
     (violation,) = witness.violations()
