--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 policies: $(READY)
 	$(BIN)/python -m tests.steering.policies
 	$(BIN)/python -m tests.steering.crash_policies
+	$(BIN)/python -m tests.steering.limit_policies
 
 slopes: $(READY)
 	$(BIN)/python -m worksrail.bench.slopes every
