Tell of an answer as often as of the crashes before it

What callers saw: harmless requests were refused as held for up to 30 s at some entries after another one had had them answered. Cause: changes were told by the number of crashes, four in a digest, for 2 s; an answer, which has none, came last, so with more than four held it was never told, and whoever heard an old claim kept silent. Change: what was told least lately comes first; 64 changes in a digest of an entry, 128 in one of a zone, 64 in a heartbeat; a claim that an answer has refuted makes an entry tell the answer again.

--- a/tests/steering/crashing_world.py
+++ b/tests/steering/crashing_world.py
@@ -9,6 +9,7 @@
 import random
 from collections import Counter
 from dataclasses import dataclass, field
+from enum import Enum, unique
 
 from tests.steering.fleet_world import STEP, FleetWorld
 from tests.steering.world import HOST, of_type, upstream
@@ -36,6 +37,15 @@
 _RETURNS = 1
 
 
+@unique
+class Away(Enum):
+    """What callers of an upstream that crashed meet until it is back."""
+
+    REFUSES = 'no connection'
+    RESETS = 'a connection that is reset at once'
+    SILENT = 'a connection without any answer'
+
+
 @dataclass(slots=True)
 class Faults:
     """What is wrong with some requests and answers."""
@@ -43,6 +53,9 @@
     crashing: frozenset[str] = frozenset()
     """Targets under which upstreams crash."""
 
+    away: Away = Away.REFUSES
+    """What an upstream that crashed does until it is back."""
+
     lost: float = 0
     """Share of the answers whose connection breaks instead."""
 
@@ -60,6 +73,7 @@
     request: int
     attempt: int
     target: str
+    begun_at: float
     ends_at: float
 
 
@@ -187,12 +201,14 @@
         server = self.servers[send.upstream]
         target = self.callers[entry, send.request].target
         execution = _Execution(
-            entry, send.request, send.attempt, target, self.now
+            entry, send.request, send.attempt, target, self.now, self.now
         )
         if server.down_until <= self.now:
             self.sends.append(Send(self.now, entry, target))
             crashes = target in self.faults.crashing
             execution.ends_at += _CRASH_AFTER if crashes else _WORK
+        elif self.faults.away is Away.SILENT:
+            execution.ends_at = server.down_until
         server.executing.append(execution)
 
     def _execute(self) -> None:
@@ -202,13 +218,21 @@
                     continue
                 if server.down_until > self.now:
                     server.executing.remove(one)
-                    self._end(one, AttemptOutcome.NOT_CONNECTED)
+                    self._end(one, self._missed())
+                elif one.begun_at < server.down_until:
+                    server.executing.remove(one)
+                    self._end(one, AttemptOutcome.BROKE_BEFORE_ANSWER)
                 elif one.target in self.faults.crashing:
                     self.crash(name)
                 else:
                     server.executing.remove(one)
                     self._end(one, self._outcome())
 
+    def _missed(self) -> AttemptOutcome:
+        if self.faults.away is Away.REFUSES:
+            return AttemptOutcome.NOT_CONNECTED
+        return AttemptOutcome.BROKE_BEFORE_ANSWER
+
     def _outcome(self) -> AttemptOutcome:
         if self.draw.random() < self.faults.lost:
             return AttemptOutcome.BROKE_BEFORE_ANSWER
--- a/tests/steering/test_crashing_requests.py
+++ b/tests/steering/test_crashing_requests.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from tests.steering.crashing_world import CrashingWorld, Faults
+from tests.steering.crashing_world import Away, CrashingWorld, Faults
 from tests.steering.world import World, of_type, route, upstream
+from worksrail.core.quarantine import ToldCrashes
 from worksrail.core.results import ResultCode
 from worksrail.core.steering import ZoneDigest
 from worksrail.core.steering.effects import AnswerResult
@@ -21,6 +22,8 @@
 
 # Share of the requests beside a crashing one that may be held for a while.
 _MOST_HELD = 0.05
+# The same once entries know which requests crash upstreams.
+_FEW_HELD = 0.005
 _NINE = {'a1': 2, 'a2': 1, 'b1': 2, 'b2': 1, 'c1': 2, 'c2': 1}
 
 # Entries in each zone, share of the datagrams that are lost, seed.
@@ -122,6 +125,55 @@
     assert not world.codes[ResultCode.REQUEST_HELD.name]
 
 
+@pytest.mark.parametrize('away', list(Away))
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_requests_that_meet_upstreams_which_crashed_are_not_held(
+    away: Away,
+    seed: int,
+) -> None:
+    world = _world(_NINE, 0.1, seed, rate=120)
+    world.paths = 40
+    world.faults.away = away
+    for number in range(3):
+        world.ask(f'{_FAULTY}-{number}', faulty=True)
+    world.faults.crashing = frozenset(
+        f'{_FAULTY}-{number}' for number in range(3)
+    )
+    world.wait(8)
+    before = world.codes.copy()
+    world.wait(8)
+    later = world.codes - before
+    assert later[ResultCode.REQUEST_HELD.name] <= _FEW_HELD * later.total()
+    assert before[ResultCode.REQUEST_HELD.name] <= _MOST_HELD * before.total()
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_answer_lets_a_request_go_at_all_entries_within_a_second(
+    seed: int,
+) -> None:
+    world = _world(_NINE, 0.1, seed, rate=0)
+    fingerprints = range(1, 51)
+    for name in sorted(world.states):
+        for one in fingerprints:
+            world.states[name].quarantine.take(
+                ToldCrashes(one, _PROOFS, 0, one), world.now
+            )
+    world.wait(0.3)
+    first = world.states['b2-0'].quarantine
+    for one in fingerprints:
+        assert first.hold_time(one, world.now)
+        first.note_answer(one, world.now)
+    world.wait(1)
+    held = {
+        name: sum(
+            bool(state.quarantine.hold_time(one, world.now))
+            for one in fingerprints
+        )
+        for name, state in world.states.items()
+    }
+    assert not sum(held.values()), held
+
+
 def test_caller_of_a_held_request_is_told_when_it_is_tried_again() -> None:
     world = _world({'a1': 1}, 0, 1, rate=0)
     world.ask(_FAULTY, faulty=True)
--- a/worksrail/core/_quarantining.py
+++ b/worksrail/core/_quarantining.py
@@ -16,8 +16,8 @@
 )
 from worksrail.core.requests.active import ActiveRequest
 
-# Requests with crashes under them in one heartbeat.
-_CRASHES_LIMIT: Final = 8
+# Changes in what is known of requests with crashes under them, in a heartbeat.
+_CRASHES_LIMIT: Final = 64
 _BROKEN: Final = frozenset(
     (AttemptOutcome.BROKE_BEFORE_ANSWER, AttemptOutcome.BROKE_IN_ANSWER)
 )
--- a/worksrail/core/quarantine/_quarantine.py
+++ b/worksrail/core/quarantine/_quarantine.py
@@ -25,6 +25,8 @@
 # Seconds for which a change is told: several messages, each of which may be
 # lost.
 _TOLD_FOR: Final = 2.0
+# Requests that are held and told although nothing has changed, in one message.
+_HELD_TOLD: Final = 4
 # Ages are told in tenths of a second and grow on their way: an answer counts
 # as later than a crash that seems to be so many seconds younger.
 _AGE_ERROR: Final = 0.3
@@ -51,6 +53,7 @@
     crashed_at: float = -inf
     answered_at: float = -inf
     changed_at: float = -inf
+    told_at: float = -inf
     upstreams: set[int] = field(default_factory=set)
     last_upstream: int = 0
 
@@ -169,9 +172,11 @@
         *,
         with_held: bool = True,
     ) -> tuple[ToldCrashes, ...]:
-        """What to tell others: changes, and some requests that are held.
+        """What to tell others: some changes, and a few of what is held.
 
-        Instances that have just started know of none that are held.
+        Changes that were told least lately come first, so that an answer is
+        told as often as the crashes before it.  Instances that have just
+        started know of none that are held.
         """
         if not self.records:
             return ()
@@ -181,14 +186,15 @@
             for key, record in self.records.items()
             if now - record.changed_at < _TOLD_FOR
         ]
-        fresh.sort(key=self._rank, reverse=True)
+        fresh.sort(key=self._told_order)
         held = [
             key
             for key, record in self.records.items()
             if with_held and record.held and key not in fresh
         ]
         chosen = fresh[: most - bool(held)]
-        chosen += rng.sample(held, min(len(held), most - len(chosen)))
+        room = min(len(held), _HELD_TOLD, most - len(chosen))
+        chosen += rng.sample(held, room)
         return tuple(self._told(key, now) for key in chosen)
 
     def count_held(self, now: float) -> int:
@@ -205,6 +211,8 @@
         if record is None:
             record = self._add(told.fingerprint)
         if at <= record.answered_at + _AGE_ERROR:
+            # Who tells this has not heard of the answer.
+            record.changed_at = now
             return False
         record.upstreams.add(told.upstream)
         if told.count <= record.count:
@@ -242,9 +250,14 @@
         record = self.records[request]
         return record.count, record.changed_at
 
+    def _told_order(self, request: Fingerprint) -> tuple[float, int]:
+        record = self.records[request]
+        return record.told_at, -record.count
+
     def _told(self, request: Fingerprint, now: float) -> ToldCrashes:
         record = self.records[request]
         at = record.crashed_at if record.count else record.answered_at
+        record.told_at = now
         return ToldCrashes(
             request,
             record.count,
--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -45,9 +45,10 @@
 # Upstreams that a digest of one entry carries, and that of a zone.
 _IN_FLIGHT_LIMIT: Final = 60
 _ZONE_IN_FLIGHT_LIMIT: Final = 600
-# Requests with crashes under them, in a digest of one entry and of a zone.
-_CRASHES_LIMIT: Final = 4
-_ZONE_CRASHES_LIMIT: Final = 16
+# Changes in what is known of requests with crashes under them, in a digest of
+# one entry and of a zone.
+_CRASHES_LIMIT: Final = 64
+_ZONE_CRASHES_LIMIT: Final = 128
 # Limits that upstreams named, the same.
 _NAMED_LIMITS_LIMIT: Final = 32
 _ZONE_NAMED_LIMITS_LIMIT: Final = 96
