Count no crash for a request that meets an upstream which is still away

What callers saw: harmless requests refused as held while upstreams were away and accepted connections only to reset them or to stay silent. Cause: each entry counted the first break at such an upstream for the request. How one would know: the upstream had crashed before the attempt was begun, here or as another entry tells (crashes are told with the hash of their upstream), and has answered nothing since. Change: such a break counts for the upstream alone. The test fails on the code before.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -150,3 +150,33 @@
     quarantine = _held_since(0)
     news = quarantine.to_tell(4, 5, random.Random(1), with_held=with_held)
     assert len(news) == told
+
+
+# When the upstream answered last, when the attempt was begun, whether its break
+# counts for the request.  The upstream crashed at 10 s.
+@pytest.mark.parametrize('told', [False, True])
+@pytest.mark.parametrize(
+    ('well_at', 'sent_at', 'counts'),
+    [
+        (9.0, 9.5, True),
+        (9.0, 11.0, False),
+        (10.5, 11.0, True),
+    ],
+)
+def test_upstream_that_is_still_away_says_nothing_of_a_request(
+    well_at: float,
+    sent_at: float,
+    *,
+    told: bool,
+    counts: bool,
+) -> None:
+    quarantine = Quarantine()
+    if told:
+        other = Quarantine()
+        other.note_crash(1, Crash('u', 1, 9.0, 9.9), 10.0)
+        for one in other.to_tell(4, 10.0, random.Random(1)):
+            quarantine.take(one, 10.0)
+    else:
+        quarantine.note_crash(1, Crash('u', 1, 9.0, 9.9), 10.0)
+    crash = Crash('u', 1, well_at, sent_at)
+    assert quarantine.note_crash(2, crash, 11.1) == int(counts)
--- a/worksrail/core/_quarantining.py
+++ b/worksrail/core/_quarantining.py
@@ -59,6 +59,7 @@
             str(active.upstream),
             active.crash_number,
             instance.upstream_health(active.upstream).well_at,
+            active.sent_at,
         )
         crashes = instance.quarantine.note_crash(
             active.fingerprint, crash, event.now
--- a/worksrail/core/quarantine/_quarantine.py
+++ b/worksrail/core/quarantine/_quarantine.py
@@ -22,6 +22,8 @@
 _HOLDS_KEPT: Final = 2
 # Requests that are remembered at once.
 _MOST_RECORDS: Final = 1000
+# Upstreams whose last crash is remembered.
+_MOST_BROKEN: Final = 1000
 # Seconds for which a change is told: several messages, each of which may be
 # lost.
 _TOLD_FOR: Final = 2.0
@@ -46,6 +48,9 @@
     well_at: float = -inf
     """When the upstream last answered anything, as this instance knows."""
 
+    sent_at: float = -inf
+    """When the attempt was begun."""
+
 
 @dataclass(slots=True)
 class _Record:
@@ -88,13 +93,17 @@
     moment, whatever the cause, so count once for each request, and a request
     that was merely beside the one at fault has to meet it again and again.
     An upstream counts again only if it was well in between: one that breaks
-    under everything says nothing of a request.  An answer of any upstream
-    clears a request.
+    under everything says nothing of a request.  Nor does one that had crashed
+    before the attempt and has answered nothing since: it may still be away.
+    An answer of any upstream clears a request.
     """
 
     records: dict[Fingerprint, _Record] = field(default_factory=dict)
     """What is known, by request."""
 
+    broken: dict[int, float] = field(default_factory=dict)
+    """When upstreams crashed last, by the hashes of their names."""
+
     def hold_time(
         self,
         request: Fingerprint,
@@ -134,8 +143,13 @@
         now: float,
     ) -> int:
         """An upstream crashed under a request; gives the crashes in a row."""
-        record = self._record(request, now) or self._add(request)
         upstream = xxhash.xxh32_intdigest(crash.upstream.encode())
+        away = crash.well_at < self.broken.get(upstream, -inf) < crash.sent_at
+        self._note_broken(upstream, now)
+        record = self._record(request, now)
+        if away:
+            return record.count if record else 0
+        record = record or self._add(request)
         was_well = crash.well_at > record.crashed_at
         if upstream not in record.upstreams or was_well:
             record.count = max(record.count, crash.number)
@@ -208,6 +222,7 @@
         at: float,
         now: float,
     ) -> bool:
+        self._note_broken(told.upstream, at)
         if record is None:
             record = self._add(told.fingerprint)
         if at <= record.answered_at + _AGE_ERROR:
@@ -225,6 +240,12 @@
         record.changed_at = now
         return record.held and not was_held
 
+    def _note_broken(self, upstream: int, at: float) -> None:
+        last = self.broken.pop(upstream, -inf)
+        self.broken[upstream] = max(last, at)
+        if len(self.broken) > _MOST_BROKEN:
+            self.broken.pop(next(iter(self.broken)))
+
     def _record(self, request: Fingerprint, now: float) -> _Record | None:
         record = self.records.get(request)
         if record and record.is_stale(now):
--- a/worksrail/core/steering/_quarantining.py
+++ b/worksrail/core/steering/_quarantining.py
@@ -80,6 +80,7 @@
             request.upstream,
             request.crash_number,
             state.loads.of(request.upstream).well_at,
+            request.sent_at,
         )
         crashes = quarantine.note_crash(request.fingerprint, crash, event.now)
         request.crash_number = 0
