Show named limits as metrics

Cause: an operator who sees result 2114 had no figure for what upstreams name. Change: worksrail_limited_upstreams and worksrail_named_limit_per_second by service, worksrail_tokens_used; refusals are counted by result as all are.

--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.steering.world import World, route, upstream
+from worksrail.core.pacing import NamedLimit
 from worksrail.core.quarantine import Crash
 from worksrail.core.steering.effects import Decision, DecisionKind
 from worksrail.daemon.steered._metrics import SteeringMetrics
@@ -61,3 +62,12 @@
     metrics = SteeringMetrics.create()
     shown = metrics.render(world.state, world.now, 0).decode()
     assert 'worksrail_requests_held 1.0' in shown
+
+
+def test_named_limits_are_shown() -> None:
+    world = World((route('read'),), [upstream('1'), upstream('2')])
+    world.state.rates.named.limits.note('1', NamedLimit(5, world.now))
+    metrics = SteeringMetrics.create()
+    text = metrics.render(world.state, world.now, 0).decode()
+    assert 'worksrail_limited_upstreams{service="orders"} 1.0' in text
+    assert 'worksrail_named_limit_per_second{service="orders"} 5.0' in text
--- a/worksrail/core/pacing/_pacer.py
+++ b/worksrail/core/pacing/_pacer.py
@@ -87,6 +87,9 @@
     asked: dict[int, _Asked] = field(default_factory=dict)
     """Requests for tokens that were not answered yet, by number."""
 
+    used: int = 0
+    """Requests that were sent with a token since this was taken last."""
+
     next_look_at: float = 0
     """When to look next at who may issue tokens."""
 
@@ -135,8 +138,15 @@
     def note_sent(self, upstream: str, now: float) -> None:
         """A request is sent."""
         if self.is_limited(upstream):
+            self.used += 1
             self._stock(upstream).spend(now)
 
+    def take_used(self) -> int:
+        """Requests that were sent with a token; each is given once."""
+        used = self.used
+        self.used = 0
+        return used
+
     def obtain(self, upstream: str, now: float) -> Permission:
         """The same, with a token that this instance issues itself if it may.
 
--- a/worksrail/daemon/steered/_metrics.py
+++ b/worksrail/daemon/steered/_metrics.py
@@ -69,6 +69,15 @@
     requests_held: Gauge
     """Requests that are held because upstreams crashed under them."""
 
+    limited_upstreams: Gauge
+    """Upstreams that name a limit, by service."""
+
+    named_rate: Gauge
+    """Requests a second that these take together, by service."""
+
+    tokens_used: Counter
+    """Requests of this entry that went to upstreams with limits."""
+
     lines_dropped: Gauge
     """Log lines that nobody took."""
 
@@ -105,6 +114,17 @@
             gauge('worksrail_store_lost', 'Kinds that cannot be read'),
             gauge('worksrail_store_answer_age_seconds', 'Since an answer'),
             gauge('worksrail_requests_held', 'Requests held for crashes'),
+            gauge(
+                'worksrail_limited_upstreams',
+                'Upstreams that name a limit',
+                ['service'],
+            ),
+            gauge(
+                'worksrail_named_limit_per_second',
+                'Requests a second that they take',
+                ['service'],
+            ),
+            counter('worksrail_tokens_used', 'Requests sent with a token'),
             gauge('worksrail_log_lines_dropped', 'Log lines dropped'),
         )
 
@@ -134,6 +154,17 @@
 
     def render(self, state: SteeringState, now: float, dropped: int) -> bytes:
         """Bring the gauges up to date and give the text."""
+        self._show_services(state)
+        self.entries.set(len(state.fleet.alive(now)))
+        self.store_lost.set(len(state.lost))
+        age = state.catalog.pulse.age(now)
+        self.store_age.set(inf if age is None else age)
+        self.requests_held.set(state.quarantine.count_held(now))
+        self._show_limits(state)
+        self.lines_dropped.set(dropped)
+        return generate_latest(self.registry)
+
+    def _show_services(self, state: SteeringState) -> None:
         configuration = state.configuration
         if isinstance(configuration, RoutingConfiguration):
             self.version.set(configuration.version)
@@ -142,13 +173,15 @@
             self.in_flight.labels(service).set(
                 sum(state.loads.of(found.name).own for found in usable)
             )
-        self.entries.set(len(state.fleet.alive(now)))
-        self.store_lost.set(len(state.lost))
-        age = state.catalog.pulse.age(now)
-        self.store_age.set(inf if age is None else age)
-        self.requests_held.set(state.quarantine.count_held(now))
-        self.lines_dropped.set(dropped)
-        return generate_latest(self.registry)
+
+    def _show_limits(self, state: SteeringState) -> None:
+        pacer = state.rates.named
+        for service, usable in state.catalog.services.items():
+            rates = [pacer.rate_of(found.name) for found in usable]
+            named = [rate for rate in rates if rate is not None]
+            self.limited_upstreams.labels(service).set(len(named))
+            self.named_rate.labels(service).set(sum(named))
+        self.tokens_used.inc(pacer.take_used())
 
     def _series_of(self, customer: str) -> str:
         if len(self.customers) < _MOST_CUSTOMERS:
