Let a request ask for three tokens at the most

Cause: only time bounded the asking. Change: three tokens a request, in both modes; what is wanted is asked for by request, the rest (in advance, returns) once a tick. Tests beside it for parts that none noticed missing: tokens go back, are asked for in advance, an instance that is not the issuer issues nothing, digests tell of limits and of their ends, restarted entries hear of them, a pause clears tokens.

--- a/tests/steering/limiting_world.py
+++ b/tests/steering/limiting_world.py
@@ -20,7 +20,13 @@
     TokenRequest,
 )
 from worksrail.core.steering import Digest
-from worksrail.core.steering.effects import AnswerResult, Effect, SendUpstream
+from worksrail.core.steering.effects import (
+    AnswerResult,
+    Decision,
+    DecisionKind,
+    Effect,
+    SendUpstream,
+)
 from worksrail.core.steering.events import (
     AttemptEnded,
     AttemptOutcome,
@@ -127,6 +133,7 @@
         self.by_route: dict[str, Counter[str]] = defaultdict(Counter)
         self.route_of: dict[tuple[str, int], str] = {}
         self.pacing_messages = 0
+        self.awaited: Counter[tuple[str, int]] = Counter()
         self.cold_rate = demand.cold_rate if demand else 0
         self.routes = (route(), route('urgent', priority=0))
         self.records = ()
@@ -188,6 +195,11 @@
             most = max(most, last + 1 - first)
         return most
 
+    def rates_of(self, name: str) -> set[float | None]:
+        """What entries believe of an upstream's limit."""
+        states = self.states.values()
+        return {state.rates.named.rate_of(name) for state in states}
+
     def reached(self, name: str, since: float, until: float = 0) -> int:
         """Requests that reached an upstream in some time."""
         end = until or self.now
@@ -214,6 +226,9 @@
                     self.now + _WORK,
                 )
             )
+        for one in of_type(effects, Decision):
+            if one.kind is DecisionKind.TOKEN_AWAITED:
+                self.awaited[name, one.request] += 1
         for answer in of_type(effects, AnswerResult):
             self._count(name, answer.request, answer.code.name)
             self.delays.append(self.now - self.arrived_at[name, answer.request])
--- a/tests/steering/test_named_limits.py
+++ b/tests/steering/test_named_limits.py
@@ -13,6 +13,8 @@
     LimitingWorld,
     allowed,
 )
+from worksrail.core.steering import reduce
+from worksrail.core.steering.events import Ticked
 
 _ZONES = ('a1', 'a2', 'b1', 'b2', 'c1', 'c2')
 _REGIONS = {zone: zone[0] for zone in _ZONES}
@@ -26,6 +28,8 @@
 # Seconds that a request may wait for tokens: the way to another region and back
 # takes two steps of this world, and it may ask for two.
 _TOKEN_WAIT = 0.2 + 1e-6
+# Tokens that one request may wait for.
+_MOST_ASKED = 3
 # Share of the refusals and sends that wait for nothing.
 _AT_ONCE = 0.9
 
@@ -237,3 +241,44 @@
     asked = world.asked
     world.wait(5)
     assert world.pacing_messages <= 2 * (world.asked - asked)
+
+
+def test_request_asks_for_few_tokens_where_many_upstreams_are_limited() -> None:
+    world = LimitingWorld(
+        _NINE, _REGIONS, 0, upstreams=60, demand=Demand(300, (), 300)
+    )
+    world.limit(0.5, *world.names)
+    world.wait(6)
+    assert world.awaited
+    assert max(world.awaited.values()) <= _MOST_ASKED
+
+
+@pytest.mark.parametrize('restarts', [False, True])
+def test_entries_without_answers_hear_of_limits_and_of_their_ends(
+    *,
+    restarts: bool,
+) -> None:
+    world = _world(_NINE, 0.1, 100, entries=['a1-0'])
+    world.limit(5, 'u0')
+    # What has changed is told for two seconds only.
+    world.wait(5)
+    if restarts:
+        for name in sorted(set(world.states) - {'a1-0'}):
+            world.start(name)
+    world.wait(2)
+    assert world.rates_of('u0') == {5}
+    world.unlimit('u0')
+    world.wait(3)
+    assert world.rates_of('u0') == {None}
+
+
+def test_entry_that_stood_still_uses_none_of_its_tokens() -> None:
+    world = _world(_NINE, 0, 300)
+    world.limit(5, *_ALL)
+    world.wait(STABLE)
+    state = world.states['a1-0']
+    assert state.rates.named.stocks
+    reduce(state, Ticked(world.now + 2))
+    stocks = state.rates.named.stocks.values()
+    assert not sum(stock.tokens for stock in stocks)
+    assert not state.rates.named.issuer.owned
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -166,8 +166,9 @@
     requests = list(pacer.ask(50))
     assert requests
     for addressed in requests:
-        grant = pacer.serve(addressed.request, 60)
-        assert not any(share.count for share in grant.shares.values())
+        for now in (60, 70):
+            grant = pacer.serve(addressed.request, now)
+            assert not any(share.count for share in grant.shares.values())
 
 
 def test_grant_that_comes_too_late_is_not_used() -> None:
@@ -181,3 +182,49 @@
     assert pacer.give_up(51)
     assert not pacer.take(other.serve(addressed.request, 51), 51)
     assert not any(stock.tokens for stock in pacer.stocks.values())
+
+
+def _two_that_agree() -> tuple[Pacer, Pacer, str]:
+    """A user and an issuer of tokens, and an upstream of the latter."""
+    user, issuer = _pacer('one', 'two'), _pacer('two', 'one')
+    names = [f'u{number}' for number in range(20)]
+    for pacer in (user, issuer):
+        for name in names:
+            pacer.limits.note(name, _named(5, 0))
+    for name in names:
+        issuer.obtain(name, 50)
+    return user, issuer, next(iter(issuer.issuer.owned))
+
+
+def _ask(user: Pacer, issuer: Pacer, now: float) -> int:
+    """One round between them; gives the tokens that are returned."""
+    returned = 0
+    for addressed in user.ask(now):
+        returned += sum(addressed.request.unused.values())
+        user.take(issuer.serve(addressed.request, now), now)
+    return returned
+
+
+def test_tokens_that_nobody_uses_go_back_to_their_issuer() -> None:
+    user, issuer, upstream = _two_that_agree()
+    user.obtain(upstream, 60)
+    assert not _ask(user, issuer, 60)
+    assert user.permission(upstream, 60.1) is Permission.GRANTED
+    assert not _ask(user, issuer, 60.1)
+    level = issuer.issuer.owned[upstream].bucket.level
+    assert _ask(user, issuer, 60.4) == 1
+    assert issuer.issuer.owned[upstream].bucket.level >= min(level + 1, 2)
+    assert user.permission(upstream, 60.4) is not Permission.GRANTED
+
+
+def test_tokens_that_are_used_often_are_asked_for_in_advance() -> None:
+    user, issuer, upstream = _two_that_agree()
+    user.limits.note(upstream, _named(100, 51))
+    issuer.limits.note(upstream, _named(100, 51))
+    now = 60.0
+    for _ in range(200):
+        now += 0.02
+        if user.obtain(upstream, now) is Permission.GRANTED:
+            user.note_sent(upstream, now)
+        _ask(user, issuer, now)
+    assert user.stocks[upstream].tokens > 1
--- a/worksrail/core/_placing.py
+++ b/worksrail/core/_placing.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from worksrail.core._tokens import has_token
+from worksrail.core._tokens import MOST_ASKED, has_token
 from worksrail.core.bundle import ServiceView, Topology
 from worksrail.core.effects import Effect, Note, NoteKind, SendUpstream
 from worksrail.core.identity import RegionName
@@ -235,8 +235,10 @@
     drawn.sort(
         key=lambda key: instance.upstream_health(key).score(typical, now)
     )
+    asked = 0
     for key in drawn:
-        if not has_token(instance, key, now):
+        if not has_token(instance, key, now, may_ask=asked < MOST_ASKED):
+            asked += 1
             continue
         hold = instance.ledger.take(key, now)
         if isinstance(hold, Hold):
--- a/worksrail/core/_tokens.py
+++ b/worksrail/core/_tokens.py
@@ -8,13 +8,24 @@
 from worksrail.core.pacing import Permission
 from worksrail.core.permits import PoolKey, slot_group
 
-# Seconds for which a request waits for a token that was asked for.
 TOKEN_PATIENCE: Final = 0.3
+"""Seconds for which a request waits for a token that was asked for."""
 
+MOST_ASKED: Final = 3
+"""Tokens that one request asks for at once."""
 
-def has_token(instance: Instance, upstream: PoolKey, now: float) -> bool:
+
+def has_token(
+    instance: Instance,
+    upstream: PoolKey,
+    now: float,
+    *,
+    may_ask: bool,
+) -> bool:
     """Whether a request may go there now; a token is asked for if not."""
     pacer = instance.pacer
+    if not may_ask:
+        return pacer.permission(upstream, now) is Permission.GRANTED
     permission = pacer.obtain(upstream, now)
     if permission is Permission.DENIED:
         pacer.want(upstream)
--- a/worksrail/core/pacing/_pacer.py
+++ b/worksrail/core/pacing/_pacer.py
@@ -87,6 +87,9 @@
     asked: dict[int, _Asked] = field(default_factory=dict)
     """Requests for tokens that were not answered yet, by number."""
 
+    wanting: set[str] = field(default_factory=set)
+    """Upstreams whose tokens are wanted and were not asked for yet."""
+
     used: int = 0
     """Requests that were sent with a token since this was taken last."""
 
@@ -130,6 +133,7 @@
     def want(self, upstream: str) -> None:
         """A request would have gone there with a token."""
         self._stock(upstream).wanted += 1
+        self.wanting.add(upstream)
 
     def wait(self, upstream: str, now: float) -> float:
         """Seconds until its issuer expects to have a token."""
@@ -156,7 +160,7 @@
         stock = self._stock(upstream)
         if found is Permission.ASKABLE:
             if self._issuer_of(upstream) != self.name:
-                stock.wanted += 1
+                self.want(upstream)
                 return found
             stock.take(self._issue(upstream, 1, 0, now), now)
             return self.permission(upstream, now)
@@ -198,15 +202,27 @@
         """The process stood still: tokens are old, others issue by now."""
         self.issuer.owned.clear()
         self.stocks.clear()
+        self.wanting.clear()
         self.asked.clear()
 
     # -- messages
 
-    def ask(self, now: float) -> Iterator[AddressedRequest]:
-        """Ask for what is wanted, and return what was not used."""
+    def ask(
+        self,
+        now: float,
+        *,
+        for_all: bool = True,
+    ) -> Iterator[AddressedRequest]:
+        """Ask for what is wanted.
+
+        For all upstreams, ask in advance too, and return what was not used.
+        """
         wanted: dict[InstanceName, dict[str, int]] = {}
         unused: dict[InstanceName, dict[str, int]] = {}
-        for upstream, stock in self.stocks.items():
+        names = tuple(self.stocks) if for_all else sorted(self.wanting)
+        self.wanting.clear()
+        for upstream in names:
+            stock = self._stock(upstream)
             issuer = self._issuer_of(upstream)
             if not issuer or not self.is_limited(upstream):
                 stock.clear()
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -22,7 +22,7 @@
     price_of,
     use_of_slots,
 )
-from worksrail.core.steering._tokens import may_wait_for_token
+from worksrail.core.steering._tokens import may_ask_for_token
 from worksrail.core.steering._waiting import patience
 from worksrail.core.steering.state import SteeringState
 
@@ -197,7 +197,7 @@
         if permission is Permission.GRANTED and not self.yields:
             return True
         if permission is Permission.ASKABLE:
-            if may_wait_for_token(self.request, self.now):
+            if may_ask_for_token(self.request, self.now):
                 return True
         self.limited.append(name)
         return False
--- a/worksrail/core/steering/_placing.py
+++ b/worksrail/core/steering/_placing.py
@@ -13,6 +13,7 @@
 from worksrail.core.steering._routes import RoutingConfiguration
 from worksrail.core.steering._tokens import (
     await_token,
+    obtain_token,
     pause_until_token,
 )
 from worksrail.core.steering.effects import (
@@ -82,7 +83,8 @@
         choice = choose(state, request, now)
         if isinstance(choice, ResultCode):
             return choice, Permission.DENIED
-        permission = state.rates.named.obtain(choice.upstream.name, now)
+        name = choice.upstream.name
+        permission = obtain_token(state, request, name, now)
         if permission is not Permission.DENIED:
             return choice, permission
 
--- a/worksrail/core/steering/_request.py
+++ b/worksrail/core/steering/_request.py
@@ -73,6 +73,9 @@
     asking_since: float = 0
     """When it first asked for a token of an upstream; zero if it did not."""
 
+    tokens_asked: int = 0
+    """Tokens that it asked for."""
+
     tried: set[str] = field(default_factory=set)
     """Upstreams that it shall not go to again."""
 
--- a/worksrail/core/steering/_tokens.py
+++ b/worksrail/core/steering/_tokens.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from worksrail.core.pacing import Permission
 from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering.effects import (
     Decision,
@@ -13,13 +14,32 @@
 from worksrail.core.steering.state import SteeringState
 
 # Seconds from the first token that a request asks for in which it may ask for
-# others, if answers are lost or some are denied.
+# others, if answers are lost or some are denied, and most that it asks for: a
+# service may have hundreds of upstreams with limits.
 _ASKING: Final = 0.4
+_MOST_ASKED: Final = 3
 
 
-def may_wait_for_token(request: SteeredRequest, now: float) -> bool:
-    """Whether a request may still wait for a token."""
-    return not request.asking_since or now - request.asking_since < _ASKING
+def may_ask_for_token(request: SteeredRequest, now: float) -> bool:
+    """Whether a request may still ask for a token."""
+    if not request.tokens_asked:
+        return True
+    in_time = now - request.asking_since < _ASKING
+    return in_time and request.tokens_asked < _MOST_ASKED
+
+
+def obtain_token(
+    state: SteeringState,
+    request: SteeredRequest,
+    upstream: str,
+    now: float,
+) -> Permission:
+    """Whether a request may go to an upstream, with a token if it needs one."""
+    pacer = state.rates.named
+    if pacer.permission(upstream, now) is Permission.ASKABLE:
+        request.asking_since = request.asking_since or now
+        request.tokens_asked += 1
+    return pacer.obtain(upstream, now)
 
 
 def await_token(
@@ -29,18 +49,19 @@
     now: float,
 ) -> Iterator[Effect]:
     """Let a request wait for a token of an upstream."""
-    request.asking_since = request.asking_since or now
     state.rates.waiting[request.number] = upstream
     yield Decision(DecisionKind.TOKEN_AWAITED, upstream, request.number)
-    yield from send_token_requests(state, now)
+    yield from send_token_requests(state, now, for_all=False)
 
 
 def send_token_requests(
     state: SteeringState,
     now: float,
+    *,
+    for_all: bool = True,
 ) -> Iterator[SendPacingMessage]:
     """Ask for the tokens that are wanted, and return those not used."""
-    for addressed in state.rates.named.ask(now):
+    for addressed in state.rates.named.ask(now, for_all=for_all):
         yield SendPacingMessage(addressed.peer, addressed.request)
 
 
