--- a/tests/limits/test_quotas_over_a_fleet.py
+++ b/tests/limits/test_quotas_over_a_fleet.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from tests.limits.staggered import StaggeredQuotas
 from worksrail.bench.limits import (
     WAYS,
     Asking,
@@ -67,6 +68,20 @@
     assert _owned(plan).inside <= most
 
 
+@pytest.mark.parametrize('share', [0.6, 1])
+@pytest.mark.parametrize('seed', range(1, 7))
+def test_quota_holds_though_entries_learn_of_each_other_at_different_times(
+    seed: int,
+    share: float,
+) -> None:
+    customers = mixed_customers(40, 67 * 12.0, hot=(3.0, 10.0, 7.5))
+    killed = (Fault(6, FaultKind.KILL, share),)
+    plan = Plan(67, customers, killed, seconds=14, seed=seed)
+    outcome = play(plan, StaggeredQuotas.of)
+    assert outcome.worst <= 1
+    assert outcome.inside <= 0.01
+
+
 def test_equal_shares_refuse_small_customers() -> None:
     # What speaks for one owner: the same callers, nothing wrong.
     plan = _plan(45, 'none', hot=False)
