--- a/tests/steering/test_named_limits.py
+++ b/tests/steering/test_named_limits.py
@@ -26,6 +26,7 @@
     CallerGone,
     PacingMessageReceived,
     Ticked,
+    UpstreamsListed,
 )
 
 _ZONES = ('a1', 'a2', 'b1', 'b2', 'c1', 'c2')
@@ -290,8 +291,8 @@
     world = _world(_NINE, 0, 300)
     world.limit(5, *_ALL)
     world.wait(STABLE)
-    state = world.states['a1-0']
-    assert state.rates.named.stocks
+    states = world.states.values()
+    state = next(one for one in states if one.rates.named.issuer.owned)
     reduce(state, Ticked(world.now + 2))
     stocks = state.rates.named.stocks.values()
     assert not sum(stock.tokens for stock in stocks)
@@ -353,3 +354,14 @@
     world.wait(10)
     codes = world.codes - before
     assert codes.total() - codes['OK'] <= _HARDLY_ANY * codes.total()
+
+
+def test_limit_of_an_upstream_that_is_gone_is_forgotten() -> None:
+    world = World((route('read'),), [upstream('u'), upstream('other')])
+    pacer = world.state.rates.named
+    pacer.limits.note('u', NamedLimit(5, world.now))
+    pacer.obtain('u', world.now)
+    world.run(UpstreamsListed(world.now, (upstream('other'),), 2))
+    world.wait(3)
+    assert not pacer.has_limits
+    assert 'u' not in pacer.stocks
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -3,7 +3,11 @@
 import pytest
 
 from worksrail.bench.world import Traffic, World, WorldPlan
-from worksrail.core.bundle import Bundle, parse_bundle
+from worksrail.bench.world._process import FakeProcess
+from worksrail.core.bundle import Bundle, Upstream, parse_bundle
+from worksrail.core.events import Ticked
+from worksrail.core.permits import PoolKey
+from worksrail.core.reducer import reduce
 from worksrail.core.results import ResultCode
 from worksrail.core.settings import CoreSettings
 
@@ -132,3 +136,35 @@
     _play(world, 3)
     times = world.upstreams['orders-0'].taken_at
     assert sum(at >= begin for at in times) / 3 >= usual / 2
+
+
+def test_instances_without_answers_hear_of_limits() -> None:
+    world = _world(3)
+    _limit(world, 5, 'orders-0')
+    end = world.clock.now + 4
+    world.load(Traffic('orders', 'north', 100, end))
+    world.run_until(end)
+    believed = {
+        process.instance.pacer.rate_of(key)
+        for process in world.processes.values()
+        for key, (_, found) in _upstreams(process).items()
+        if found.name == 'orders-0'
+    }
+    assert believed == {5}
+
+
+def test_instance_that_stood_still_uses_none_of_its_tokens() -> None:
+    world = _world(3)
+    _limit(world, 5)
+    _play(world, 4)
+    instances = [one.instance for one in world.processes.values()]
+    instance = next(one for one in instances if one.pacer.issuer.owned)
+    pause = instance.settings.pause_limit + 1
+    reduce(instance, Ticked(world.clock.now + pause, world.clock.now + pause))
+    assert not any(one.tokens for one in instance.pacer.stocks.values())
+    assert not instance.pacer.issuer.owned
+
+
+def _upstreams(process: FakeProcess) -> dict[PoolKey, tuple[str, Upstream]]:
+    topology = process.instance.configuration.topology
+    return topology.upstreams if topology else {}
