Let the soak's starter keep its part of a reload and start again what ended

Cause: the soak's starter gave SIGHUP its default action, signalled entries that had not run their first line, and started nothing again that ended. The platform starts again what ends, so the soak showed callers what they never see.

Change: the starter blocks SIGHUP in the child, as docs/operators/starting.md asks, starts again after 0.3 s what ended without having been told to, and counts each such end as a violation of its own, STAYS_UP. It is not weaker: RECOVERY still asks that all serve, and an entry that ends for any other reason, seen by nothing before if it was started again by a later step, is seen now (planted: SIGKILL and SIGABRT at an entry that serves).

--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -9,11 +9,14 @@
 """
 
 import asyncio
+import signal
 from pathlib import Path
 
 import pytest
 
-from tests.soak._soak import play_seed
+from tests.soak._repeats import Budget
+from tests.soak._soak import play_seed, wait_served
+from tests.soak._world import SoakWorld
 
 
 @pytest.mark.parametrize(
@@ -53,6 +56,26 @@
     assert not result.violations
 
 
+@pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGABRT])
+def test_entry_that_ends_by_itself_is_started_again_and_counted(
+    number: signal.Signals, tmp_path: Path
+) -> None:
+    async def play() -> None:
+        world = SoakWorld(tmp_path, 2, 1, Budget())
+        try:
+            await world.open('ab')
+            await wait_served(world)
+            host = world.hosts[0]
+            world.signal(host, number)
+            await world.processes[host].wait()
+            assert not await wait_served(world)
+            assert world.witness.ends == [(host, -number)]
+        finally:
+            await world.close()
+
+    asyncio.run(play())
+
+
 # Whether there are faults besides callers that move and upstreams that reject.
 @pytest.mark.parametrize('faulty', [True, False])
 def test_repeats_of_all_entries_stay_within_their_budget(
--- a/tests/soak/_promises.py
+++ b/tests/soak/_promises.py
@@ -35,6 +35,7 @@
     ROUTED = 'a request is executed by a service that its route names'
     PLANNED_STOP = 'a planned stop cuts no request that is executed'
     CLEAN_EXIT = 'an entry that was told to stop ends with exit code 0'
+    STAYS_UP = 'an entry ends only when it is told to'
     RECOVERY = 'all entries serve again once the faults are over'
     NAMED_LIMIT = 'an upstream that names a limit gets no more than it allows'
     FEW_REPEATS = 'repeats over all entries stay within the budget they share'
@@ -193,6 +194,9 @@
     exits: list[tuple[str, int | None]] = field(default_factory=list)
     """Entries that were told to stop, and their exit codes."""
 
+    ends: list[tuple[str, int]] = field(default_factory=list)
+    """Entries that ended without having been told to, and their exit codes."""
+
     crashes: list[Crash] = field(default_factory=list)
     """Crashes under the request that causes them, in order."""
 
@@ -221,6 +225,10 @@
             for entry, code in self.exits
             if code
         ]
+        found += [
+            Violation(Promise.STAYS_UP, entry, f'exit code {code}')
+            for entry, code in self.ends
+        ]
         found += [
             Violation(Promise.FEW_REPEATS, one.service, str(one))
             for one in self.repeats()
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -5,7 +5,7 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import TypeVar
 
@@ -79,9 +79,6 @@
     versions: int = 0
     """Configurations written."""
 
-    restarting: set[str] = field(default_factory=set)
-    """Entries that are being stopped or started."""
-
     async def play(self, steps: list[Step], seconds: float) -> None:
         """Play all faults, each in its own task."""
         begin = self.world.clock()
@@ -124,15 +121,11 @@
 
     async def _restart(self, step: Step, number: signal.Signals) -> None:
         host = _pick(self.world.hosts, step)
-        if host in self.restarting:
+        if host in self.world.restarting:
             return
-        self.restarting.add(host)
-        self.world.signal(host, number)
-        code = await self.world.ended(host)
+        code = await self.world.restart(host, number)
         if number is signal.SIGTERM:
             self.world.witness.exits.append((host, code))
-        await self.world.start(host)
-        self.restarting.discard(host)
 
     async def freeze(self, step: Step) -> None:
         """Stop an entry for a while by a signal."""
@@ -251,7 +244,7 @@
     world = SoakWorld(folder, entries, seed, budget)
     try:
         await world.open(_MANY_UPSTREAMS if rejecting else _FEW_UPSTREAMS)
-        await _all_serve(world)
+        await wait_served(world)
         if rejecting:
             world.turns = Turns(world.clock(), rejecting)
         callers = _start_callers(world)
@@ -262,7 +255,7 @@
         await Soak(world).play(steps, seconds)
         _end_limits(world)
         world.turns = None
-        world.witness.silent = await _all_serve(world)
+        world.witness.silent = await wait_served(world)
     finally:
         for caller in callers:
             caller.cancel()
@@ -340,7 +333,7 @@
             world.witness.limited.append(span)
 
 
-async def _all_serve(world: SoakWorld) -> set[str]:
+async def wait_served(world: SoakWorld) -> set[str]:
     """Wait until all entries serve; gives those that do not."""
     silent = set(world.hosts)
     limit = world.clock() + _PATIENCE
--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -12,7 +12,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 
-from tests.hangups import take_hangups
+from tests.hangups import keep_hangups
 from tests.platform.test_decoding import CONFIGURATION, SETTINGS
 from tests.soak._promises import Arrival, Crash, Witness
 from tests.soak._proxy import Proxy
@@ -29,6 +29,8 @@
 _AWAY = 1.5
 # Seconds that a process may take to end once it was told to.
 _LAST_END = 30.0
+# Seconds after which an entry that ended by itself is started again.
+_RESTART_DELAY = 0.3
 
 
 class SoakWorld:
@@ -55,6 +57,8 @@
         self.ports = [_free_port() for _ in _PORTS]
         self.inner = _free_port()
         self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.watches: dict[str, asyncio.Task[None]] = {}
+        self.restarting: set[str] = set()
         self.store_links: dict[str, Proxy] = {}
         self.upstreams: list[Upstream] = []
         self.upstream_links: list[Proxy] = []
@@ -74,6 +78,9 @@
 
     async def close(self) -> None:
         """End everything."""
+        for watch in self.watches.values():
+            watch.cancel()
+        await asyncio.gather(*self.watches.values(), return_exceptions=True)
         for process in self.processes.values():
             if process.returncode is None:
                 process.kill()
@@ -105,8 +112,23 @@
                 cwd=_ROOT,
                 stdout=log,
                 stderr=log,
-                preexec_fn=take_hangups,
+                preexec_fn=keep_hangups,
             )
+        self.watches[host] = asyncio.ensure_future(self._watch(host))
+
+    async def restart(self, host: str, number: signal.Signals) -> int:
+        """End an entry by a signal and start it again; gives its exit code."""
+        self.restarting.add(host)
+        self.watches[host].cancel()
+        process = self.processes[host]
+        if process.returncode is not None:
+            self.witness.ends.append((host, process.returncode))
+        self.signal(host, number)
+        async with asyncio.timeout(_LAST_END):
+            code = await process.wait()
+        await self.start(host)
+        self.restarting.discard(host)
+        return code
 
     def signal(self, host: str, number: signal.Signals) -> None:
         """Send a signal to an entry that runs."""
@@ -114,15 +136,19 @@
         if process.returncode is None:
             process.send_signal(number)
 
-    async def ended(self, host: str) -> int:
-        """Wait until the process of an entry has ended; its exit code."""
-        async with asyncio.timeout(_LAST_END):
-            return await self.processes[host].wait()
-
     def front(self, host: str) -> str:
         """Address for callers of an entry."""
         return f'{host}:{self.ports[0]}'
 
+    async def _watch(self, host: str) -> None:
+        """Start an entry again that ends without having been told to."""
+        code = await self.processes[host].wait()
+        self.restarting.add(host)
+        self.witness.ends.append((host, code))
+        await asyncio.sleep(_RESTART_DELAY)
+        await self.start(host)
+        self.restarting.discard(host)
+
     def _settings(self, host: str) -> dict[str, Any]:
         settings: dict[str, Any] = json.loads(json.dumps(SETTINGS))
         listen = {
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -109,6 +109,12 @@
     assert violation.promise is Promise.RECOVERY
 
 
+def test_entry_that_ends_by_itself_is_noticed() -> None:
+    witness = Witness(_SERVICES, ends=[('one', -1)])
+    (violation,) = witness.violations()
+    assert violation.promise is Promise.STAYS_UP
+
+
 # Seconds at which upstreams crash, when the entry was started, and
 # whether that is too often.
 @pytest.mark.parametrize(
