Split the life of a request in the product's own mode into three modules

Cause: core/_on_requests.py had grown to 567 lines with three jobs. Change: where a request goes (_dispatching), how it ends (_finishing), what its events do (_on_requests): 282, 75 and 216 lines. Functions are moved, none is changed. Checked: 221 tests of the own mode's decisions (scenarios, mutations, fuzz, retries, limits, customers, crashing requests) pass, linters and types clean.

--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -3,7 +3,7 @@
 import pytest
 
 from worksrail.bench.world import Outcome, Traffic, World, WorldPlan
-from worksrail.core._on_requests import pump
+from worksrail.core._dispatching import pump
 from worksrail.core.bundle import Bundle, parse_bundle
 from worksrail.core.effects import AnswerResult, SendUpstream
 from worksrail.core.events import PassEnded
--- a/worksrail/core/_arriving.py
+++ b/worksrail/core/_arriving.py
@@ -3,8 +3,9 @@
 from collections.abc import Iterator
 
 from worksrail.core._admission import admitted
+from worksrail.core._finishing import finish, refusal
 from worksrail.core._members import members_by_region
-from worksrail.core._on_requests import begin, finish, refusal
+from worksrail.core._on_requests import begin
 from worksrail.core._quarantining import fingerprint_of
 from worksrail.core.effects import AnswerResult, Effect, SendMessage
 from worksrail.core.events import RequestArrived
--- /dev/null
+++ b/worksrail/core/_finishing.py
@@ -0,0 +1,75 @@
+"""The end of a request: its answer, or why it is refused."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from worksrail.core._placing import retry_after
+from worksrail.core._retrying import told_code
+from worksrail.core.effects import AnswerResult, Effect, Note, NoteKind
+from worksrail.core.instance import Instance
+from worksrail.core.limits import quota_name
+from worksrail.core.requests.active import ActiveRequest
+from worksrail.core.results import Certainty, ResultCode
+
+_UNAVAILABLE: Final = 503
+
+
+def finish(
+    instance: Instance,
+    active: ActiveRequest,
+    code: ResultCode,
+    now: float,
+    wait: float = 0,
+) -> Iterator[Effect]:
+    """Answer a request with a result code: its final answer, at once.
+
+    *Not run* is only said if it is true of every attempt that was made.
+    """
+    code = told_code(active, code)
+    if active.maybe_run and code.certainty is Certainty.NOT_RUN:
+        code = ResultCode.UPSTREAM_BROKE
+    executed = code.certainty is not Certainty.NOT_RUN
+    if active.admitted and not executed:
+        instance.limits.give_back(quota_name(active.customer))
+    close(instance, active, executed=executed)
+    yield from refusal(instance, active.number, active.service, code, now, wait)
+
+
+def refusal(
+    instance: Instance,
+    number: int,
+    service: str,
+    code: ResultCode,
+    now: float,
+    wait: float = 0,
+) -> Iterator[Effect]:
+    """Tell a caller why its request is refused, and when to come back."""
+    delay = wait
+    entry = ''
+    if code.http_status == _UNAVAILABLE and not wait:
+        delay = retry_after(instance, service)
+    if code in {ResultCode.ENTRY_LEAVING, ResultCode.NOT_READY}:
+        entry = _other_entry(instance, now)
+    yield Note(NoteKind.REQUEST_REFUSED, code.name, number)
+    yield AnswerResult(number, code, delay, entry)
+
+
+def close(
+    instance: Instance,
+    active: ActiveRequest,
+    *,
+    executed: bool,
+) -> None:
+    """Forget a request; its key, if it claimed one, is settled."""
+    instance.requests.pop(active.number, None)
+    if active.claimed_key:
+        instance.memory.settle(active.claimed_key, executed=executed)
+
+
+def _other_entry(instance: Instance, now: float) -> str:
+    near = instance.membership.open_for_work(
+        now, instance.settings, instance.place.region
+    )
+    far = instance.membership.open_for_work(now, instance.settings)
+    records = (*near, *far)
+    return records[0].endpoints.caller if records else ''
--- a/worksrail/core/_on_messages.py
+++ b/worksrail/core/_on_messages.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 
 from worksrail.core._arriving import on_limit_message
+from worksrail.core._dispatching import pump
 from worksrail.core._on_configuration import judge_head, take_drains
-from worksrail.core._on_requests import pump
 from worksrail.core._on_time import follow_seats
 from worksrail.core._pacing import hear_of_limits, take_pacing_message
 from worksrail.core._quarantining import hear_of_crashes
--- a/worksrail/core/_on_time.py
+++ b/worksrail/core/_on_time.py
@@ -6,16 +6,16 @@
 
 from worksrail.core._arriving import tend_limits
 from worksrail.core._borrowing import borrow_all, sent
+from worksrail.core._dispatching import (
+    give_up_retries,
+    give_up_waiting,
+    pump,
+)
 from worksrail.core._on_configuration import (
     cached_answers_end,
     refresh_ceilings,
     retry_fetch,
 )
-from worksrail.core._on_requests import (
-    give_up_retries,
-    give_up_waiting,
-    pump,
-)
 from worksrail.core._pacing import limits_to_tell, tend_pacing
 from worksrail.core._quarantining import crashes_to_tell
 from worksrail.core.effects import (
