Do not lose exit codes and ends of entries in the soak

What was seen by a review: two of 12 stops beside a storm of SIGHUP were called CLEAN_EXIT with 255, and of 40 entries that ended by SIGABRT just before a kill none was counted.

Cause: the process's own send_signal polls, which may reap the child before the loop's watcher does, so its exit code is lost; and an end was only counted if the loop had seen it before the kill.

Change: signals go by the process's id; an end by another signal than the one that was sent counts.

--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import json
+import os
 import random
 import signal
 import sys
-from contextlib import closing
+from contextlib import closing, suppress
 from pathlib import Path
 from typing import Any
 
@@ -121,11 +122,12 @@
         self.restarting.add(host)
         self.watches[host].cancel()
         process = self.processes[host]
-        if process.returncode is not None:
-            self.witness.ends.append((host, process.returncode))
+        had_ended = process.returncode is not None
         self.signal(host, number)
         async with asyncio.timeout(_LAST_END):
             code = await process.wait()
+        if had_ended or (number is signal.SIGKILL and code != -number):
+            self.witness.ends.append((host, code))
         await self.start(host)
         self.restarting.discard(host)
         return code
@@ -134,7 +136,10 @@
         """Send a signal to an entry that runs."""
         process = self.processes[host]
         if process.returncode is None:
-            process.send_signal(number)
+            # The process's own method may reap it before the loop does, and
+            # its exit code is lost.
+            with suppress(ProcessLookupError):
+                os.kill(process.pid, number)
 
     def front(self, host: str) -> str:
         """Address for callers of an entry."""
