Tell a starter that does not listen without waiting for it

What callers would have seen, found by a review of the change before: with a NOTIFY_SOCKET whose queue is full both programs hung before they served, and SIGTERM was not taken for 8 s.

Cause: a datagram to a full socket blocks, and it was sent before the program served.

The new test fails on the change before (nothing is served) and passes; the other tests of starts now end each program with SIGTERM and ask for exit code 0, so one that dies after a reload is noticed, and connect to the callers' address when the starter is told, so READY before the sockets listen is. The unit starts an entry again however often it ended.

--- a/tests/processes/test_signals.py
+++ b/tests/processes/test_signals.py
@@ -12,7 +12,7 @@
 import sys
 import time
 from collections.abc import Callable, Iterator
-from contextlib import closing, contextmanager
+from contextlib import closing, contextmanager, suppress
 from itertools import cycle
 from pathlib import Path
 from typing import Final
@@ -52,6 +52,7 @@
 _PATIENCE: Final = 30.0
 # Seconds between two signals of a storm.
 _STORM_GAP: Final = 0.002
+_SETTINGS: Final = 'settings.json'
 _SERVING: Final = ('"message":"started"', '"message":"serving"')
 _RELOAD: Final = '"message":"reload asked for"'
 
@@ -75,7 +76,7 @@
         'Platform': {'Address': next(address)},
         'Listen': {name: next(address) for name in names},
     }
-    path = folder / 'settings.json'
+    path = folder / _SETTINGS
     path.write_text(json.dumps(SETTINGS | settings))
     return ['worksrail.platform']
 
@@ -105,14 +106,14 @@
         **environment: str,
     ) -> None:
         """Start it; the starter acts in the child before the program does."""
-        words = command(folder)
+        self.words = command(folder)
         self.path = folder / 'log'
         with self.path.open('ab') as log:
             self.process = subprocess.Popen(
-                [sys.executable, '-m', *words],
+                [sys.executable, '-m', *self.words],
                 cwd=_ROOT,
                 env={
-                    'WORKSRAIL_CONFIG': str(folder / 'settings.json'),
+                    'WORKSRAIL_CONFIG': str(folder / _SETTINGS),
                     'PATH': '',
                 }
                 | environment,
@@ -121,6 +122,19 @@
                 preexec_fn=starter,
             )
 
+    @property
+    def front(self) -> tuple[str, int]:
+        """Address for callers."""
+        for word in self.words:
+            name, _, address = word.partition('=')
+            if name == '--caller':
+                break
+        else:
+            settings = json.loads((self.path.parent / _SETTINGS).read_text())
+            address = settings['Listen']['Front']
+        host, _, port = address.partition(':')
+        return host, int(port)
+
     def is_written(self, *texts: str, times: int = 1) -> bool:
         """Whether its log has one of some texts so many times."""
         written = self.path.read_text()
@@ -201,9 +215,12 @@
     starter: Callable[[], None] = take_hangups,
     **environment: str,
 ) -> Iterator[Program]:
+    """Run a program that serves on until it is told to stop."""
     running = Program(command, folder, starter, **environment)
     try:
         yield running
+        running.process.send_signal(signal.SIGTERM)
+        assert running.process.wait(_PATIENCE) == 0, running.path.read_text()
     finally:
         running.process.kill()
         running.process.wait()
@@ -250,14 +267,39 @@
 def test_reload_as_soon_as_the_starter_is_told_is_taken(
     command: Callable[[Path], list[str]], abstract: bool, tmp_path: Path
 ) -> None:
-    name = f'@{tmp_path}' if abstract else str(tmp_path / 'starter')
+    path = str(tmp_path / 'starter')
     with socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as told:
-        told.bind(name.replace('@', '\0'))
+        told.bind(f'\0{path}' if abstract else path)
         told.settimeout(_PATIENCE)
+        name = f'@{path}' if abstract else path
         with _started(command, tmp_path, NOTIFY_SOCKET=name) as running:
             assert told.recv(100).strip() == b'READY=1'
+            socket.create_connection(running.front, _PATIENCE).close()
+            running.process.send_signal(signal.SIGHUP)
+            running.wait_written(_RELOAD)
+
+
+@pytest.mark.parametrize('command', [_platform_entry, _worksraild])
+def test_starter_that_does_not_listen_keeps_nobody_from_serving(
+    command: Callable[[Path], list[str]], tmp_path: Path
+) -> None:
+    name = str(tmp_path / 'starter')
+    with (
+        socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as told,
+        socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as other,
+    ):
+        told.bind(name)
+        told.settimeout(_PATIENCE)
+        other.setblocking(False)
+        with suppress(BlockingIOError):
+            while True:
+                other.sendto(b'STATUS=busy', name)
+        with _started(command, tmp_path, NOTIFY_SOCKET=name) as running:
+            running.wait_serving()
             running.process.send_signal(signal.SIGHUP)
             running.wait_written(_RELOAD)
+            while told.recv(100).strip() != b'READY=1':
+                pass
 
 
 @pytest.mark.parametrize('command', [_platform_entry, _worksraild])
--- a/tests/test_service_unit.py
+++ b/tests/test_service_unit.py
@@ -9,18 +9,19 @@
 
 
 @pytest.mark.parametrize(
-    ('key', 'expected'),
+    ('section', 'key', 'expected'),
     [
-        ('Type', 'notify'),
-        ('NotifyAccess', 'main'),
-        ('ExecReload', '/bin/kill -HUP $MAINPID'),
-        ('Restart', 'always'),
+        ('Service', 'Type', 'notify'),
+        ('Service', 'NotifyAccess', 'main'),
+        ('Service', 'ExecReload', '/bin/kill -HUP $MAINPID'),
+        ('Service', 'Restart', 'always'),
+        ('Unit', 'StartLimitIntervalSec', '0'),
     ],
 )
 def test_unit_reloads_what_is_ready_and_starts_again_what_ended(
-    key: str, expected: str
+    section: str, key: str, expected: str
 ) -> None:
     unit = ConfigParser(interpolation=None)
     unit.optionxform = str  # type: ignore
     unit.read(_UNIT)
-    assert unit['Service'][key] == expected
+    assert unit[section][key] == expected
--- a/worksrail/daemon/main.py
+++ b/worksrail/daemon/main.py
@@ -150,7 +150,7 @@
             asyncio.ensure_future(self._reload()),
         ]
         take_signals(asyncio.get_running_loop(), self.stop, self.reload)
-        tell_ready()
+        self.tasks.append(asyncio.ensure_future(tell_ready()))
         _LOG.info('serving')
         await self.stopped.wait()
         await self._close()
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -212,7 +212,7 @@
         self.begin_work()
         loop = asyncio.get_running_loop()
         take_signals(loop, self.stop, self.reload_when_told)
-        tell_ready()
+        self._begin(tell_ready())
         _LOG.info('started', extra={'incarnation': self.engine.state.who.label})
         await self.stopped.wait()
         await self._close()
