Keep a part of the repeats reserved before they are wanted

What callers saw: fewer repeats than operators allow, so more requests refused at once.

Others' use known without age, with rounds and shares as they were, gains nothing.

Change: each entry keeps its part reserved, by its share of the requests of half a window, before anybody wants it. It lends what it does not use while others want more and nothing is asked here, and reserves it again afterwards. One whose wish all know takes the greater part of what is left. What is left is taken from each window that goes on as well.

Why it works: what is reserved before the want needs no round, and it is told like all else, so the sum holds as before, whoever has the load.

--- a/worksrail/core/budgets/_budget.py
+++ b/worksrail/core/budgets/_budget.py
@@ -2,7 +2,8 @@
 
 An instance sends repeats within what it has reserved, and tells the others
 what that is.  It reserves more out of what is left as far as it knows, and only
-so much at once that all others could do the same before they hear of it.  So
+so much at once that all others could do the same before they hear of it.  Its
+part by load it keeps reserved as long as it wants it or nobody else does.  So
 the sum of all reservations holds, whoever has the load: instances that keep a
 share of their own requests each would pass the bound when load moves, as those
 that lost it have sent for the requests of one window and those that got it send
@@ -21,13 +22,13 @@
     TRAVEL_TIME,
     Room,
 )
-from worksrail.core.budgets._counts import SlidingCount
+from worksrail.core.budgets._counts import TOLD_PARTS, SlidingCount
 from worksrail.core.budgets._told import REQUEST_PARTS, ToldUse
 
 # Shares of the ratio and of the extra number that are used: requests are told
 # of a little late, and reservations rounded.
 _RATIO_KEPT: Final = 0.98
-_EXTRA_KEPT: Final = 0.75
+_EXTRA_KEPT: Final = 0.9
 # Seconds in which all instances have heard of what any of them reserved, and
 # each has heard of what these then did.
 _ROUND: Final = NEWS_TIME + NEWS_TIME / 2
@@ -36,7 +37,7 @@
 # Share of what is left that all instances together may reserve in a round,
 # and the part of it that goes to those that are known to want more.
 _AT_ONCE: Final = 0.9
-_FOR_WANTING: Final = 0.6
+_FOR_WANTING: Final = 0.75
 # Requests a second that each instance is taken to get at the least.
 _LEAST_LOAD: Final = 0.1
 # Seconds over which the load is averaged.
@@ -45,6 +46,15 @@
 _WANTS_FOR: Final = 2.0
 # Seconds after which what is reserved and not used goes back to all.
 _UNUSED_FOR: Final = 0.4
+# Seconds by which requests are told late, most of the time.
+_TOLD_LATE: Final = NEWS_TIME / 2
+# Parts of the window by whose requests an instance has its part.
+_PARTS_OF_LOAD: Final = TOLD_PARTS // 2
+# Times its part by load that an instance keeps at most: its load is counted
+# in few requests.
+_PART_KEPT: Final = 1.25
+# Seconds without a wish to repeat after which an instance lends its part.
+_IDLE_AFTER: Final = 1.0
 # Share of its reservation that an instance keeps for preferred repeats.
 _PREFERRED: Final = 0.05
 
@@ -140,6 +150,9 @@
     wished_at: float = -_WANTS_FOR
     """When more was wished for last."""
 
+    asked_at: float = -inf
+    """When a repeat was asked for last."""
+
     wanting_since: float = 0
     """Since when more is wished for."""
 
@@ -172,6 +185,7 @@
 
         Those that are not preferred leave a part of what is reserved.
         """
+        self.asked_at = now
         kept = 0 if preferred else int(self.reserved * _PREFERRED)
         if self.short:
             return False
@@ -198,8 +212,14 @@
     def left(self, now: float, others: Others) -> float:
         """Repeats that nobody has reserved, as far as is known here."""
         every = self.use(now).plus(others.use)
-        allowed = self.bounds.allowed(every.requests, others.heard)
-        return allowed - others.use.reserved - self.reserved
+        twice = self._counted_twice(others)
+        allowed = self.bounds.allowed(every.requests - twice, others.heard)
+        # While requests become more, the windows that go on tell more.
+        by_window = min(
+            self.bounds.allowed(requests - twice, others.heard) - repeats
+            for requests, repeats in every.spans()
+        )
+        return max(by_window, allowed - every.reserved)
 
     def room(self, now: float, others: Others) -> Room:
         """What each other instance may reserve before it is heard of."""
@@ -221,12 +241,18 @@
         )
 
     def tend(self, now: float, others: Others) -> None:
-        """Give back what is not used, and what is not allowed any more."""
+        """Keep the own part reserved; give back what else is not used.
+
+        And what is not allowed any more.
+        """
         self.short = self.left(now, others) < 0
         self._note_load(now)
+        part = self._part(now, others)
+        self._reserve(now, others, floor(part) - self.reserved)
         self.unused = min(self.unused, self.free(now))
         if now - self.checked_at >= _UNUSED_FOR:
-            self.reserved -= max(0, self.unused)
+            beyond = self.reserved - floor(_PART_KEPT * part)
+            self.reserved -= max(0, min(self.unused, beyond))
             self.unused = self.free(now)
             self.checked_at = now
             self._give_way(now, others)
@@ -235,6 +261,15 @@
         """The process stood still: the others have given up on it."""
         self.reserved = min(self.reserved, self.repeats.total(now))
 
+    def _counted_twice(self, others: Others) -> float:
+        """Requests that left the window where load moved here from others.
+
+        What these tell is a little old, so their windows end earlier.
+        """
+        oldest = max((0, *others.use.came[TOLD_PARTS - 1 : REQUEST_PARTS]))
+        rate = oldest * TOLD_PARTS / self.bounds.window
+        return max(0, rate - others.use.load) * _TOLD_LATE
+
     def _give_way(self, now: float, others: Others) -> None:
         # Requests have become fewer: everybody gives up the same share.
         left = self.left(now, others)
@@ -249,13 +284,32 @@
         if not self._is_wanting(now):
             self.wanting_since = now
         self.wished_at = now
+        self._reserve(now, others, 1)
+
+    def _reserve(self, now: float, others: Others, most: int) -> None:
+        """Reserve so many more, as far as this round allows it."""
         left = self.left(now, others)
-        if left < 1 or not others.covered:
+        if most < 1 or left < 1 or not others.covered:
             return
-        if self.raised.total(now) < self._share(now, left, others):
+        share = self._share(now, left, others) - self.raised.total(now)
+        for _ in range(min(most, floor(left), share)):
             self.reserved += 1
             self.raised.note(now)
 
+    def _part(self, now: float, others: Others) -> float:
+        """Repeats that are kept reserved for repeats that may be wanted.
+
+        They are lent to others that want more while none is wanted here.
+        """
+        idle = now - self.asked_at >= _IDLE_AFTER
+        if others.instances == 1 or (idle and others.use.wanting):
+            return 0
+        own = sum(self.requests.by_part(now)[:_PARTS_OF_LOAD])
+        every = own + sum(others.use.came[:_PARTS_OF_LOAD])
+        left = max(0, self.left(now, others))
+        allowed = left + self.reserved + others.use.reserved
+        return allowed * own / max(1, every) + 1 / 2
+
     def _share(self, now: float, left: float, others: Others) -> int:
         """Most repeats that may be reserved here within a round."""
         raised = self.raised.total(now)
@@ -278,11 +332,13 @@
         own = min(self.loads[0][1], self.load.rate(now)) + _LEAST_LOAD
         every = own + others.use.load + _LEAST_LOAD * (others.instances - 1)
         weight = own / every
-        if not others.use.wanting:
+        # The others keep to the lesser part only when they know of the wish.
+        wanted = now - self.wanting_since
+        is_known = self._is_wanting(now) and wanted > _ROUND
+        if not is_known and not others.use.wanting:
             return weight
         weight *= 1 - _FOR_WANTING
-        wanted = now - self.wanting_since
-        if self._is_wanting(now) and wanted > _ROUND:
+        if is_known:
             weight += _FOR_WANTING * own / (own + others.use.wanting)
         return weight
 
--- a/worksrail/core/budgets/_told.py
+++ b/worksrail/core/budgets/_told.py
@@ -1,6 +1,6 @@
 """What instances tell each other of the budgets that they share."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from itertools import repeat
 from typing import Final
@@ -10,8 +10,9 @@
 from worksrail.core.budgets._counts import TOLD_PARTS
 from worksrail.core.identity import ServiceName
 
-REQUEST_PARTS: Final = TOLD_PARTS + TOLD_PARTS // 4
-"""Parts of windows in which requests are counted: a window and a quarter."""
+REQUEST_PARTS: Final = TOLD_PARTS + TOLD_PARTS // 2
+"""Parts of windows in which requests are counted: a window and a half."""
+_QUARTER: Final = TOLD_PARTS // 4
 
 
 class ToldUse(msgspec.Struct, frozen=True, array_like=True):
@@ -43,9 +44,24 @@
         """
         return min(
             sum(self.came[:TOLD_PARTS]),
-            sum(self.came[REQUEST_PARTS - TOLD_PARTS :]),
+            sum(self.came[_QUARTER : _QUARTER + TOLD_PARTS]),
         )
 
+    def spans(self) -> Iterator[tuple[int, float]]:
+        """Requests and repeats of windows that may still go on.
+
+        For each number of parts that a window may have lasted by now: the
+        requests that it, the one half a window before or the one before it
+        have at the least, and the repeats that may be sent in it.
+        """
+        unsent = max(0, self.reserved - sum(self.sent[:TOLD_PARTS]))
+        before = sum(self.came[:TOLD_PARTS])
+        for parts in range(TOLD_PARTS + 1):
+            requests = self._requests_since(parts)
+            # A window that began within a part has those of either end of it.
+            yield min(requests, before), unsent + sum(self.sent[:parts])
+            before = requests
+
     def is_any(self) -> bool:
         """Whether there is anything to be told."""
         return bool(self.came or self.reserved)
@@ -54,6 +70,14 @@
         """Both together."""
         return total((self, other))
 
+    def _requests_since(self, parts: int) -> int:
+        half = TOLD_PARTS // 2
+        return max(
+            sum(self.came[:parts]),
+            sum(self.came[max(0, parts - half) : parts + half]),
+            sum(self.came[parts : parts + TOLD_PARTS]),
+        )
+
 
 class ToldBudgets(msgspec.Struct, frozen=True, array_like=True):
     """The use of all budgets, as an instance or the speaker of a zone tells.
