Allow repeats by the whole parts of windows that go on only

Cause: a window that began within a part was given the requests that it would have at either end of the part. In between it may have fewer, and of the parts at its ends nothing.

Change: only whole parts count.

--- a/tests/budgets/test_parts.py
+++ b/tests/budgets/test_parts.py
@@ -144,11 +144,11 @@
 # Requests by part of the window, the latest first, repeats that were sent in
 # these, repeats that are reserved beside them, and the requests that allow them.
 _SPANS: Final = (
-    pytest.param((10,) * 12, (), 0, 80, id='level'),
+    pytest.param((10,) * 12, (), 0, 70, id='level'),
     pytest.param((10,) * 6, (), 0, 50, id='load-began'),
     pytest.param((50, 0, 0, 0, 0, 0, 0, 50), (), 0, 50, id='both-ends'),
     pytest.param((), (), 7, -7, id='nothing'),
-    pytest.param((10,) * 12, (5, 5), 7, 63, id='sent-and-reserved'),
+    pytest.param((10,) * 12, (5, 5), 7, 53, id='sent-and-reserved'),
 )
 
 
--- a/worksrail/core/budgets/_told.py
+++ b/worksrail/core/budgets/_told.py
@@ -55,12 +55,8 @@
         have at the least, and the repeats that may be sent in it.
         """
         unsent = max(0, self.reserved - sum(self.sent[:TOLD_PARTS]))
-        before = sum(self.came[:TOLD_PARTS])
         for parts in range(TOLD_PARTS + 1):
-            requests = self._requests_since(parts)
-            # A window that began within a part has those of either end of it.
-            yield min(requests, before), unsent + sum(self.sent[:parts])
-            before = requests
+            yield self._requests_since(parts), unsent + sum(self.sent[:parts])
 
     def is_any(self) -> bool:
         """Whether there is anything to be told."""
@@ -71,11 +67,16 @@
         return total((self, other))
 
     def _requests_since(self, parts: int) -> int:
+        """Least requests of a window that began within a part, by its number.
+
+        Of that part it may have nothing, nor of the one in which it ends.
+        """
         half = TOLD_PARTS // 2
+        whole = max(0, parts - 1)
         return max(
-            sum(self.came[:parts]),
-            sum(self.came[max(0, parts - half) : parts + half]),
-            sum(self.came[parts : parts + TOLD_PARTS]),
+            sum(self.came[:whole]),
+            sum(self.came[max(0, parts - half) : whole + half]),
+            sum(self.came[parts : whole + TOLD_PARTS]),
         )
 
 
