--- a/tests/processes/test_signals.py
+++ b/tests/processes/test_signals.py
@@ -264,7 +264,7 @@
 
 @pytest.mark.parametrize('abstract', [False, True])
 @pytest.mark.parametrize('command', [_platform_entry, _worksraild])
-def test_reload_as_soon_as_the_starter_is_told_is_taken(
+def test_reload_right_after_ready_is_taken(
     command: Callable[[Path], list[str]], abstract: bool, tmp_path: Path
 ) -> None:
     path = str(tmp_path / 'starter')
@@ -280,7 +280,7 @@
 
 
 @pytest.mark.parametrize('command', [_platform_entry, _worksraild])
-def test_starter_that_does_not_listen_keeps_nobody_from_serving(
+def test_service_manager_that_does_not_read_delays_nothing(
     command: Callable[[Path], list[str]], tmp_path: Path
 ) -> None:
     name = str(tmp_path / 'starter')
@@ -303,10 +303,10 @@
 
 
 @pytest.mark.parametrize('command', [_platform_entry, _worksraild])
-def test_starter_that_is_gone_is_written_and_changes_nothing(
+def test_service_manager_that_is_gone_is_logged_and_changes_nothing(
     command: Callable[[Path], list[str]], tmp_path: Path
 ) -> None:
     gone = str(tmp_path / 'starter')
     with _started(command, tmp_path, NOTIFY_SOCKET=gone) as running:
         running.wait_serving()
-        running.wait_written('"message":"starter not told"')
+        running.wait_written('"message":"service manager not notified"')
--- a/worksrail/daemon/main.py
+++ b/worksrail/daemon/main.py
@@ -31,6 +31,7 @@
     start_peer_server,
     stop_peer_server,
 )
+from worksrail.daemon._service_manager import notify_ready
 from worksrail.daemon._settings import (
     DaemonSettings,
     SettingFault,
@@ -41,7 +42,6 @@
     keep_signals_from_threads,
     take_signals,
 )
-from worksrail.daemon._starter import tell_ready
 from worksrail.daemon._timeline import Timeline
 from worksrail.daemon._tls import PeerTls
 from worksrail.daemon.http._callers import CallerHandler, PassedHandler
@@ -150,7 +150,7 @@
             asyncio.ensure_future(self._reload()),
         ]
         take_signals(asyncio.get_running_loop(), self.stop, self.reload)
-        self.tasks.append(asyncio.ensure_future(tell_ready()))
+        self.tasks.append(asyncio.ensure_future(notify_ready()))
         _LOG.info('serving')
         await self.stopped.wait()
         await self._close()
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -40,12 +40,12 @@
 from worksrail.daemon import _clock
 from worksrail.daemon._logs import LineSink, install_logs
 from worksrail.daemon._loop import run_serving
+from worksrail.daemon._service_manager import notify_ready
 from worksrail.daemon._signals import (
     hold_last_signals,
     keep_signals_from_threads,
     take_signals,
 )
-from worksrail.daemon._starter import tell_ready
 from worksrail.daemon.http._connections import ConnectionPool
 from worksrail.daemon.http._server import (
     ExchangeHandler,
@@ -212,7 +212,7 @@
         self.begin_work()
         loop = asyncio.get_running_loop()
         take_signals(loop, self.stop, self.reload_when_told)
-        self._begin(tell_ready())
+        self._begin(notify_ready())
         _LOG.info('started', extra={'incarnation': self.engine.state.who.label})
         await self.stopped.wait()
         await self._close()
