--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -56,7 +56,9 @@
     assert not result.violations
 
 
-@pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGABRT])
+@pytest.mark.parametrize(
+    'number', [signal.SIGKILL, signal.SIGABRT], ids=lambda number: number.name
+)
 def test_entry_that_ends_by_itself_is_started_again_and_counted(
     number: signal.Signals, tmp_path: Path
 ) -> None:
