Log when an entry loses and regains its paths to a service

Change: evidence about paths from each attempt (core/steering/_paths.py), paths-lost and paths-regained in the log, a gauge of services not reached. No decision depends on it.

--- a/tests/steering/test_reach.py
+++ b/tests/steering/test_reach.py
@@ -27,7 +27,7 @@
     """Send requests until the dark zone is excluded; return such attempts."""
     unanswered = 0
     for _ in range(100):
-        if world.state.reachability.is_excluded('b1', world.now):
+        if world.state.paths.zones.is_excluded('b1', world.now):
             return unanswered
         unanswered += _send(world)
     raise AssertionError('the zone is never excluded')
@@ -48,10 +48,10 @@
     world = _world()
     _send_until_excluded(world)
     world.wait(1.1)
-    assert not world.state.reachability.is_excluded('b1', world.now)
+    assert not world.state.paths.zones.is_excluded('b1', world.now)
     assert _send_until_excluded(world) == 1
     world.wait(1.1)
-    assert world.state.reachability.is_excluded('b1', world.now)
+    assert world.state.paths.zones.is_excluded('b1', world.now)
 
 
 def test_answer_ends_an_exclusion() -> None:
@@ -60,7 +60,7 @@
     world.wait(1.1)
     for _ in range(40):
         _send(world, unreachable=False)
-    assert not world.state.reachability.zones
+    assert not world.state.paths.zones.zones
 
 
 @pytest.mark.parametrize(
@@ -83,7 +83,7 @@
             world.end(number, outcome)
         while number in world.state.requests:
             world.end(number)
-    assert not world.state.reachability.is_excluded('b1', world.now)
+    assert not world.state.paths.zones.is_excluded('b1', world.now)
 
 
 def test_excluded_zone_is_used_as_a_last_resort() -> None:
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -424,7 +424,7 @@
         load = state.loads.of(upstream.name)
         unavailable = (
             load.ejected_until > model.now
-            or state.reachability.is_excluded(upstream.record.zone, model.now)
+            or state.paths.zones.is_excluded(upstream.record.zone, model.now)
             or load.is_silent(
                 model.execution_time, upstream.record.slots, model.now
             )
--- a/worksrail/core/steering/_learning.py
+++ b/worksrail/core/steering/_learning.py
@@ -49,14 +49,11 @@
     """Update all estimates from an attempt that has ended."""
     name = request.upstream
     load = state.loads.of(name)
-    overdue = (
-        event.now - request.sent_at > SILENCE_FACTOR * request.expected_time
-    )
     load.record_end(event.now)
     yield from _record_reachability(state, request, event)
     outcome = event.outcome
     _record_rates(load, event)
-    if outcome is AttemptOutcome.CANCELLED and not overdue:
+    if outcome is AttemptOutcome.CANCELLED and not is_overdue(request, event):
         return
     if outcome is AttemptOutcome.OTHER_UPSTREAM:
         state.catalog.mark_misdirected(name)
@@ -80,6 +77,11 @@
         )
 
 
+def is_overdue(request: SteeredRequest, event: AttemptEnded) -> bool:
+    """Return whether an attempt took much longer than expected."""
+    return event.now - request.sent_at > SILENCE_FACTOR * request.expected_time
+
+
 def _record_rates(load: UpstreamLoad, event: AttemptEnded) -> None:
     """Update the rejection and failure rates of an upstream."""
     outcome = event.outcome
@@ -104,14 +106,12 @@
         region_rtt(state, upstream.region).add(event.connect_time)
     zone = upstream.record.zone
     if event.outcome in _REACHED or event.connect_time:
-        state.reachability.record_reachable(zone)
+        state.paths.zones.record_reachable(zone)
         return
     hung = event.now - request.sent_at > _CONNECT_TIMEOUT
     unanswered = event.outcome is AttemptOutcome.NOT_CONNECTED and hung
     if unanswered or request.rerouting:
-        if state.reachability.record_unreachable(
-            zone, upstream.name, event.now
-        ):
+        if state.paths.zones.record_unreachable(zone, upstream.name, event.now):
             yield Decision(
                 DecisionKind.ZONE_UNREACHED,
                 zone,
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -13,6 +13,7 @@
 )
 from worksrail.core.steering._learning import record_attempt
 from worksrail.core.steering._pacing import learn_limit
+from worksrail.core.steering._path_evidence import record_path
 from worksrail.core.steering._placing import (
     place,
     refuse,
@@ -150,6 +151,7 @@
     event: AttemptEnded,
 ) -> Iterator[Effect]:
     yield from record_attempt(state, request, event)
+    yield from record_path(state, request, event)
     yield from learn_crash(state, request, event)
     yield from learn_limit(state, request, event)
 
--- a/worksrail/core/steering/_on_store.py
+++ b/worksrail/core/steering/_on_store.py
@@ -141,7 +141,13 @@
             cold.append(_upstream_cold(record))
     yield from _summarize(known, DecisionKind.UPSTREAMS_KNOWN)
     yield from _summarize(cold, DecisionKind.UPSTREAMS_COLD)
-    state.loads.keep_only(state.catalog.upstreams.keys())
+    _forget_unlisted(state, now)
+
+
+def _forget_unlisted(state: SteeringState, now: float) -> None:
+    listed = state.catalog.upstreams.keys()
+    state.loads.keep_only(listed)
+    state.paths.keep_only(listed)
     state.rates.cold.forget(
         {
             name
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -183,6 +183,8 @@
     )
     UPSTREAM_SILENT = 'upstream unresponsive'
     ZONE_UNREACHED = 'zone excluded: its upstreams cannot be reached'
+    PATHS_LOST = 'no upstream of a service can be reached from here'
+    PATHS_REGAINED = 'an upstream of a service answered again'
     UPSTREAM_MISDIRECTED = 'address belongs to another upstream'
     ZONES_EVACUATED = 'set of evacuated zones changed'
     STORE_LOST = 'reads from the store fail'
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -14,6 +14,7 @@
 from worksrail.core.steering._fleet import Fleet
 from worksrail.core.steering._key_overlap import KeyOverlap
 from worksrail.core.steering._load import LatencyEwma, LoadTable
+from worksrail.core.steering._paths import PathMonitor
 from worksrail.core.steering._rate_limits import UpstreamRateLimits
 from worksrail.core.steering._region_shares import RegionShares
 from worksrail.core.steering._request import SteeredRequest
@@ -22,7 +23,6 @@
 from worksrail.core.steering._splits import Splits
 from worksrail.core.steering._store_sync import StoreSync
 from worksrail.core.steering._warm_keys import WarmKeys
-from worksrail.core.steering._zone_reachability import ZoneReachability
 from worksrail.core.steering.events import RequestNumber
 from worksrail.core.steering.kinds import StoreKind
 
@@ -83,8 +83,8 @@
     loads: LoadTable = field(default_factory=LoadTable)
     """Load, speed and failures of upstreams."""
 
-    reachability: ZoneReachability = field(default_factory=ZoneReachability)
-    """Zones that cannot be reached."""
+    paths: PathMonitor = field(default_factory=PathMonitor)
+    """Services and zones that this entry can reach."""
 
     key_overlap: KeyOverlap = field(default_factory=KeyOverlap)
     """Overlap of the keys that regions use."""
--- a/worksrail/daemon/steered/_metrics.py
+++ b/worksrail/daemon/steered/_metrics.py
@@ -94,6 +94,9 @@
     requests_of_all: Gauge
     """Requests to all known entries within the window, by service."""
 
+    services_lost: Gauge
+    """Number of services of which no upstream can be reached from here."""
+
     lines_dropped: Gauge
     """Number of dropped log lines."""
 
@@ -158,6 +161,7 @@
                 'Requests to all entries in the window',
                 _BY_SERVICE,
             ),
+            gauge('worksrail_services_unreachable', 'Services not reached'),
             gauge('worksrail_log_lines_dropped', 'Log lines dropped'),
         )
 
@@ -195,15 +199,19 @@
         """Update the gauges and return the metrics as text."""
         self._update_services(state)
         self.entries.set(len(state.fleet.alive(now)))
-        self.store_lost.set(len(state.failing_kinds))
-        age = state.catalog.store_health.age(now)
-        self.store_age.set(inf if age is None else age)
+        self.services_lost.set(len(state.paths.lost_since))
+        self._update_store(state, now)
         self.requests_held.set(state.quarantine.count_held(now))
         self._update_limits(state)
         self._update_budgets(state, now)
         self.lines_dropped.set(dropped)
         return generate_latest(self.registry)
 
+    def _update_store(self, state: SteeringState, now: float) -> None:
+        self.store_lost.set(len(state.failing_kinds))
+        age = state.catalog.store_health.age(now)
+        self.store_age.set(inf if age is None else age)
+
     def _update_services(self, state: SteeringState) -> None:
         configuration = state.configuration
         if isinstance(configuration, RoutingConfiguration):
