--- a/tests/platform/test_upstream_faults.py
+++ b/tests/platform/test_upstream_faults.py
@@ -66,7 +66,9 @@
         )
         self.engine = SteeringEngine(state)
         pool = ConnectionPool(self.engine.now)
-        self.requests = SteeredRequests(self.engine, adapter, pool)
+        self.requests = SteeredRequests(
+            self.engine, adapter, pool, ConnectionPool(self.engine.now)
+        )
         self.notes: list[Decision] = []
         self.engine.runners = {
             SendUpstream: self.requests.send_upstream,
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -21,6 +21,7 @@
     limiting: bool = True,
     rejecting: float = 0,
     faulty: bool = True,
+    cutting: bool = False,
 ) -> None:
     """Play seeds, and end with 1 if a promise was broken.
 
@@ -44,6 +45,7 @@
                     limiting=limiting,
                     rejecting=rejecting,
                     faulty=faulty,
+                    cutting=cutting,
                 )
             )
         faults = ' '.join(step.fault.name for step in result.steps)
@@ -53,6 +55,8 @@
             f'{faults}',
             flush=True,
         )
+        for share in result.cuts:
+            print(f'  {share}', flush=True)
         for one in result.repeats:
             print(f'  {one.service}: {one}, {one.used:.2f}', flush=True)
         for violation in result.violations[:20]:
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -7,6 +7,10 @@
 # Seconds between two faults, and for which one lasts.
 _GAPS = (0.2, 2.5)
 _LASTS = (0.5, 4.0)
+# The same for entries that lose their links: rather long, so that others stop,
+# start and read settings meanwhile.
+_CUT_GAPS = (2.0, 7.0)
+_CUT_LASTS = (2.0, 9.0)
 # Seconds without faults at the end.
 _QUIET = 3.0
 
@@ -27,6 +31,7 @@
     UPSTREAM_LINK = 'the way to one upstream is disturbed'
     UPSTREAM_HABIT = 'an upstream answers badly'
     REUSE = 'the address of an upstream goes to another service'
+    ENTRY_CUT = 'an entry loses its links to all upstreams'
 
     @property
     def planned(self) -> bool:
@@ -54,13 +59,28 @@
     """Seconds until it ends."""
 
 
+_DRAWN = [fault for fault in Fault if fault is not Fault.ENTRY_CUT]
+
+
+def cuts_of(seed: int, seconds: float) -> list[Step]:
+    """Cuts of entries that are added to the faults of a seed."""
+    rng = random.Random(f'cuts of {seed}')
+    steps = []
+    at = rng.uniform(*_GAPS)
+    while at < seconds - _QUIET:
+        lasts = min(rng.uniform(*_CUT_LASTS), seconds - _QUIET - at)
+        steps.append(Step(at, Fault.ENTRY_CUT, rng.randrange(1000), lasts))
+        at += rng.uniform(*_CUT_GAPS)
+    return steps
+
+
 def steps_of(seed: int, seconds: float) -> list[Step]:
     """The faults of a seed."""
     rng = random.Random(seed)
     steps = []
     at = rng.uniform(*_GAPS)
     while at < seconds - _QUIET:
-        fault = rng.choice(list(Fault))
+        fault = rng.choice(_DRAWN)
         lasts = min(rng.uniform(*_LASTS), seconds - _QUIET - at)
         steps.append(Step(at, fault, rng.randrange(1000), lasts))
         at += rng.uniform(*_GAPS)
--- a/tests/soak/_promises.py
+++ b/tests/soak/_promises.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 from enum import Enum, unique
+from math import inf
 
 from tests.soak._repeats import Budget, Excess, worst_windows
 
@@ -20,6 +21,11 @@
 _LIMIT_WINDOW = 4.0
 _LIMIT_FACTOR = 1.5
 _LIMIT_EXTRA = 5
+# Share of the others' success that an entry without links to upstreams has at
+# least, unless so few first tries fail there: a number, and a share of all.
+_CUT_SHARE = 2 / 3
+_CUT_FAILURES = 10
+_CUT_FAILURE_SHARE = 1 / 50
 # Seconds before a request in which an unplanned fault may still cut it.
 _CALM = 4.0
 
@@ -39,6 +45,7 @@
     RECOVERY = 'all entries serve again once the faults are over'
     NAMED_LIMIT = 'an upstream that names a limit gets no more than it allows'
     FEW_REPEATS = 'repeats over all entries stay within the budget they share'
+    CUT_SERVED = 'callers of an entry without links to upstreams are served'
     FEW_CRASHES = 'a request that crashed three upstreams reaches few more'
 
 
@@ -144,6 +151,46 @@
     """When it ceased."""
 
 
+@dataclass(slots=True)
+class Cut:
+    """A time in which an entry had no links to upstreams."""
+
+    host: str
+    """The entry."""
+
+    begin: float
+    """When it lost them."""
+
+    end: float = inf
+    """When it got them back."""
+
+
+@dataclass(frozen=True, slots=True)
+class CutShare:
+    """First tries from some seconds after the begin of a cut on."""
+
+    cut: Cut
+    """The cut."""
+
+    there: tuple[int, int]
+    """Served at the entry, and sent to it."""
+
+    elsewhere: tuple[int, int]
+    """The same at the entries that were not cut off."""
+
+    def is_broken(self) -> bool:
+        """Whether the callers of the entry were served too seldom."""
+        served, sent = self.there
+        others_served, others_sent = self.elsewhere
+        failed = sent - served
+        if not sent or not others_sent:
+            return False
+        share = served / sent
+        others = others_served / others_sent
+        most = _CUT_FAILURES + (sent + others_sent) * _CUT_FAILURE_SHARE
+        return share < others * _CUT_SHARE and failed > most
+
+
 @dataclass(frozen=True, slots=True)
 class Violation:
     """A promise that was broken."""
@@ -214,6 +261,47 @@
     )
     """When entries were started, frozen or let go on."""
 
+    cuts: list[Cut] = field(default_factory=list)
+    """Entries that were cut off from upstreams."""
+
+    def end_cuts(self, host: str, now: float) -> None:
+        """Note that an entry has its links to upstreams back."""
+        for cut in self.cuts:
+            if cut.host == host and cut.end == inf:
+                cut.end = now
+
+    def cut_shares(self) -> list[CutShare]:
+        """How first tries ended during each cut, once it was known."""
+        return [self._share_of(cut) for cut in self.cuts]
+
+    def _share_of(self, cut: Cut) -> CutShare:
+        there = [0, 0]
+        elsewhere = [0, 0]
+        for trace, sent in self.sent.items():
+            host = sent.entry.partition(':')[0]
+            if (
+                not cut.begin + _CALM <= sent.at < cut.end
+                or trace not in self.ended
+            ):
+                continue
+            if self._was_disturbed(host, sent.at):
+                continue
+            counts = there if host == cut.host else elsewhere
+            if host != cut.host and self._was_cut(host, sent.at):
+                continue
+            counts[0] += self.ended[trace].status == _OK
+            counts[1] += 1
+        return CutShare(cut, (there[0], there[1]), (elsewhere[0], elsewhere[1]))
+
+    def _was_disturbed(self, host: str, at: float) -> bool:
+        times = self.disturbed.get(host, [])
+        return any(at - _CALM <= one <= at for one in times)
+
+    def _was_cut(self, host: str, at: float) -> bool:
+        return any(
+            cut.host == host and cut.begin <= at <= cut.end for cut in self.cuts
+        )
+
     def violations(self) -> list[Violation]:
         """All promises that were broken."""
         found = [
@@ -234,6 +322,11 @@
             for one in self.repeats()
             if one.repeats > one.allowed
         ]
+        found += [
+            Violation(Promise.CUT_SERVED, one.cut.host, str(one))
+            for one in self.cut_shares()
+            if one.is_broken()
+        ]
         found += self._of_crashes()
         for limited in self.limited:
             found += self._of_limit(limited)
@@ -324,8 +417,7 @@
         sent = self.sent.get(one.trace)
         # Callers name an entry by its address, faults by its host.
         host = sent.entry.partition(':')[0] if sent else ''
-        times = self.disturbed.get(host, [])
-        return not any(one.at - _CALM <= at <= one.at for at in times)
+        return not self._was_disturbed(host, one.at)
 
     def _was_calm(self, begin: float, end: float) -> bool:
         return not any(begin - _CALM <= at <= end for at in self.faults)
--- a/tests/soak/_proxy.py
+++ b/tests/soak/_proxy.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from enum import Enum, unique
 
 from tests.soak._listening import LoopbackServer
@@ -21,6 +22,10 @@
     RESET = 'connections are reset, open and new ones'
     SILENT = 'open connections fall silent for good; new ones hang'
     ONE_WAY = 'they pass towards the target only'
+    REFUSE_NEW = 'open connections stay, new ones are reset'
+
+
+_REFUSING = frozenset((Link.RESET, Link.REFUSE_NEW))
 
 
 @dataclass(slots=True)
@@ -33,6 +38,23 @@
     link: Link = Link.PASSING
     """What happens to bytes now."""
 
+    entry_at: Callable[[int], str] = lambda _: ''
+    """Tells which entry connects from a port."""
+
+    cuts: dict[str, Link] = field(default_factory=dict)
+    """What happens to the bytes of single entries instead."""
+
+    of_entries: dict[asyncio.StreamWriter, str] = field(default_factory=dict)
+    """Open connections of entries."""
+
+    def cut(self, entry: str, link: Link) -> None:
+        """Change what happens to the bytes of one entry."""
+        self.cuts[entry] = link
+        if link is Link.RESET:
+            for writer, name in tuple(self.of_entries.items()):
+                if name == entry:
+                    writer.transport.abort()
+
     def set(self, link: Link) -> None:
         """Change what happens to bytes."""
         self.link = link
@@ -44,9 +66,22 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        if self.link is Link.RESET:
+        entry = self.entry_at(writer.get_extra_info('peername')[1])
+        if self._link_of(entry) in _REFUSING:
             writer.transport.abort()
             return
+        self.of_entries[writer] = entry
+        try:
+            await self._pass_on(reader, writer, entry)
+        finally:
+            self.of_entries.pop(writer)
+
+    async def _pass_on(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        entry: str,
+    ) -> None:
         host, _, port = self.target.partition(':')
         self.writers.add(writer)
         try:
@@ -58,8 +93,8 @@
         self.writers.add(far_writer)
         try:
             await asyncio.gather(
-                self._pump(reader, far_writer, towards=True),
-                self._pump(far_reader, writer, towards=False),
+                self._pump(reader, far_writer, entry, towards=True),
+                self._pump(far_reader, writer, entry, towards=False),
             )
         except asyncio.CancelledError:
             # The soak is over; the stream's own callback would log a
@@ -72,22 +107,26 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        entry: str,
         *,
         towards: bool,
     ) -> None:
         silenced = False
         with contextlib.suppress(ConnectionError, OSError):
             while chunk := await reader.read(_CHUNK):
-                if self.link is Link.SLOW:
+                if self._link_of(entry) is Link.SLOW:
                     await asyncio.sleep(_DELAY)
-                silenced |= self.link is Link.SILENT
-                if silenced or self._cuts(towards=towards):
+                silenced |= self._link_of(entry) is Link.SILENT
+                if silenced or self._cuts(entry, towards=towards):
                     continue
                 writer.write(chunk)
                 await writer.drain()
         # A cut hides the end of a connection as well.
-        if not (silenced or self._cuts(towards=towards)):
+        if not (silenced or self._cuts(entry, towards=towards)):
             writer.close()
 
-    def _cuts(self, *, towards: bool) -> bool:
-        return self.link is Link.ONE_WAY and not towards
+    def _link_of(self, entry: str) -> Link:
+        return self.cuts.get(entry, self.link)
+
+    def _cuts(self, entry: str, *, towards: bool) -> bool:
+        return self._link_of(entry) is Link.ONE_WAY and not towards
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -10,8 +10,8 @@
 from typing import TypeVar
 
 from tests.soak._callers import Caller
-from tests.soak._faults import Fault, Step, steps_of
-from tests.soak._promises import Sent, Violation
+from tests.soak._faults import Fault, Step, cuts_of, steps_of
+from tests.soak._promises import CutShare, Sent, Violation
 from tests.soak._proxy import Link
 from tests.soak._repeats import Budget, Excess
 from tests.soak._turns import Turns
@@ -39,7 +39,10 @@
 _LIMITED_FOR = (7.0, 12.0)
 _LIMIT_PAUSE = (0.5, 3.0)
 _BAD_MOODS = [mood for mood in StoreMood if mood is not StoreMood.WELL]
-_BAD_LINKS = [link for link in Link if link is not Link.PASSING]
+_BAD_LINKS = [
+    link for link in Link if link not in {Link.PASSING, Link.REFUSE_NEW}
+]
+_CUT_LINKS = [Link.SILENT, Link.RESET, Link.REFUSE_NEW, Link.ONE_WAY]
 _BAD_HABITS = [habit for habit in Habit if habit is not Habit.WELL]
 
 
@@ -59,6 +62,9 @@
     served: int
     """Those with a success."""
 
+    cuts: list[CutShare]
+    """How first tries ended during each cut of an entry."""
+
     repeats: list[Excess]
     """Worst window of each service, by the budget of repeats."""
 
@@ -174,6 +180,13 @@
         await asyncio.sleep(step.lasts)
         link.set(Link.PASSING)
 
+    async def entry_cut(self, step: Step) -> None:
+        """Cut one entry off from all upstreams."""
+        host = _pick(self.world.hosts, step)
+        self.world.cut(host, _pick(_CUT_LINKS, step))
+        await asyncio.sleep(step.lasts)
+        self.world.mend(host)
+
     async def upstream_habit(self, step: Step) -> None:
         """Let one upstream answer badly."""
         upstream = _pick(self.world.upstreams, step)
@@ -218,6 +231,7 @@
     Fault.UPSTREAM_LINK: Soak.upstream_link,
     Fault.UPSTREAM_HABIT: Soak.upstream_habit,
     Fault.REUSE: Soak.reuse,
+    Fault.ENTRY_CUT: Soak.entry_cut,
 }
 
 
@@ -231,14 +245,19 @@
     limiting: bool = False,
     rejecting: float = 0,
     faulty: bool = True,
+    cutting: bool = False,
 ) -> Result:
     """Play one seed from start to end.
 
     A request that crashes upstreams comes all the while, unless it is left out;
-    upstreams name limits if they are to.  With the window of a budget of repeats,
+    upstreams name limits if they are to, and entries lose their links to upstreams.  With the window of a budget of repeats,
     in seconds, callers move from entry to entry and upstreams reject at times.
     """
     steps = steps_of(seed, seconds) if faulty else []
+    if cutting:
+        steps = sorted(
+            [*steps, *cuts_of(seed, seconds)], key=lambda step: step.at
+        )
     callers: list[asyncio.Task[None]] = []
     budget = Budget(_RATIO, rejecting, _EXTRA) if rejecting else Budget()
     world = SoakWorld(folder, entries, seed, budget)
@@ -247,7 +266,7 @@
         await wait_served(world)
         if rejecting:
             world.turns = Turns(world.clock(), rejecting)
-        callers = _start_callers(world)
+        callers = start_callers(world)
         if crashing:
             callers.append(asyncio.ensure_future(_crash_upstreams(world, seed)))
         if limiting:
@@ -267,12 +286,14 @@
         steps,
         len(ends),
         sum(end.status == 200 for end in ends),
+        world.witness.cut_shares(),
         world.witness.repeats(),
         world.witness.violations(),
     )
 
 
-def _start_callers(world: SoakWorld) -> list[asyncio.Task[None]]:
+def start_callers(world: SoakWorld) -> list[asyncio.Task[None]]:
+    """Start some callers for each entry."""
     callers = [
         _caller(world, host, str(number))
         for host in world.hosts
--- a/tests/soak/_upstreams.py
+++ b/tests/soak/_upstreams.py
@@ -15,6 +15,8 @@
 _TRACE = re.compile(rb'\r\nRequest-Id: (\S+)', re.IGNORECASE)
 _TARGET = re.compile(rb'\r\nTarget-Instance: (\S+)', re.IGNORECASE)
 _NOT_EXECUTED = 'Not-Executed: 1\r\n'
+# Path of health checks, which are not requests of callers.
+_HEALTH_PATH = '/health'
 # Path of a request that crashes each upstream which begins it.
 CRASHING_PATH = '/r/crash'
 # Seconds that an execution takes.
@@ -108,6 +110,10 @@
         length = _LENGTH.search(head)
         body = await reader.readexactly(int(length[1])) if length else b''
         trace = _first(_TRACE, head)
+        path = head.split(b' ', 2)[1].decode()
+        if path == _HEALTH_PATH and not trace:
+            writer.write(_answer('', 200, b'', f'Instance-Id: {self.name}\r\n'))
+            return True
         meant = _first(_TARGET, head) == self.name
         self.meet(self, trace, meant)
         if not meant:
@@ -117,7 +123,6 @@
             extra = _NOT_EXECUTED + self._named()
             writer.write(_answer(trace, 503, b'', extra))
             return True
-        path = head.split(b' ', 2)[1].decode()
         self.note(Executed(trace, path, body, self.service))
         if path == CRASHING_PATH:
             self.crash(self, trace)
--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -15,8 +15,9 @@
 
 from tests.hangups import keep_hangups
 from tests.platform.test_decoding import CONFIGURATION, SETTINGS
-from tests.soak._promises import Arrival, Crash, Witness
-from tests.soak._proxy import Proxy
+from tests.soak._owners import owner_of
+from tests.soak._promises import Arrival, Crash, Cut, Witness
+from tests.soak._proxy import Link, Proxy
 from tests.soak._repeats import Budget
 from tests.soak._turns import Turns
 from tests.soak._upstreams import Upstream
@@ -174,6 +175,29 @@
             'Listen': listen,
         }
 
+    # -- links between entries and upstreams
+
+    def cut(self, host: str, link: Link) -> None:
+        """Disturb all links of an entry to upstreams."""
+        self.witness.cuts.append(Cut(host, self.clock()))
+        for one in self.upstream_links:
+            one.cut(host, link)
+
+    def mend(self, host: str) -> None:
+        """Restore the links of an entry to upstreams."""
+        self.witness.end_cuts(host, self.clock())
+        for one in self.upstream_links:
+            one.cuts.pop(host, None)
+
+    def _entry_at(self, port: int) -> str:
+        """The entry that connects from a port; empty if it is not known."""
+        running = {
+            process.pid: host
+            for host, process in self.processes.items()
+            if process.returncode is None
+        }
+        return running.get(owner_of(port, running) or 0, '')
+
     # -- what the store holds
 
     def configure(self, service: str) -> None:
@@ -250,7 +274,8 @@
             self._rejecting,
         )
         self.upstreams.append(await upstream.open())
-        link = await Proxy(upstream.address).open()
+        link = Proxy(upstream.address, entry_at=self._entry_at)
+        await link.open()
         self.upstream_links.append(link)
         self.list_upstream(number, 'ready')
 
--- a/tests/steering/cut_world.py
+++ b/tests/steering/cut_world.py
@@ -7,12 +7,14 @@
 import random
 from collections import Counter, defaultdict
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum, unique
+from math import inf
 from typing import Any
 
 from tests.steering.fleet_world import STEP, FleetWorld
 from tests.steering.world import HOST, of_type, route, upstream
+from worksrail.core.results import Certainty
 from worksrail.core.steering import RouteKind, ServiceWeight, SteeringBounds
 from worksrail.core.steering.effects import (
     AnswerResult,
@@ -20,12 +22,18 @@
     Decision,
     DecisionKind,
     Effect,
+    PassRequest,
+    ProbeUpstream,
     SendUpstream,
 )
 from worksrail.core.steering.events import (
     AttemptEnded,
     AttemptOutcome,
     CallerGone,
+    PassedRequestArrived,
+    PassEnded,
+    PassRefusal,
+    PathProbed,
     RequestArrived,
     SteeredHead,
 )
@@ -65,6 +73,21 @@
     connected: bool = False
 
 
+@dataclass(slots=True)
+class _Pass:
+    entry: str
+    request: int
+    attempt: int
+    helper: str
+    number: int
+    arrives_at: float
+    effect: PassRequest
+    head: SteeredHead
+    ended: PassEnded | None = None
+    ends_at: float = inf
+    cancelled: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Ask:
     """A first try of a caller."""
@@ -139,6 +162,11 @@
         self.down: set[str] = set()
         self.idle: Counter[tuple[str, str]] = Counter()
         self.attempts: list[_Attempt] = []
+        self.passes: list[_Pass] = []
+        self.passed: Counter[str] = Counter()
+        self.probes: list[tuple[float, str, str, bool]] = []
+        self.heads: dict[tuple[str, int], SteeredHead] = {}
+        self.lost_passes: set[str] = set()
         self.outcomes = Outcomes()
         self.traces: dict[tuple[str, int], str] = {}
         self.decisions: Counter[DecisionKind] = Counter()
@@ -232,10 +260,16 @@
         for _ in range(round(seconds / STEP)):
             super().wait(STEP)
             self._end_attempts()
+            self._move_passes()
+            self._end_probes()
             self._send_due_requests()
 
     def _lose_requests(self, name: str) -> None:
         self.attempts = [one for one in self.attempts if one.entry != name]
+        self.passes = [one for one in self.passes if one.entry != name]
+        for passed in self.passes:
+            if passed.helper == name:
+                self._end_pass(passed, AttemptOutcome.BROKE_BEFORE_ANSWER)
         for key in [key for key in self.idle if key[0] == name]:
             self.idle.pop(key)
 
@@ -246,13 +280,118 @@
             self.notes.append((self.now, name, note))
         for send in of_type(effects, SendUpstream):
             self.attempts.append(self._begin(name, send))
+        for passing in of_type(effects, PassRequest):
+            self._begin_pass(name, passing)
+        for probe in of_type(effects, ProbeUpstream):
+            answered = not self._is_cut(name, probe.upstream)
+            due = self.now + (STEP if answered else _CONNECT_S)
+            self.probes.append((due, name, probe.upstream, answered))
         for cancelled in of_type(effects, CancelAttempt):
             self._cancel(name, cancelled.request)
         for answer in of_type(effects, AnswerResult):
             self._answered(name, answer)
 
     def _answered(self, name: str, answer: AnswerResult) -> None:
-        self.outcomes.codes[self.traces[name, answer.request]] = answer
+        passed = self._pass_at(name, answer.request)
+        if passed is None:
+            self.outcomes.codes[self.traces[name, answer.request]] = answer
+            return
+        refusal = PassRefusal(answer.code, answer.retry_after, answer.sends)
+        executed = answer.code.certainty is not Certainty.NOT_RUN
+        outcome = AttemptOutcome.NOT_EXECUTED
+        if executed:
+            outcome = AttemptOutcome.BROKE_BEFORE_ANSWER
+        self._end_pass(passed, outcome, refusal=refusal)
+
+    # -- requests that are passed on
+
+    def _pass_at(self, helper: str, number: int) -> _Pass | None:
+        for one in self.passes:
+            if one.helper == helper and one.number == number and not one.ended:
+                return one
+        return None
+
+    def _begin_pass(self, name: str, effect: PassRequest) -> None:
+        helper = effect.peer.partition(':')[0]
+        self.passed[helper] += 1
+        self.numbers[helper] += 1
+        number = self.numbers[helper]
+        self.traces[helper, number] = self.traces[name, effect.request]
+        self.passes.append(
+            _Pass(
+                name,
+                effect.request,
+                effect.attempt,
+                helper,
+                number,
+                self.now + STEP,
+                effect,
+                self.heads[name, effect.request],
+            )
+        )
+
+    def _end_pass(
+        self,
+        one: _Pass,
+        outcome: AttemptOutcome,
+        *,
+        status: int = 0,
+        refusal: PassRefusal | None = None,
+    ) -> None:
+        if one.ended:
+            return
+        one.ends_at = self.now + STEP
+        one.ended = PassEnded(
+            one.ends_at,
+            one.request,
+            one.attempt,
+            outcome,
+            status,
+            refusal=refusal,
+        )
+
+    def _move_passes(self) -> None:
+        for one in tuple(self.passes):
+            if one.arrives_at <= self.now:
+                one.arrives_at = inf
+                self._deliver_pass(one)
+            elif one.effect.give_up_at <= self.now:
+                self._end_pass(one, AttemptOutcome.TIMED_OUT)
+        ended = [one for one in self.passes if one.ends_at <= self.now]
+        self.passes = [one for one in self.passes if one.ends_at > self.now]
+        for one in ended:
+            if one.entry in self.states and one.ended:
+                if one.ended.outcome is AttemptOutcome.ANSWERED:
+                    self._served(one.entry, one.request)
+                self._run(one.entry, replace(one.ended, now=self.now))
+
+    def _deliver_pass(self, one: _Pass) -> None:
+        if one.helper not in self.states:
+            self._end_pass(one, AttemptOutcome.NOT_CONNECTED)
+            return
+        if one.helper in self.frozen:
+            return
+        left = one.effect.deadline - self.now
+        self._run(
+            one.helper,
+            PassedRequestArrived(
+                self.now,
+                one.number,
+                replace(one.head, time_left=left),
+                one.effect.terms,
+            ),
+        )
+
+    def _end_probes(self) -> None:
+        due = [one for one in self.probes if one[0] <= self.now]
+        self.probes = [one for one in self.probes if one[0] > self.now]
+        for _, name, probed, answered in due:
+            if name in self.states and name not in self.frozen:
+                self._run(name, PathProbed(self.now, probed, answered))
+
+    def _is_cut(self, name: str, upstream_name: str) -> bool:
+        _, chosen = self.cuts.get(name, (None, frozenset()))
+        return upstream_name in chosen or upstream_name in self.down
 
     def _begin(self, name: str, send: SendUpstream) -> _Attempt:
         key = (name, send.upstream)
@@ -300,6 +439,10 @@
             one.executes_at = None
 
     def _cancel(self, name: str, request: int) -> None:
+        for passed in self.passes:
+            if passed.entry == name and passed.request == request:
+                self._end_pass(passed, AttemptOutcome.CANCELLED)
+                self.leave(passed.helper, passed.number)
         for one in self.attempts:
             if one.entry == name and one.request == request:
                 one.outcome = AttemptOutcome.CANCELLED
@@ -323,7 +466,7 @@
         if answered:
             if not one.closes:
                 self.idle[one.entry, one.upstream] += 1
-            self._served(one.entry, one.request)
+            self._deliver(one)
         self._run(
             one.entry,
             AttemptEnded(
@@ -336,6 +479,14 @@
             ),
         )
 
+    def _deliver(self, one: _Attempt) -> None:
+        """Pass an answer on to the caller, or to the entry it came from."""
+        passed = self._pass_at(one.entry, one.request)
+        if passed is None:
+            self._served(one.entry, one.request)
+        else:
+            self._end_pass(passed, AttemptOutcome.ANSWERED, status=200)
+
     def _served(self, entry: str, request: int) -> None:
         trace = self.traces[entry, request]
         self.outcomes.served_at.setdefault(trace, self.now)
@@ -360,8 +511,10 @@
         self.traces[entry, number] = trace
         key = str(self.caller_rng.randrange(40))
         head = SteeredHead(trace, HOST, 'GET', f'/{kind}/x', _TIMEOUT_S, key)
+        self.heads[entry, number] = head
         self._run(entry, RequestArrived(self.now, number, head))
 
     def leave(self, entry: str, number: int) -> None:
         """Let the caller of a request disconnect."""
-        self._run(entry, CallerGone(self.now, number))
+        if entry in self.states and entry not in self.frozen:
+            self._run(entry, CallerGone(self.now, number))
--- a/worksrail/core/results.py
+++ b/worksrail/core/results.py
@@ -220,6 +220,12 @@
         'The upstreams take no more requests a second.',
         _RETRY_LATER,
     )
+    ENTRY_FULL = _not_run(
+        2115,
+        503,
+        'The entry it was passed to has no capacity left for it.',
+        _RETRY_LATER,
+    )
     ALREADY_RUN = ResultDefinition(
         3001,
         Certainty.RUN,
--- a/worksrail/core/steering/__init__.py
+++ b/worksrail/core/steering/__init__.py
@@ -13,6 +13,11 @@
     ZoneDigest,
 )
 from worksrail.core.steering._directory import EntryList, look_up
+from worksrail.core.steering._passing_terms import (
+    PassingTerms,
+    decode_terms,
+    encode_terms,
+)
 from worksrail.core.steering._reducer import reduce
 from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._routes import (
@@ -48,6 +53,7 @@
     'KeySketch',
     'NoRoute',
     'NotConfigured',
+    'PassingTerms',
     'Route',
     'RouteKind',
     'RoutingConfiguration',
@@ -59,6 +65,8 @@
     'StoreUpdate',
     'UpstreamRecord',
     'ZoneDigest',
+    'decode_terms',
+    'encode_terms',
     'incarnation_name',
     'look_up',
     'reduce',
--- a/worksrail/core/steering/_digests.py
+++ b/worksrail/core/steering/_digests.py
@@ -55,6 +55,12 @@
     store_lost: bool = False
     """Whether its reads from the store currently fail."""
 
+    unreachable: tuple[ServiceName, ...] = ()
+    """Services of which it reaches no upstream."""
+
+    isolated: bool = False
+    """Whether it reaches no upstream at all."""
+
     @property
     def name(self) -> str:
         """Return the name of the entry."""
--- a/worksrail/core/steering/_directory.py
+++ b/worksrail/core/steering/_directory.py
@@ -61,13 +61,25 @@
     ] or available
     if not near:
         return ResultCode.NOT_READY
-    selected = _select_largest(near)
+    selected = _select_largest(_without_isolated(near))
     selected.sort(key=lambda contact: (contact.zone != zone, contact.caller))
     addresses = tuple(contact.caller for contact in selected[:_MAX_ENTRIES])
     max_age = min(_MAX_AGE, state.settings.bounds.look_up_age)
     return EntryList(addresses, max_age)
 
 
+def _without_isolated(contacts: list[Contact]) -> list[Contact]:
+    """Leave out the entries that reach no upstream, unless all are needed.
+
+    They can serve callers only through the others, which costs an additional
+    hop and the capacity of two entries.
+    """
+    others = [contact for contact in contacts if not contact.isolated]
+    needed = sum(contact.rate for contact in contacts) / _TARGET_UTILIZATION
+    capacity = sum(contact.capacity for contact in others)
+    return others if others and capacity >= needed else contacts
+
+
 def _select_largest(contacts: list[Contact]) -> list[Contact]:
     """Return the largest entries that can carry the requests of all."""
     needed = sum(contact.rate for contact in contacts) / _TARGET_UTILIZATION
--- a/worksrail/core/steering/_load.py
+++ b/worksrail/core/steering/_load.py
@@ -144,8 +144,12 @@
 
     def record_success(self, now: float) -> None:
         """Record a complete answer; ends an ejection."""
-        self.failures = 0
+        self.forget_failures()
         self.last_success_at = now
+
+    def forget_failures(self) -> None:
+        """Forget consecutive failures; ends an ejection."""
+        self.failures = 0
         self.ejected_until = 0
 
     def record_failure(self, now: float, *, silent: bool = False) -> bool:
--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -124,6 +124,8 @@
         round(state.arrivals.rate(now), 1),
         tuple(state.store_sync.revisions.values()),
         bool(state.failing_kinds),
+        tuple(sorted(state.paths.lost_since)),
+        state.paths.is_isolated,
     )
 
 
--- /dev/null
+++ b/worksrail/core/steering/_on_passing.py
@@ -0,0 +1,181 @@
+"""Handles requests that were passed on, at both entries."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from worksrail.core.results import Certainty, ResultCode
+from worksrail.core.steering._on_requests import conclude, request_answered
+from worksrail.core.steering._placing import place, refuse, retry_delay
+from worksrail.core.steering._quarantining import fingerprint_of
+from worksrail.core.steering._request import SteeredRequest
+from worksrail.core.steering._routes import RoutingConfiguration
+from worksrail.core.steering.effects import (
+    AnswerResult,
+    Decision,
+    DecisionKind,
+    Effect,
+)
+from worksrail.core.steering.events import (
+    AttemptEnded,
+    AttemptOutcome,
+    PassedRequestArrived,
+    PassEnded,
+)
+from worksrail.core.steering.state import SteeringState
+
+# Refusals that say something about the entry, not about the request: another
+# one may be able to send it.
+_OF_THE_ENTRY: Final = frozenset(
+    (
+        ResultCode.ENTRY_FULL,
+        ResultCode.ENTRY_LEAVING,
+        ResultCode.MALFORMED_REQUEST,
+        ResultCode.NOT_READY,
+        ResultCode.UNKNOWN_ROUTE,
+        ResultCode.UPSTREAM_UNREACHABLE,
+    )
+)
+
+
+def on_passed_arrival(
+    state: SteeringState,
+    event: PassedRequestArrived,
+) -> Iterator[Effect]:
+    """Send a request of another entry to an upstream, or refuse it.
+
+    It is never passed on once more.
+    """
+    refusal = _refusal(state, event)
+    if refusal:
+        retry_after = retry_delay(state)
+        yield Decision(
+            DecisionKind.REQUEST_REFUSED,
+            refusal.name,
+            event.request,
+            (('from', event.terms.sender), ('service', event.terms.service)),
+        )
+        yield AnswerResult(
+            event.request, refusal, retry_after, event.terms.sends
+        )
+        return
+    state.passed_arrivals.note(event.now)
+    request = _new_request(state, event)
+    state.requests[event.request] = request
+    yield Decision(
+        DecisionKind.REQUEST_TAKEN,
+        event.terms.sender,
+        event.request,
+        (('service', request.service), ('version', event.terms.version)),
+    )
+    yield from place(state, request, event.now)
+
+
+def on_pass_ended(
+    state: SteeringState,
+    event: PassEnded,
+) -> Iterator[Effect]:
+    """Finish a request that another entry had, or try a further one."""
+    request = state.requests.get(event.request)
+    if request is None or event.attempt != request.attempts:
+        return
+    request.last_upstream = request.helper
+    request.last_outcome = event.outcome.name
+    request.helper = ''
+    if event.outcome is AttemptOutcome.NOT_CONNECTED:
+        yield from _after_refusal(
+            state, request, ResultCode.PEER_UNREACHABLE, event
+        )
+    elif event.refusal:
+        request.sends = max(request.sends, event.refusal.sends)
+        yield from _after_refusal(state, request, event.refusal.code, event)
+    elif event.outcome is AttemptOutcome.ANSWERED:
+        state.requests.pop(request.number)
+        yield request_answered(request, event.now, event.status)
+    else:
+        request.sends += 1
+        yield from conclude(state, request, _as_attempt(event))
+
+
+def _refusal(
+    state: SteeringState,
+    event: PassedRequestArrived,
+) -> ResultCode | None:
+    if state.leaving:
+        return ResultCode.ENTRY_LEAVING
+    if not isinstance(state.configuration, RoutingConfiguration):
+        return ResultCode.NOT_READY
+    if event.terms.service in state.paths.lost_since:
+        return ResultCode.UPSTREAM_UNREACHABLE
+    rate = state.arrivals.rate(event.now)
+    passed = state.passed_arrivals.rate(event.now)
+    if rate + passed >= state.settings.capacity:
+        return ResultCode.ENTRY_FULL
+    return None
+
+
+def _new_request(
+    state: SteeringState,
+    event: PassedRequestArrived,
+) -> SteeredRequest:
+    terms = event.terms
+    allowed = event.head.time_left or 0
+    request = SteeredRequest(
+        event.request,
+        event.head,
+        terms.build_route(allowed),
+        terms.service,
+        event.now,
+        event.now + allowed,
+        terms.build_customer(),
+        frozenset(terms.regions),
+        sends=terms.sends,
+        passed_by=terms.sender,
+    )
+    request.fingerprint = fingerprint_of(state, request, event.body_digest)
+    return request
+
+
+def _after_refusal(
+    state: SteeringState,
+    request: SteeredRequest,
+    code: ResultCode,
+    event: PassEnded,
+) -> Iterator[Effect]:
+    if request.caller_gone:
+        state.requests.pop(request.number)
+        yield Decision(
+            DecisionKind.REQUEST_DROPPED, event.outcome.name, request.number
+        )
+        return
+    unsent = code in _OF_THE_ENTRY or code is ResultCode.PEER_UNREACHABLE
+    if unsent and event.replayable:
+        yield from place(state, request, event.now)
+        return
+    if code.certainty is Certainty.NOT_RUN:
+        delay = event.refusal.retry_after if event.refusal else 0
+        yield from refuse(state, request, code, event.now, delay=delay)
+        return
+    request.maybe_executed = True
+    state.requests.pop(request.number)
+    yield Decision(
+        DecisionKind.REQUEST_FAILED,
+        code.name,
+        request.number,
+        (
+            ('outcome', event.outcome.name),
+            ('entry', request.last_upstream),
+            ('after', round(event.now - request.arrived_at, 4)),
+        ),
+    )
+    yield AnswerResult(request.number, code)
+
+
+def _as_attempt(event: PassEnded) -> AttemptEnded:
+    return AttemptEnded(
+        event.now,
+        event.request,
+        event.attempt,
+        event.outcome,
+        event.status,
+        replayable=event.replayable,
+    )
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -123,8 +123,17 @@
     request.upstream = ''
     if event.outcome is AttemptOutcome.ANSWERED:
         state.requests.pop(request.number)
-        yield _request_answered(request, event)
+        yield request_answered(request, event.now, event.status)
         return
+    yield from conclude(state, request, event)
+
+
+def conclude(
+    state: SteeringState,
+    request: SteeredRequest,
+    event: AttemptEnded,
+) -> Iterator[Effect]:
+    """Finish or retry a request after an attempt without an answer."""
     if event.outcome not in NOT_EXECUTED:
         request.maybe_executed = True
     cancelled = event.outcome is AttemptOutcome.CANCELLED
@@ -257,7 +266,7 @@
             ('after', round(event.now - request.arrived_at, 4)),
         ),
     )
-    yield AnswerResult(request.number, code)
+    yield AnswerResult(request.number, code, sends=request.sends)
 
 
 def _repeat_denied(
@@ -283,18 +292,23 @@
     )
 
 
-def _request_answered(request: SteeredRequest, event: AttemptEnded) -> Decision:
+def request_answered(
+    request: SteeredRequest,
+    now: float,
+    status: int,
+) -> Decision:
+    """Return the log line of a request that an upstream has answered."""
     return Decision(
         DecisionKind.REQUEST_ANSWERED,
         request.last_upstream,
         request.number,
         (
-            ('status', event.status),
+            ('status', status),
             ('route', request.route.name),
-            ('late', int(_is_late(request, event.now))),
+            ('late', int(_is_late(request, now))),
             ('returned', int(request.caller_retried)),
-            ('after', round(event.now - request.arrived_at, 4)),
-            ('execution', round(event.now - request.sent_at, 4)),
+            ('after', round(now - request.arrived_at, 4)),
+            ('execution', round(now - request.sent_at, 4)),
             ('expected', round(request.expected_time, 4)),
             ('sends', request.sends),
         ),
--- a/worksrail/core/steering/_on_time.py
+++ b/worksrail/core/steering/_on_time.py
@@ -14,6 +14,7 @@
 from worksrail.core.steering._on_store_answers import check_store
 from worksrail.core.steering._pacing import maintain_pacing
 from worksrail.core.steering._path_evidence import watch_paths
+from worksrail.core.steering._probing import probe_paths
 from worksrail.core.steering._routes import RoutingConfiguration
 from worksrail.core.steering._store_watch import sync_with_store
 from worksrail.core.steering._unresponsive import reroute_unresponsive
@@ -90,6 +91,7 @@
     state.next_upkeep_at = now + _UPKEEP_INTERVAL
     yield from _detect_dead_entries(state, now)
     yield from watch_paths(state, now)
+    yield from probe_paths(state, now)
     yield from sync_with_store(state, now)
     _update_key_homes(state, now)
     _update_budgets(state, now)
--- a/worksrail/core/steering/_path_evidence.py
+++ b/worksrail/core/steering/_path_evidence.py
@@ -17,6 +17,9 @@
 _OVERDUE_MARGIN: Final = 0.2
 # Seconds without an answer of any upstream from which overdue ones are counted.
 _MIN_SILENCE: Final = 0.4
+# Seconds for which the other upstreams that were missed are probed after one of
+# them answered.
+_PROBE_AFTER_RETURN: Final = 2.0
 # The upstream, or another one at its address, sent something.
 _ANSWERED: Final = frozenset(
     (
@@ -62,7 +65,15 @@
     new_connection: bool,
 ) -> Iterator[Decision]:
     """Update the evidence about a path after an answer."""
-    state.paths.record_answer(upstream, now, new_connection=new_connection)
+    paths = state.paths
+    reached = paths.record_answer(upstream, now, new_connection=new_connection)
+    for name in reached:
+        # Its failures came from the links of this entry.
+        state.loads.of(name).forget_failures()
+    if paths.missed and reached:
+        state.probing_until = now + _PROBE_AFTER_RETURN
+        state.next_probe_at = now
+    paths.zones.record_reachable(upstream.record.zone)
     yield from _update(state, now)
 
 
@@ -94,6 +105,9 @@
     paths.update(state.catalog.services, now)
     if paths.lost_since.keys() == before.keys():
         return
+    # Other entries must know soon whom to pass requests to.
+    state.next_digest_at = now
+    state.next_zone_digest_at = now
     for service in sorted(paths.lost_since.keys() - before.keys()):
         yield _paths_lost(state, service, now)
     for service in sorted(before.keys() - paths.lost_since.keys()):
--- a/worksrail/core/steering/_paths.py
+++ b/worksrail/core/steering/_paths.py
@@ -22,7 +22,7 @@
 _MIN_ZONES: Final = 2
 
 
-_Scope = tuple[ServiceName, ZoneName]
+Scope = tuple[ServiceName, ZoneName]
 """The upstreams of one service in one zone."""
 
 
@@ -30,7 +30,7 @@
 class Miss:
     """An upstream that did not answer the last attempt."""
 
-    scope: _Scope
+    scope: Scope
     """Service and zone of the upstream."""
 
     connecting: bool
@@ -57,7 +57,7 @@
     answered_at: float = -inf
     """When any upstream last answered."""
 
-    answers: dict[_Scope, float] = field(default_factory=dict)
+    answers: dict[Scope, float] = field(default_factory=dict)
     """When an upstream of each scope last answered."""
 
     lost_since: dict[ServiceName, float] = field(default_factory=dict)
@@ -77,9 +77,13 @@
         now: float,
         *,
         new_connection: bool,
-    ) -> None:
-        """Record that an upstream answered."""
-        scope = _scope_of(upstream)
+    ) -> list[str]:
+        """Record that an upstream answered.
+
+        Return the upstreams of its scope that were missed before.
+        """
+        scope = scope_of(upstream)
+        reached: list[str] = []
         self.answered_at = now
         self.answers[scope] = now
         for name, miss in tuple(self.missed.items()):
@@ -88,10 +92,12 @@
             miss.isolating = False
             if miss.scope == scope:
                 self.missed.pop(name)
+                reached.append(name)
+        return reached
 
     def record_miss(self, upstream: Upstream, *, connecting: bool) -> None:
         """Record that an upstream could not be reached, or is overdue."""
-        self.missed[upstream.name] = Miss(_scope_of(upstream), connecting)
+        self.missed[upstream.name] = Miss(scope_of(upstream), connecting)
 
     def reaches_none(self, upstreams: Collection[Upstream]) -> bool:
         """Return whether none of some upstreams can be reached.
@@ -106,7 +112,7 @@
         if len(names) < min(_MIN_MISSED, len(upstreams)):
             return False
         missed_scopes = {self.missed[name].scope for name in names}
-        return all(_scope_of(one) in missed_scopes for one in upstreams)
+        return all(scope_of(one) in missed_scopes for one in upstreams)
 
     def update(
         self,
@@ -154,7 +160,8 @@
         return len(missed_zones) >= min(_MIN_ZONES, len(all_zones))
 
 
-def _scope_of(upstream: Upstream) -> _Scope:
+def scope_of(upstream: Upstream) -> Scope:
+    """Return the service and the zone of an upstream."""
     return upstream.record.service, upstream.record.zone
 
 
--- a/worksrail/core/steering/_placing.py
+++ b/worksrail/core/steering/_placing.py
@@ -8,6 +8,11 @@
 from worksrail.core.quarantine import label
 from worksrail.core.results import ResultCode
 from worksrail.core.steering._choosing import Choice, choose
+from worksrail.core.steering._passing import (
+    cannot_send,
+    choose_entry,
+    pass_on,
+)
 from worksrail.core.steering._quarantining import hold_time, record_sent
 from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._routes import RoutingConfiguration
@@ -42,7 +47,7 @@
     request: SteeredRequest,
     now: float,
 ) -> Iterator[Effect]:
-    """Send a request, await a token for it, or refuse it."""
+    """Send a request, pass it on, await a token for it, or refuse it."""
     if request.deadline - now < _MIN_TIME_LEFT:
         yield from refuse(state, request, ResultCode.DEADLINE_EXPIRED, now)
         return
@@ -52,6 +57,15 @@
             state, request, ResultCode.REQUEST_HELD, now, delay=hold
         )
         return
+    if cannot_send(state, request):
+        target = choose_entry(state, request, now)
+        if target:
+            yield from pass_on(state, request, target, now)
+            return
+        if request.passed_to:
+            code = ResultCode.UPSTREAM_UNREACHABLE
+            yield from refuse(state, request, code, now)
+            return
     choice, permission = _choose_permitted(state, request, now)
     if isinstance(choice, ResultCode):
         limited = choice is ResultCode.UPSTREAMS_LIMITED
@@ -185,7 +199,7 @@
             ('version', version_of(state)),
         ),
     )
-    yield AnswerResult(request.number, code, retry_after)
+    yield AnswerResult(request.number, code, retry_after, request.sends)
 
 
 def retry_delay(state: SteeringState) -> float:
--- /dev/null
+++ b/worksrail/core/steering/_probing.py
@@ -0,0 +1,71 @@
+"""Probes upstreams that cannot be reached until one of them answers."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from worksrail.core.steering._catalog import Upstream
+from worksrail.core.steering._path_evidence import record_path_answer
+from worksrail.core.steering._paths import Scope, scope_of
+from worksrail.core.steering._routes import RoutingConfiguration
+from worksrail.core.steering.effects import Effect, ProbeUpstream
+from worksrail.core.steering.events import PathProbed
+from worksrail.core.steering.state import SteeringState
+
+# Seconds between two rounds of probes, and the maximum number in each.
+_INTERVAL: Final = 0.5
+_MAX_PROBES: Final = 6
+_DEFAULT_PATH: Final = '/'
+
+
+def probe_paths(state: SteeringState, now: float) -> Iterator[Effect]:
+    """Probe some upstreams while requests cannot be sent to a service.
+
+    Each probe is a health check on a new connection: open ones may work while
+    new ones are refused.
+    """
+    wanted = state.paths.lost_since or now < state.probing_until
+    if not wanted or now < state.next_probe_at:
+        return
+    state.next_probe_at = now + _INTERVAL
+    for upstream in _choose_upstreams(state):
+        name = upstream.name
+        path = _health_path(state, upstream)
+        yield ProbeUpstream(name, upstream.record.address, path)
+
+
+def on_path_probed(
+    state: SteeringState,
+    event: PathProbed,
+) -> Iterator[Effect]:
+    """Learn from an answer to a probe."""
+    upstream = state.catalog.upstreams.get(event.upstream)
+    if upstream and event.answered:
+        yield from record_path_answer(
+            state, upstream, event.now, new_connection=True
+        )
+
+
+def _choose_upstreams(state: SteeringState) -> list[Upstream]:
+    """Choose one upstream for each service and zone in which some were missed.
+
+    If there are many, some of these are sampled.
+    """
+    known = state.catalog.upstreams
+    names = set(state.paths.missed)
+    for service in state.paths.lost_since:
+        names.update(state.catalog.names_of(service))
+    by_scope: dict[Scope, list[Upstream]] = {}
+    for name in sorted(names & known.keys()):
+        by_scope.setdefault(scope_of(known[name]), []).append(known[name])
+    count = min(_MAX_PROBES, len(by_scope))
+    scopes = state.rng.sample(sorted(by_scope), count)
+    return [state.rng.choice(by_scope[scope]) for scope in scopes]
+
+
+def _health_path(state: SteeringState, upstream: Upstream) -> str:
+    configuration = state.configuration
+    if isinstance(configuration, RoutingConfiguration):
+        policy = configuration.services.get(upstream.record.service)
+        if policy:
+            return policy.health_path
+    return _DEFAULT_PATH
--- a/worksrail/core/steering/_reducer.py
+++ b/worksrail/core/steering/_reducer.py
@@ -11,11 +11,13 @@
 from worksrail.core.steering import (
     _admitting,
     _on_digests,
+    _on_passing,
     _on_requests,
     _on_store,
     _on_store_answers,
     _on_time,
     _pacing,
+    _probing,
     _store_watch,
 )
 from worksrail.core.steering.effects import Effect
@@ -26,6 +28,9 @@
     Event,
     LimitMessageReceived,
     PacingMessageReceived,
+    PassedRequestArrived,
+    PassEnded,
+    PathProbed,
     RequestArrived,
     StopRequested,
     StoreUpdateFailed,
@@ -49,6 +54,9 @@
     RequestArrived: _on_requests.on_arrival,
     CallerGone: _on_requests.on_caller_gone,
     AttemptEnded: _on_requests.on_attempt_ended,
+    PassEnded: _on_passing.on_pass_ended,
+    PassedRequestArrived: _on_passing.on_passed_arrival,
+    PathProbed: _probing.on_path_probed,
 }
 
 
--- a/worksrail/core/steering/_repeating.py
+++ b/worksrail/core/steering/_repeating.py
@@ -12,6 +12,8 @@
 # count against the route's maximum: while addresses are reassigned, callers
 # would otherwise be refused with most of their time left.
 _MAX_MISSED_ATTEMPTS: Final = 4
+# The same for requests of other entries, which may pass them on again.
+_MAX_MISSED_OF_OTHERS: Final = 2
 NOT_EXECUTED: Final = frozenset(
     (
         AttemptOutcome.NOT_CONNECTED,
@@ -47,16 +49,21 @@
         return 'body not kept'
     if event.outcome in _MISSED:
         request.sends -= 1
-        if request.attempts >= _MAX_MISSED_ATTEMPTS:
+        if request.attempts >= _max_missed(request):
             return 'connections'
     if event.outcome is AttemptOutcome.NOT_CONNECTED:
         # Nothing was sent, so no upstream got a repeat that the budget counts.
+        request.unconnected += 1
         return ''
     if request.sends >= request.route.max_attempts:
         return 'attempts'
     return '' if _is_within_budget(state, request, event.now) else 'budget'
 
 
+def _max_missed(request: SteeredRequest) -> int:
+    return _MAX_MISSED_OF_OTHERS if request.passed_by else _MAX_MISSED_ATTEMPTS
+
+
 def _denial_of_execution(request: SteeredRequest, event: AttemptEnded) -> str:
     """Return why a second execution is not allowed; empty if it is."""
     if event.outcome in NOT_EXECUTED:
--- a/worksrail/core/steering/_request.py
+++ b/worksrail/core/steering/_request.py
@@ -73,6 +73,18 @@
     tokens_requested: int = 0
     """Number of tokens requested for it."""
 
+    unconnected: int = 0
+    """Number of upstreams to which no connection could be opened."""
+
+    helper: str = ''
+    """Entry that has the request now; empty if none has."""
+
+    passed_to: list[str] = field(default_factory=list)
+    """Entries that it was passed to, in order."""
+
+    passed_by: str = ''
+    """Entry that passed it to this one; empty if a caller sent it."""
+
     tried: set[str] = field(default_factory=set)
     """Upstreams that it must not be sent to again."""
 
--- a/worksrail/core/steering/_routes.py
+++ b/worksrail/core/steering/_routes.py
@@ -106,6 +106,9 @@
     """Requests a second that a cold upstream tolerates; zero means any
     number."""
 
+    health_path: str = '/'
+    """Path of its health checks."""
+
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
--- a/worksrail/core/steering/_unresponsive.py
+++ b/worksrail/core/steering/_unresponsive.py
@@ -20,6 +20,7 @@
     Requests that must not be repeated, or whose attempts are used up, continue
     to wait.
     """
+    yield from _reroute_from_dead_helpers(state, now)
     unresponsive: set[str] = set()
     for request in state.requests.values():
         if not request.upstream or not _may_reroute(request, now):
@@ -41,6 +42,28 @@
         yield CancelAttempt(request.number)
 
 
+def _reroute_from_dead_helpers(
+    state: SteeringState,
+    now: float,
+) -> Iterator[Effect]:
+    for request in state.requests.values():
+        if request.helper and _has_lost_helper(state, request, now):
+            request.rerouting = True
+            yield CancelAttempt(request.number)
+
+
+def _has_lost_helper(
+    state: SteeringState,
+    request: SteeredRequest,
+    now: float,
+) -> bool:
+    """Whether the entry that has a request is dead, and it may be retried."""
+    if request.rerouting or request.caller_gone or not request.route.idempotent:
+        return False
+    helper = state.fleet.entries.get(request.helper)
+    return helper is None or not helper.alive(now)
+
+
 def _is_unresponsive(
     state: SteeringState,
     request: SteeredRequest,
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -9,6 +9,7 @@
 from worksrail.core.pacing import PacingMessage
 from worksrail.core.results import ResultCode
 from worksrail.core.steering._digests import Digest
+from worksrail.core.steering._passing_terms import PassingTerms
 from worksrail.core.steering.events import RequestNumber
 from worksrail.core.steering.kinds import StoreKind
 
@@ -39,6 +40,43 @@
     """Customer to report to the upstream; empty if there is none."""
 
 
+@dataclass(frozen=True, slots=True)
+class PassRequest:
+    """Pass a request to another entry, which chooses the upstream."""
+
+    request: RequestNumber
+    """Number of the request."""
+
+    attempt: int
+    """Number of the attempt, from one."""
+
+    peer: str
+    """Peer address of the other entry."""
+
+    deadline: float
+    """Time until which the upstream may work on it, by this entry's clock."""
+
+    give_up_at: float
+    """When this entry stops waiting for the response."""
+
+    terms: PassingTerms
+    """How this entry resolved the request."""
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeUpstream:
+    """Send an upstream a health check on a new connection."""
+
+    upstream: str
+    """Name of its incarnation."""
+
+    address: str
+    """Its IP address and port."""
+
+    path: str
+    """Path of the health check."""
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerResult:
     """Answer a request with a result code."""
@@ -52,6 +90,9 @@
     retry_after: float = 0
     """Seconds after which a retry is useful."""
 
+    sends: int = 0
+    """Number of upstreams that the request was sent to."""
+
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
@@ -156,6 +197,8 @@
     REQUEST_REPEATED = 'request repeated at another upstream'
     TOKEN_AWAITED = 'request waiting for a token of a limited upstream'
     REPEAT_DENIED = 'request not repeated'
+    REQUEST_PASSED = 'request passed to an entry that reaches the service'
+    REQUEST_TAKEN = 'request taken over from an entry'
     REQUEST_REFUSED = 'request refused; it was not executed'
     REQUEST_ANSWERED = 'answer of an upstream passed on'
     REQUEST_FAILED = 'request ended without an answer of an upstream'
@@ -229,6 +272,8 @@
 
 Effect = (
     SendUpstream
+    | PassRequest
+    | ProbeUpstream
     | AnswerResult
     | CancelAttempt
     | SendDigest
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -10,8 +10,10 @@
 from worksrail.core.identity import ZoneName
 from worksrail.core.limits import LimitMessage
 from worksrail.core.pacing import NamedLimit, PacingMessage
+from worksrail.core.results import ResultCode
 from worksrail.core.steering._catalog import UpstreamRecord
 from worksrail.core.steering._digests import Digest
+from worksrail.core.steering._passing_terms import PassingTerms
 from worksrail.core.steering._routes import RoutingConfiguration
 from worksrail.core.steering._store_sync import StoreUpdate
 from worksrail.core.steering.kinds import StoreKind
@@ -307,6 +309,80 @@
     """Limit advertised by the response; None if no response came."""
 
 
+@dataclass(frozen=True, slots=True)
+class PassRefusal:
+    """Result with which another entry answered a request in its own name."""
+
+    code: ResultCode
+    """The result."""
+
+    retry_after: float
+    """Seconds after which a retry is useful."""
+
+    sends: int
+    """Number of upstreams that the request was sent to, by all entries."""
+
+
+@dataclass(frozen=True, slots=True)
+class PassEnded:
+    """Another entry is done with a request, or has failed."""
+
+    now: float
+    """Monotonic time in seconds."""
+
+    request: RequestNumber
+    """Number of the request."""
+
+    attempt: int
+    """Number of the attempt."""
+
+    outcome: AttemptOutcome
+    """How it ended."""
+
+    status: int = 0
+    """Status code of the response, if there was one."""
+
+    replayable: bool = True
+    """Whether the complete request body is still buffered."""
+
+    refusal: PassRefusal | None = None
+    """Result of the other entry; None if an upstream answered, or nobody."""
+
+
+@dataclass(frozen=True, slots=True)
+class PassedRequestArrived:
+    """A request arrived that another entry could not send."""
+
+    now: float
+    """Monotonic time in seconds."""
+
+    request: RequestNumber
+    """Number of the request, unique in this process."""
+
+    head: SteeredHead
+    """The properties that decisions depend on."""
+
+    terms: PassingTerms
+    """How the other entry resolved it."""
+
+    body_digest: bytes = b''
+    """Hash of its body, or of the part that is known of a long one."""
+
+
+@dataclass(frozen=True, slots=True)
+class PathProbed:
+    """A health check of an upstream ended."""
+
+    now: float
+    """Monotonic time in seconds."""
+
+    upstream: str
+    """Name of its incarnation."""
+
+    answered: bool
+    """Whether any answer came."""
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested:
     """The entry was asked to stop gracefully."""
@@ -332,5 +408,8 @@
     | RequestArrived
     | CallerGone
     | AttemptEnded
+    | PassEnded
+    | PassedRequestArrived
+    | PathProbed
     | StopRequested
 )
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -156,6 +156,15 @@
     arrivals: RateMeter = field(default_factory=RateMeter)
     """Rate of requests that arrive at this entry."""
 
+    passed_arrivals: RateMeter = field(default_factory=RateMeter)
+    """Rate of requests that other entries pass to this one."""
+
+    next_probe_at: float = 0
+    """When upstreams that cannot be reached are probed next."""
+
+    probing_until: float = 0
+    """Until when upstreams that were missed are probed."""
+
     pending_replies: set[str] = field(default_factory=set)
     """Peer addresses of newly seen entries, which the next digest answers."""
 
--- a/worksrail/daemon/http/_headers.py
+++ b/worksrail/daemon/http/_headers.py
@@ -21,6 +21,8 @@
 CUSTOMER: Final = 'Worksrail-Customer'
 NOT_RUN: Final = 'Worksrail-Not-Run'
 LOAD: Final = 'Worksrail-Load'
+TERMS: Final = 'Worksrail-Terms'
+SENDS: Final = 'Worksrail-Sends'
 RATE_LIMIT: Final = 'Worksrail-Limit'
 
 _CONTENT_LENGTH: Final = 'Content-Length'
@@ -41,7 +43,7 @@
 # Only instances may set these; those set by callers or upstreams are removed.
 # A caller's API key is not passed beyond the instance that receives it.
 _INTERNAL_HEADERS: Final = frozenset(
-    (CLIENT, HOME, PASSING, RESULT, ENTRY, CUSTOMER, API_KEY)
+    (CLIENT, HOME, PASSING, RESULT, ENTRY, CUSTOMER, API_KEY, TERMS, SENDS)
 )
 _DIGITS: Final = re.compile(r'\d{1,18}')
 _CHUNKED_METHODS: Final = frozenset(('POST', 'PUT', 'PATCH'))
--- a/worksrail/daemon/steered/_adapter.py
+++ b/worksrail/daemon/steered/_adapter.py
@@ -101,7 +101,8 @@
     ) -> None:
         """Set the headers for the upstream, the seconds left and the customer.
 
-        The caller's API key is removed.
+        The caller's API key is removed.  An empty upstream leaves the choice to
+        another entry.
         """
 
     def read_answer(self, status: int, headers: HTTPHeaders) -> UpstreamAnswer:
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -6,7 +6,7 @@
 import json
 import sys
 import time
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterator
 from dataclasses import dataclass, field
 from typing import Any, Final
 
@@ -18,22 +18,7 @@
     EntrySettings,
     RoutingConfiguration,
     SteeringState,
-)
-from worksrail.core.steering.effects import (
-    AnswerResult,
-    CancelAttempt,
-    CheckStore,
-    Decision,
-    DropConnections,
-    ExitProcess,
-    FetchStoreUpdate,
-    ListStore,
-    RestartStoreCalls,
-    SendDigest,
-    SendLimitMessage,
-    SendPacingMessage,
-    SendUpstream,
-    WatchStore,
+    effects,
 )
 from worksrail.core.steering.events import StopRequested
 from worksrail.core.steering.kinds import StoreKind
@@ -59,12 +44,17 @@
 from worksrail.daemon.steered._engine import Runner, SteeringEngine
 from worksrail.daemon.steered._following import Follower
 from worksrail.daemon.steered._metrics import SteeringMetrics
-from worksrail.daemon.steered._peers import NewsClient, NewsHandler
+from worksrail.daemon.steered._peers import (
+    NewsClient,
+    NewsHandler,
+    PeerHandler,
+)
 from worksrail.daemon.steered._ports import (
     LookUpHandler,
     MetricsHandler,
     ReadinessHandler,
 )
+from worksrail.daemon.steered._probing import PathProber
 from worksrail.daemon.steered._requests import SteeredRequests
 
 _LOG: Final = Logger('worksrail.daemon')
@@ -77,6 +67,10 @@
 # Port of the metrics, at the host of the readiness checks.
 _METRICS_PORT: Final = 9464
 _MICROSECONDS: Final = 1_000_000
+# Position of the server for other entries among all servers.
+_PEER_SERVER: Final = 2
+# Bytes by which the headers grow when a request is passed on.
+_MAX_TERMS_BYTES: Final = 4096
 
 
 @dataclass(slots=True)
@@ -119,6 +113,9 @@
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     """Background tasks."""
 
+    numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+    """Numbers of requests, over all servers."""
+
     failed: bool = False
     """Whether a background task failed, which ends the process."""
 
@@ -135,7 +132,12 @@
             settings, who, _clock.monotonic(), time.time_ns()
         )
         engine = SteeringEngine(state)
-        requests = SteeredRequests(engine, adapter, ConnectionPool(engine.now))
+        requests = SteeredRequests(
+            engine,
+            adapter,
+            ConnectionPool(engine.now),
+            ConnectionPool(engine.now),
+        )
         metrics = SteeringMetrics.create()
         store = adapter.open_store(settings.store, metrics.count_call)
         turn = asyncio.Event()
@@ -167,39 +169,41 @@
         """Return the function that runs each type of effect."""
         news = NewsClient(self.engine, ConnectionPool(self.engine.now))
         return {
-            SendUpstream: self.requests.send_upstream,
-            AnswerResult: self.requests.answer_result,
-            CancelAttempt: self.requests.cancel,
-            DropConnections: self.requests.drop_connections,
-            SendDigest: self.digests.send,
-            SendLimitMessage: self.digests.send_limit_message,
-            SendPacingMessage: self.digests.send_pacing_message,
-            WatchStore: self.follow,
-            ListStore: self.list_store,
-            CheckStore: self.check_store,
-            RestartStoreCalls: self.restart_calls,
-            FetchStoreUpdate: news.fetch,
-            Decision: self.decisions.write,
-            ExitProcess: lambda _: self.stopped.set(),
+            effects.SendUpstream: self.requests.send_upstream,
+            effects.PassRequest: self.requests.pass_request,
+            effects.ProbeUpstream: PathProber(self.engine).probe,
+            effects.AnswerResult: self.requests.answer_result,
+            effects.CancelAttempt: self.requests.cancel,
+            effects.DropConnections: self.requests.drop_connections,
+            effects.SendDigest: self.digests.send,
+            effects.SendLimitMessage: self.digests.send_limit_message,
+            effects.SendPacingMessage: self.digests.send_pacing_message,
+            effects.WatchStore: self.follow,
+            effects.ListStore: self.list_store,
+            effects.CheckStore: self.check_store,
+            effects.RestartStoreCalls: self.restart_calls,
+            effects.FetchStoreUpdate: news.fetch,
+            effects.Decision: self.decisions.write,
+            effects.ExitProcess: lambda _: self.stopped.set(),
         }
 
-    def follow(self, effect: WatchStore) -> None:
+    def follow(self, effect: effects.WatchStore) -> None:
         """Start or stop watching the store."""
         if effect.active:
             self.turn.set()
         else:
             self.turn.clear()
 
-    def list_store(self, effect: ListStore) -> None:
+    def list_store(self, effect: effects.ListStore) -> None:
         """Read all objects of the store once, each kind separately."""
         for follower in self.followers:
             self._start_task(follower.list_once())
 
-    def check_store(self, _: CheckStore) -> None:
+    def check_store(self, _: effects.CheckStore) -> None:
         """Start a health check of the store."""
         self._start_task(self.checker.check())
 
-    def restart_calls(self, _: RestartStoreCalls) -> None:
+    def restart_calls(self, _: effects.RestartStoreCalls) -> None:
         """Restart the calls to the store that are waiting."""
         for follower in self.followers:
             follower.restart_call()
@@ -265,7 +269,10 @@
         addresses = settings.addresses
         self._serve(addresses.caller, self.requests)
         self._serve(addresses.readiness, ReadinessHandler(self.engine, dialect))
-        self._serve(addresses.peer, NewsHandler(self.engine))
+        self._serve(
+            addresses.peer,
+            PeerHandler(NewsHandler(self.engine), self.requests),
+        )
         self._serve(addresses.look_up, LookUpHandler(self.engine, dialect))
         host = addresses.readiness.partition(':')[0]
         metrics = MetricsHandler(self.engine, self.decisions.metrics, self.sink)
@@ -276,9 +283,8 @@
             _LOG.warning('metrics not served', extra={'problem': str(error)})
 
     def _serve(self, address: str, handler: ExchangeHandler) -> None:
-        numbers = itertools.count(1)
         server = ExchangeServer(
-            handler, HttpLimits(), numbers, self.adapter.callers
+            handler, HttpLimits(), self.numbers, self.adapter.callers
         )
         host, _, port = address.partition(':')
         server.listen(int(port), host)
@@ -308,6 +314,11 @@
                 # Tornado has one timeout for idle connections and for headers.
                 header_seconds=max(limits.idle_time, limits.header_time),
             )
+            # Requests that other entries pass on are as large as callers'.
+            self.servers[_PEER_SERVER].limits = HttpLimits(
+                header_bytes=limits.header_bytes + _MAX_TERMS_BYTES,
+                body_bytes=limits.body_bytes,
+            )
 
     async def _close(self) -> None:
         _LOG.info('stopped')
--- a/worksrail/daemon/steered/_decisions.py
+++ b/worksrail/daemon/steered/_decisions.py
@@ -19,6 +19,8 @@
     (
         DecisionKind.REQUEST_SENT,
         DecisionKind.REQUEST_REPEATED,
+        DecisionKind.REQUEST_PASSED,
+        DecisionKind.REQUEST_TAKEN,
         DecisionKind.REPEAT_DENIED,
         DecisionKind.TOKEN_AWAITED,
         DecisionKind.CALLER_GONE,
--- a/worksrail/daemon/steered/_peers.py
+++ b/worksrail/daemon/steered/_peers.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 from math import inf
-from typing import Final
+from typing import Final, Protocol
 from urllib.parse import parse_qs, urlencode, urlsplit
 
 import msgspec
@@ -22,6 +22,7 @@
 from worksrail.daemon.http._exchange import Exchange
 from worksrail.daemon.steered._engine import SteeringEngine
 from worksrail.daemon.steered._packing import pack, unpack
+from worksrail.daemon.steered._passing import is_passed
 
 _LOG: Final = Logger('worksrail.peers')
 _PATH: Final = '/news'
@@ -63,6 +64,38 @@
         """Do nothing: requests are answered at once."""
 
 
+class PassedRequests(Protocol):
+    """Handles the requests that other entries pass on."""
+
+    def passed(self, exchange: Exchange) -> None:
+        """Handle such a request."""
+
+    def caller_gone(self, exchange: Exchange) -> None:
+        """Handle an entry that has closed the connection of a request."""
+
+
+@dataclass(slots=True)
+class PeerHandler:
+    """Separates the two kinds of requests that come from other entries."""
+
+    news: NewsHandler
+    """Serves store updates."""
+
+    requests: PassedRequests
+    """Takes over requests of callers."""
+
+    def arrived(self, exchange: Exchange) -> None:
+        """Handle a request by its kind."""
+        if is_passed(exchange):
+            self.requests.passed(exchange)
+        else:
+            self.news.arrived(exchange)
+
+    def caller_gone(self, exchange: Exchange) -> None:
+        """Handle an entry that has closed the connection of a request."""
+        self.requests.caller_gone(exchange)
+
+
 @dataclass(slots=True)
 class NewsClient:
     """Fetches store updates from other entries."""
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -1,24 +1,26 @@
 """Runs the effects on callers' requests."""
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import inf
 from typing import Final
 
 from tornado import httputil
 
-from worksrail.core.pacing import NamedLimit
+from worksrail.core.customers import CustomerName
 from worksrail.core.results import ResultCode
 from worksrail.core.steering.effects import (
     AnswerResult,
     CancelAttempt,
     DropConnections,
+    PassRequest,
     SendUpstream,
 )
 from worksrail.core.steering.events import (
     AttemptEnded,
     AttemptOutcome,
     CallerGone,
+    PassedRequestArrived,
+    PassEnded,
     RequestArrived,
 )
 from worksrail.daemon.http import _headers as names
@@ -29,10 +31,17 @@
     Outgoing,
 )
 from worksrail.daemon.http._connections import ConnectionPool
-from worksrail.daemon.http._dialect import AnswerUse
 from worksrail.daemon.http._exchange import Exchange
 from worksrail.daemon.steered._adapter import Adapter, UpstreamAnswer
 from worksrail.daemon.steered._engine import SteeringEngine
+from worksrail.daemon.steered._passing import (
+    PassingDialect,
+    PassingSink,
+    add_terms,
+    is_passed,
+    read_terms,
+)
+from worksrail.daemon.steered._sink import SteeredSink
 
 _HTTP_VERSION: Final = 'HTTP/1.1'
 
@@ -48,66 +57,6 @@
 }
 
 
-@dataclass(slots=True)
-class SteeredSink:
-    """Receives the answer of one attempt and checks whose it is."""
-
-    exchange: Exchange
-    """The exchange with the caller."""
-
-    adapter: Adapter
-    """Parses the answer."""
-
-    clock: Callable[[], float]
-    """Monotonic clock in seconds."""
-
-    answer: UpstreamAnswer | None = None
-    """Head of the last answer to this request."""
-
-    answered_at: float = 0
-    """When that head was received."""
-
-    def judge(self, status: int, headers: httputil.HTTPHeaders) -> AnswerUse:
-        """Decide by its head what to do with an answer."""
-        answer = self.adapter.upstreams.read_answer(status, headers)
-        refused = not answer.executed or answer.misdirected
-        if answer.trace != self.exchange.trace:
-            if answer.trace:
-                return AnswerUse.PASS_OVER
-            if not refused:
-                return AnswerUse.REJECT
-        self.answer = answer
-        self.answered_at = self.clock()
-        if refused:
-            return AnswerUse.HOLD_BACK
-        return AnswerUse.REJECT if answer.altered else AnswerUse.PASS_ON
-
-    def named_limit(self) -> NamedLimit | None:
-        """Return the limit that the answer names for its upstream.
-
-        An answer of another upstream at the address is ignored.
-        """
-        if self.answer is None or self.answer.misdirected:
-            return None
-        return NamedLimit(self.answer.rate, self.answered_at)
-
-    async def start_answer(
-        self,
-        start: httputil.ResponseStartLine,
-        headers: httputil.HTTPHeaders,
-    ) -> None:
-        """Forward the head of the answer."""
-        await self.exchange.start_answer(start, headers)
-
-    async def write(self, chunk: bytes) -> None:
-        """Forward a chunk of the body."""
-        await self.exchange.write(chunk)
-
-    def end(self) -> None:
-        """End the exchange after a complete answer."""
-        self.exchange.end()
-
-
 @dataclass(slots=True)
 class SteeredRequests:
     """Exchanges with callers in progress and the effects on them."""
@@ -121,6 +70,9 @@
     upstreams: ConnectionPool
     """Connections to upstreams."""
 
+    peers: ConnectionPool
+    """Connections to other entries."""
+
     exchanges: dict[int, Exchange] = field(default_factory=dict)
     """Exchanges in progress, by the number of the request."""
 
@@ -145,6 +97,27 @@
             )
         )
 
+    def passed(self, exchange: Exchange) -> None:
+        """Dispatch an event for a request that another entry passes on."""
+        terms = read_terms(exchange)
+        exchange.dialect = PassingDialect(terms.sends if terms else 0)
+        head = self.adapter.callers.read_head(
+            exchange.start.method, exchange.start.path, exchange.headers
+        )
+        if terms is None or head is None:
+            exchange.answer_result(ResultCode.MALFORMED_REQUEST)
+            return
+        self.exchanges[exchange.number] = exchange
+        self.engine.dispatch(
+            PassedRequestArrived(
+                self.engine.now(),
+                exchange.number,
+                head,
+                terms,
+                exchange.body_digest(),
+            )
+        )
+
     def caller_gone(self, exchange: Exchange) -> None:
         """Dispatch an event for a closed connection of a caller."""
         if exchange.number in self.exchanges:
@@ -157,10 +130,17 @@
         exchange = self.exchanges[effect.request]
         exchange.run(self._attempt(exchange, effect))
 
+    def pass_request(self, effect: PassRequest) -> None:
+        """Pass a request to another entry."""
+        exchange = self.exchanges[effect.request]
+        exchange.run(self._attempt_passing(exchange, effect))
+
     def answer_result(self, effect: AnswerResult) -> None:
         """Answer a request with a result code."""
         exchange = self.exchanges.pop(effect.request, None)
         if exchange:
+            if is_passed(exchange):
+                exchange.dialect = PassingDialect(effect.sends)
             exchange.closing = self.engine.state.leaving
             exchange.answer_result(effect.code, effect.retry_after)
 
@@ -213,10 +193,64 @@
         if effect.request not in self.engine.state.requests:
             self.exchanges.pop(effect.request, None)
 
+    async def _attempt_passing(
+        self,
+        exchange: Exchange,
+        effect: PassRequest,
+    ) -> None:
+        sink = PassingSink(exchange, self.adapter, self.engine.now)
+        outgoing = self._build_outgoing(
+            exchange,
+            effect.peer,
+            '',
+            effect.deadline,
+            effect.give_up_at,
+            effect.terms.customer,
+        )
+        add_terms(outgoing.headers, effect.terms)
+        attempt = HttpAttempt(
+            self.peers, self.engine.now, outgoing, exchange.body, sink
+        )
+        report = await attempt.run()
+        outcome = sink.outcome(_outcome(report, sink.answer))
+        if outcome is AttemptOutcome.BROKE_IN_ANSWER:
+            exchange.break_off()
+        self.engine.dispatch(
+            PassEnded(
+                self.engine.now(),
+                effect.request,
+                effect.attempt,
+                outcome,
+                report.status,
+                _rewind_body(exchange),
+                sink.refusal if report.end is AttemptEnd.WHOLE else None,
+            )
+        )
+        if effect.request not in self.engine.state.requests:
+            self.exchanges.pop(effect.request, None)
+
     def _build_request(
         self,
         exchange: Exchange,
         effect: SendUpstream,
+    ) -> Outgoing:
+        return self._build_outgoing(
+            exchange,
+            effect.address,
+            effect.upstream,
+            effect.deadline,
+            effect.give_up_at,
+            effect.customer,
+        )
+
+    def _build_outgoing(
+        self,
+        exchange: Exchange,
+        address: str,
+        upstream: str,
+        deadline: float,
+        give_up_at: float,
+        customer: CustomerName,
     ) -> Outgoing:
         headers = names.end_to_end(exchange.headers)
         body = exchange.body
@@ -226,19 +260,19 @@
                 headers['Content-Length'] = str(body.size)
         self.adapter.upstreams.mark_request(
             headers,
-            effect.upstream,
-            effect.deadline - self.engine.now(),
-            effect.customer,
+            upstream,
+            deadline - self.engine.now(),
+            customer,
         )
         start = httputil.RequestStartLine(
             exchange.start.method, exchange.start.path, _HTTP_VERSION
         )
         return Outgoing(
-            effect.address,
+            address,
             start,
             headers,
             inf,
-            effect.give_up_at,
+            give_up_at,
             takes_unframed=True,
         )
 
--- a/worksrail/platform/_dialect.py
+++ b/worksrail/platform/_dialect.py
@@ -105,10 +105,15 @@
         time_left: float,
         customer: CustomerName,
     ) -> None:
-        """Set the headers for the upstream, the deadline and the customer."""
+        """Set the headers for the upstream, the deadline and the customer.
+
+        An empty upstream is for another entry, which sets that header itself.
+        """
         milliseconds = max(1, int(time_left * _MILLISECONDS))
         headers[names.DEADLINE] = str(milliseconds)
-        headers[names.TARGET] = upstream
+        headers.pop(names.TARGET, None)
+        if upstream:
+            headers[names.TARGET] = upstream
         headers.pop(names.API_KEY, None)
         headers.pop(names.CUSTOMER, None)
         if customer:
