Tell a service that crashed from the loss of all links

Requests that had missed two upstreams of a service that hung in part were passed on, where a third own attempt does better. Change: an entry is isolated only if no other service answers; a request is passed on for its own failed connections after three of them.

--- a/tests/steering/test_paths.py
+++ b/tests/steering/test_paths.py
@@ -96,10 +96,20 @@
     world = _world()
     number = world.ask('fetch', time_left=9)
     _try(world, AttemptOutcome.NOT_CONNECTED, attempts=6)
+    _try(world, AttemptOutcome.NOT_CONNECTED, 'fetch', attempts=3)
     world.end(number)
     assert world.state.paths.is_isolated
 
 
+def test_crash_of_a_service_isolates_no_entry_that_reaches_another() -> None:
+    world = _world()
+    for _ in range(6):
+        _try(world, AttemptOutcome.NOT_CONNECTED, attempts=1)
+        world.end(world.ask('fetch', time_left=9))
+    assert set(world.state.paths.lost_since) == {'orders'}
+    assert not world.state.paths.is_isolated
+
+
 def test_service_whose_upstreams_all_fail_is_lost_alone() -> None:
     world = _world()
     for _ in range(6):
--- a/worksrail/core/steering/_passing.py
+++ b/worksrail/core/steering/_passing.py
@@ -20,7 +20,7 @@
 _MAX_PASSES: Final = 3
 # Connections of one request that must have failed before it is passed on even
 # though its service is not known to be lost.
-_MIN_UNCONNECTED: Final = 2
+_MIN_UNCONNECTED: Final = 3
 # Seconds after a request was passed on for which upstreams are probed.
 _PROBE_AFTER_PASS: Final = 2.0
 # Minimum weight of an entry without spare capacity when one is chosen.
--- a/worksrail/core/steering/_paths.py
+++ b/worksrail/core/steering/_paths.py
@@ -22,6 +22,10 @@
 _MIN_ZONES: Final = 2
 
 
+# Seconds after an answer of a service for which that service counts as reached,
+# unless an upstream of it was missed.
+_RECENT_ANSWER: Final = 1.0
+
 Scope = tuple[ServiceName, ZoneName]
 """The upstreams of one service in one zone."""
 
@@ -122,7 +126,7 @@
         """Update what is known to be lost, by the evidence so far."""
         if not self.missed and not self.lost_since:
             return
-        if self._has_lost_all(services.values()):
+        if self._has_lost_all(services, now):
             self.isolated_since = min(self.isolated_since, now)
         else:
             self.isolated_since = inf
@@ -148,8 +152,12 @@
         ]
         return max(times, default=-inf)
 
-    def _has_lost_all(self, services: Iterable[list[Upstream]]) -> bool:
-        known = [one for upstreams in services for one in upstreams]
+    def _has_lost_all(
+        self,
+        services: dict[ServiceName, list[Upstream]],
+        now: float,
+    ) -> bool:
+        known = [one for upstreams in services.values() for one in upstreams]
         isolating = [
             miss.scope for miss in self.missed.values() if miss.isolating
         ]
@@ -157,7 +165,16 @@
             return False
         all_zones = {one.record.zone for one in known}
         missed_zones = {zone for _, zone in isolating}
-        return len(missed_zones) >= min(_MIN_ZONES, len(all_zones))
+        if len(missed_zones) < min(_MIN_ZONES, len(all_zones)):
+            return False
+        missed_services = {service for service, _ in isolating}
+        return not any(
+            self._answers_lately(service, now)
+            for service in services.keys() - missed_services
+        )
+
+    def _answers_lately(self, service: ServiceName, now: float) -> bool:
+        return now - self.last_answer(service) < _RECENT_ANSWER
 
 
 def scope_of(upstream: Upstream) -> Scope:
