--- a/worksrail/bench/world/_network.py
+++ b/worksrail/bench/world/_network.py
@@ -29,6 +29,10 @@
     cuts: set[frozenset[str]] = field(default_factory=set)
     """Pairs of places between which nothing passes."""
 
+    without_upstreams: dict[str, float] = field(default_factory=dict)
+    """Instances that cannot connect to upstreams, with the seconds until an
+    attempt fails."""
+
     def is_cut(self, one: tuple[str, ...], other: tuple[str, ...]) -> bool:
         """Whether nothing passes between two instances.
 
--- a/worksrail/bench/world/_runner.py
+++ b/worksrail/bench/world/_runner.py
@@ -165,6 +165,15 @@
         if world.clock.now >= effect.not_after:
             self._attempt_ended(process, effect, AttemptOutcome.NOT_SENT)
             return
+        failing = world.network.without_upstreams.get(process.name)
+        if failing is not None:
+            world.clock.after(
+                failing,
+                lambda: self._attempt_ended(
+                    process, effect, AttemptOutcome.NOT_SENT
+                ),
+            )
+            return
         upstream = world.upstreams[effect.upstream]
         if not upstream.down and not upstream.shed:
             world.log.executed(exchange.trace)
