Pass requests to neighbours where an instance reaches no upstream

What callers saw: in the product's own mode an instance without links to the upstreams served nobody, while its neighbours had free slots at the same ones. Change: an instance that missed three upstreams of a service with no answer in between passes requests to an instance of its region with free slots; one idempotent request each 0.5 s is sent all the same, as a trial. It advertises no free slots, so look-ups rank it last and nobody passes requests to it, and lends its idle permits as before. Calls that it cannot place with a neighbour go on as before.

--- a/tests/test_cut_instances.py
+++ b/tests/test_cut_instances.py
@@ -78,3 +78,19 @@
     others = _share(whole, whole.clock.now, name)
     print(f'served {share:.3f} where cut off, {others:.3f} otherwise')
     assert share >= _AIM * others
+
+
+def test_direct_sending_is_back_soon_after_the_cut() -> None:
+    world = _world(1)
+    name = world.live()[0].name
+    world.network.without_upstreams[name] = 0.01
+    _share(world, world.clock.now, name)
+    instance = world.processes[name].instance
+    assert instance.has_lost('orders')
+    assert {one.slots for one in instance.spares()} == {0}
+    world.network.without_upstreams.clear()
+    begin = world.clock.now
+    world.load(Traffic('orders', 'north', _RATE, begin + 2, entry=name))
+    world.run_until(begin + 2)
+    assert not instance.has_lost('orders')
+    assert not world.watch.violations
--- a/worksrail/core/_dispatching.py
+++ b/worksrail/core/_dispatching.py
@@ -9,6 +9,7 @@
 from worksrail.core._placing import (
     Placement,
     acquire_local_permits,
+    choose_neighbour,
     choose_remote_instance,
     send,
 )
@@ -46,6 +47,19 @@
     now: float,
 ) -> Iterator[Effect]:
     """Send a request, queue it, pass it on, or refuse it at once."""
+    neighbour = _neighbour_for_lost_service(instance, active, now)
+    if neighbour:
+        active.tried_instances.add(neighbour.who.name)
+        yield from pass_on(instance, active, neighbour)
+    else:
+        yield from _place_here(instance, active, now)
+
+
+def _place_here(
+    instance: Instance,
+    active: ActiveRequest,
+    now: float,
+) -> Iterator[Effect]:
     placement = _acquire_unless_blocked(instance, active, now)
     if isinstance(placement, Placement):
         yield from _send(instance, active, placement, now)
@@ -274,15 +288,40 @@
     instance.service_state(active.service).retries.put(queued)
 
 
-def _remote_target(
+def _neighbour_for_lost_service(
     instance: Instance,
     active: ActiveRequest,
     now: float,
 ) -> MemberRecord | None:
-    if active.head.passing is ArrivalPath.SHIFTED or active.caller_gone:
+    """Return an instance of this region for a request that cannot be sent.
+
+    One request after the other is sent all the same, to find out whether the
+    upstreams can be reached again.
+    """
+    if not instance.has_lost(active.service) or not _may_pass(instance, active):
         return None
-    if active.attempts >= instance.settings.attempt_limit:
+    if hold_time(instance, active, now):
         return None
-    if not may_send(instance, active):
+    reach = instance.service_state(active.service).reach
+    is_first = active.idempotent and not active.attempts
+    if is_first and reach.begin_trial(now):
+        return None
+    return choose_neighbour(instance, active, now)
+
+
+def _remote_target(
+    instance: Instance,
+    active: ActiveRequest,
+    now: float,
+) -> MemberRecord | None:
+    if not _may_pass(instance, active):
         return None
     return choose_remote_instance(instance, active, now)
+
+
+def _may_pass(instance: Instance, active: ActiveRequest) -> bool:
+    if active.head.passing is ArrivalPath.SHIFTED or active.caller_gone:
+        return False
+    if active.attempts >= instance.settings.attempt_limit:
+        return False
+    return may_send(instance, active)
--- a/worksrail/core/_on_requests.py
+++ b/worksrail/core/_on_requests.py
@@ -34,6 +34,14 @@
         AttemptOutcome.CANCELLED,
     )
 )
+# The upstream could not be reached, or did not answer.
+_MISSED: Final = frozenset(
+    (
+        AttemptOutcome.NOT_SENT,
+        AttemptOutcome.BROKE_BEFORE_ANSWER,
+        AttemptOutcome.TIMED_OUT,
+    )
+)
 _NOT_RUN: Final = frozenset((AttemptOutcome.NOT_SENT, AttemptOutcome.SHED))
 
 _FINAL_CODES: Final = {
@@ -162,6 +170,10 @@
         return
     health = instance.upstream_health(active.upstream)
     state = instance.service_state(active.service)
+    if event.outcome in _MISSED:
+        state.reach.record_miss(active.upstream)
+    elif event.outcome is not AttemptOutcome.CANCELLED:
+        state.reach.record_answer()
     if event.load is not None:
         health.record_report(event.load, event.now)
     if event.outcome is AttemptOutcome.CANCELLED:
--- a/worksrail/core/_placing.py
+++ b/worksrail/core/_placing.py
@@ -1,14 +1,14 @@
 """Choosing where a request runs, and acquiring the permits it needs there."""
 
 import heapq
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from dataclasses import dataclass
 from typing import Final
 
 from worksrail.core._tokens import MAX_TOKEN_REQUESTS, has_token
 from worksrail.core.bundle import CompiledService, Topology
 from worksrail.core.effects import Effect, Note, NoteKind, SendUpstream
-from worksrail.core.identity import RegionName
+from worksrail.core.identity import InstanceName, RegionName
 from worksrail.core.instance import Instance, TimedRelease
 from worksrail.core.messages import MemberRecord
 from worksrail.core.permits import (
@@ -125,6 +125,17 @@
     return None
 
 
+def choose_neighbour(
+    instance: Instance,
+    active: ActiveRequest,
+    now: float,
+) -> MemberRecord | None:
+    """Choose another instance of this region with free slots."""
+    region = instance.place.region
+    avoided = {instance.who.name, *active.tried_instances}
+    return _choose_by_free_slots(instance, active.service, region, now, avoided)
+
+
 def release_all(
     instance: Instance,
     holds: tuple[Hold, ...],
@@ -302,12 +313,14 @@
     service: str,
     region: RegionName,
     now: float,
+    avoided: Container[InstanceName] = (),
 ) -> MemberRecord | None:
     candidates = [
         (spare.slots, instance.rng.random(), record)
         for record in instance.membership.accepting_work(
             now, instance.settings, region
         )
+        if record.who.name not in avoided
         for spare in record.spares
         if spare.service == service and spare.slots > 0
     ]
--- a/worksrail/core/instance.py
+++ b/worksrail/core/instance.py
@@ -259,6 +259,12 @@
             round(self.configuration.applied_after, 3),
         )
 
+    def has_lost(self, service: str) -> bool:
+        """Return whether no upstream of a service can be reached from here."""
+        group = self.ledger.groups.get(slot_group(service))
+        upstreams = len(group.pools) if group else 0
+        return self.service_state(service).reach.is_lost(upstreams)
+
     def spares(self) -> tuple[Spare, ...]:
         """Spare capacity of this instance, by service."""
         topology = self.configuration.topology
@@ -274,6 +280,9 @@
             bound = int(group.usable * (1 - headroom))
             idle = max(0, group.usable - group.in_use)
             free = max(0, bound - group.in_use)
+            if self.has_lost(name):
+                # Others may borrow the permits, but send no requests here.
+                free = 0
             spares.append(Spare(name, free, group.usable, idle))
         return tuple(spares)
 
--- a/worksrail/core/requests/active.py
+++ b/worksrail/core/requests/active.py
@@ -74,6 +74,9 @@
     tried_regions: set[RegionName] = field(default_factory=set)
     """Regions that refused it."""
 
+    tried_instances: set[InstanceName] = field(default_factory=set)
+    """Instances of the own region that it was passed to."""
+
     claimed_key: str = ''
     """Idempotency key that it claimed in the key memory."""
 
--- a/worksrail/core/routing/_service.py
+++ b/worksrail/core/routing/_service.py
@@ -6,6 +6,7 @@
 from worksrail.core.identity import RegionName
 from worksrail.core.requests import RequestQueue, RetryBudget
 from worksrail.core.routing._health import LatencyAverage
+from worksrail.core.routing._reach import ServiceReach
 from worksrail.core.routing._rise_limit import RiseLimit
 from worksrail.core.settings import CoreSettings
 
@@ -31,6 +32,9 @@
     rise_limits: dict[RegionName, RiseLimit] = field(default_factory=dict)
     """Limits on the growth of shifted traffic, by source region."""
 
+    reach: ServiceReach = field(default_factory=ServiceReach)
+    """Whether its upstreams can be reached from here."""
+
     ejected: int = 0
     """Number of ejected upstreams."""
 
