Count new connections that are reset at once as no path

Cause: found by the soak's processes where open connections stay and new ones are reset after they were accepted: answers on open connections spoke for the path, so 25 of about 420 requests of the entry failed in 8 s. Change: an attempt that fails on a new connection counts like a failed connect: only an answer on a new connection speaks against it.

--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -47,6 +47,18 @@
     assert not result.violations
 
 
+# Entries lose all links to upstreams, beside stops, new settings and kills.
+@pytest.mark.parametrize('seed', [7101, 7103])
+def test_callers_are_served_while_entries_lose_their_links(
+    seed: int, tmp_path: Path
+) -> None:
+    result = asyncio.run(
+        play_seed(seed, 16, 3, tmp_path, crashing=False, cutting=True)
+    )
+    assert result.cuts
+    assert not result.violations
+
+
 @pytest.mark.parametrize('seed', [5100, 5101])
 def test_named_limits_are_kept_beside_faults(seed: int, tmp_path: Path) -> None:
     result = asyncio.run(
--- a/worksrail/core/steering/_path_evidence.py
+++ b/worksrail/core/steering/_path_evidence.py
@@ -52,7 +52,9 @@
         event.outcome is AttemptOutcome.CANCELLED
     )
     if is_overdue(request, event) or not abandoned:
+        # A new connection may also be reset right after it was accepted.
         failed = event.outcome is AttemptOutcome.NOT_CONNECTED
+        failed = failed or event.connect_time > 0
         state.paths.record_miss(upstream, connecting=failed)
         yield from _update(state, event.now)
 
