Count lost requests once where entries pass them on; stops in the soak

Cause: worksrail losses read the end of a passed request at both entries. Change: a taken request counts at the entry that its caller used; 'late: passed to another entry' is a cause of its own. Entries that were told to stop and not started again are left out of the share, as those without a store are.

--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -124,12 +124,14 @@
         self.watches[host].cancel()
         process = self.processes[host]
         had_ended = process.returncode is not None
+        begin = self.clock()
         self.signal(host, number)
         async with asyncio.timeout(_LAST_END):
             code = await process.wait()
         if had_ended or (number is signal.SIGKILL and code != -number):
             self.witness.ends.append((host, code))
         await self.start(host)
+        self.witness.out_of_touch[host].append((begin, self.clock()))
         self.restarting.discard(host)
         return code
 
--- a/worksrail/cli/_losses.py
+++ b/worksrail/cli/_losses.py
@@ -15,7 +15,9 @@
 from worksrail.cli._logs import read_lines
 from worksrail.cli._output import Output
 
-_SENT: Final = frozenset(('request-sent', 'request-repeated'))
+_PASSED: Final = 'request-passed'
+_TAKEN: Final = 'request-taken'
+_SENT: Final = frozenset(('request-sent', 'request-repeated', _PASSED))
 _ANSWERED: Final = 'request-answered'
 _LINES_OMITTED: Final = 'lines-left-out'
 # Categories by which entries count omitted lines, by message of the log line.
@@ -35,6 +37,7 @@
     """Why an answer was late; the first cause that applies is reported."""
 
     RETURNED = 'late: came back after a refusal'
+    PASSED = 'late: passed to another entry'
     REPEATED = 'late: sent more than once'
     COLD = 'late: sent where its key was not expected to be warm'
     WAITED = 'late: expected to wait for a slot'
@@ -116,19 +119,44 @@
         return estimate
 
 
-def show_losses(output: Output, files: Iterable[str], every: float) -> None:
-    """Print the causes of lost requests, by interval."""
-    table = LossTable(every)
-    last_sent: dict[tuple[str, str], dict[str, Any]] = {}
-    for line in read_lines(files):
+@dataclass(slots=True)
+class _LineReader:
+    """Finds the ends of requests among the lines of the logs."""
+
+    table: LossTable
+    last_sent: dict[tuple[str, str], dict[str, Any]] = field(
+        default_factory=dict
+    )
+    taken: set[tuple[str, str]] = field(default_factory=set)
+
+    def read(self, line: dict[str, Any]) -> None:
+        """Handle one line."""
         who = (line.get('instance', ''), line.get('request', ''))
         message = line.get('message', '')
         if message in _SENT:
-            last_sent[who] = line
+            self.last_sent[who] = line
+        elif message == _TAKEN:
+            self.taken.add(who)
         elif message == _LINES_OMITTED:
-            table.add_omitted(line)
+            self.table.add_omitted(line)
         elif message == _ANSWERED or message in _LOSS_CATEGORIES:
-            table.add(_request_end(line, last_sent.pop(who, {})))
+            self._end(who, line)
+
+    def _end(self, who: tuple[str, str], line: dict[str, Any]) -> None:
+        sent = self.last_sent.pop(who, {})
+        # A request that was taken over counts at the entry that its caller
+        # used; one that was refused to an entry has no other line here.
+        if who not in self.taken and 'from' not in line:
+            self.table.add(_request_end(line, sent))
+        self.taken.discard(who)
+
+
+def show_losses(output: Output, files: Iterable[str], every: float) -> None:
+    """Print the causes of lost requests, by interval."""
+    table = LossTable(every)
+    reader = _LineReader(table)
+    for line in read_lines(files):
+        reader.read(line)
     rows = list(table.rows())
     columns = ('from s', 'cause', 'requests')
     output.table('losses', columns, rows, [list(row) for row in rows])
@@ -153,6 +181,7 @@
     slow = line.get('execution', 0) > _SLOW_FACTOR * line.get('expected', 0)
     conditions = {
         LateCause.RETURNED: line.get('returned', 0),
+        LateCause.PASSED: sent.get('message') == _PASSED,
         LateCause.REPEATED: line.get('sends', 1) > 1,
         LateCause.COLD: not sent.get('warm', 1),
         LateCause.WAITED: sent.get('wait', 0) > 0,
