Pass requests only to entries that know such requests; probes and TCP_USER_TIMEOUT

Cause: an entry of an earlier release answers a passed request with 404, which an unsafe one would not survive. TCP_KEEPCNT is ignored by Linux beside TCP_USER_TIMEOUT, so the comment promised two probes where 2 s of silence decide. Change: entries advertise that they take passed requests; the number of probes is not set any more and the comment says what decides. Measured: records of both releases read by each other (test); which of the two options decides is the users' statement about Linux, not measured here. Conclusion: a fleet of two releases behaves as the older one where it must.

--- a/tests/steering/test_passing.py
+++ b/tests/steering/test_passing.py
@@ -5,11 +5,13 @@
 from typing import Any, Final
 from unittest import mock
 
+import msgspec
 import pytest
 
 from tests.steering.cut_world import Ask, Cut, CutWorld
 from tests.steering.world import (
     World,
+    contact,
     customer,
     digest,
     of_type,
@@ -18,9 +20,10 @@
 from tests.steering.world import upstream as upstream_record
 from worksrail.core.budgets import SharedBudgets
 from worksrail.core.customers import Quota
+from worksrail.core.identity import Incarnation
 from worksrail.core.limits import SharedLimits
 from worksrail.core.results import Certainty, ResultCode
-from worksrail.core.steering import PassingTerms, RouteKind
+from worksrail.core.steering import Contact, PassingTerms, RouteKind
 from worksrail.core.steering.effects import (
     AnswerResult,
     CancelAttempt,
@@ -114,6 +117,7 @@
         {'unreachable': ('orders',)},
         {'leaving': True},
         {'ready': False},
+        {'takes_requests': False},
     ],
     ids=lambda changes: next(iter(changes)),
 )
@@ -415,3 +419,28 @@
             sum(at <= other < at + 1 for other in times) <= allowed
             for at in times
         )
+
+
+class _OldContact(msgspec.Struct, frozen=True, array_like=True):
+    """The state that an entry advertised before requests were passed on."""
+
+    who: Incarnation
+    zone: str
+    region: str
+    peer: str
+    caller: str
+    ready: bool
+    leaving: bool
+    capacity: float
+    rate: float
+    revisions: tuple[int, ...]
+    store_lost: bool = False
+
+
+def test_entries_of_earlier_releases_are_understood_and_left_alone() -> None:
+    new = contact('near', unreachable=('orders',), isolated=True)
+    as_old = msgspec.convert(msgspec.to_builtins(new), _OldContact)
+    assert as_old.who.name == 'near'
+    as_new = msgspec.convert(msgspec.to_builtins(as_old), Contact)
+    assert as_new.name == 'near'
+    assert not (as_new.takes_requests or as_new.unreachable)
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -138,6 +138,7 @@
         'capacity': EntryLimits().cores * 300,
         'rate': 0,
         'revisions': (1, 1, 1),
+        'takes_requests': True,
     }
     return Contact(**(fields | changes))
 
--- a/worksrail/core/steering/_digests.py
+++ b/worksrail/core/steering/_digests.py
@@ -61,6 +61,10 @@
     isolated: bool = False
     """Whether it reaches no upstream at all."""
 
+    takes_requests: bool = False
+    """Whether other entries may pass requests to it; earlier releases do not
+    know such requests."""
+
     @property
     def name(self) -> str:
         """Return the name of the entry."""
--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -126,6 +126,7 @@
         bool(state.failing_kinds),
         tuple(sorted(state.paths.lost_since)),
         state.paths.is_isolated,
+        takes_requests=True,
     )
 
 
--- a/worksrail/core/steering/_passing.py
+++ b/worksrail/core/steering/_passing.py
@@ -129,7 +129,7 @@
 
 
 def _can_send(contact: Contact, request: SteeredRequest) -> bool:
-    if contact.name in request.passed_to:
+    if not contact.takes_requests or contact.name in request.passed_to:
         return False
     if request.service in contact.unreachable:
         return False
--- a/worksrail/daemon/http/_connections.py
+++ b/worksrail/daemon/http/_connections.py
@@ -23,14 +23,13 @@
 _REUSABLE_IDLE_SHARE: Final = 0.5
 _MIN_REUSABLE_IDLE: Final = 0.1
 _STALE_WINDOW: Final = 10.0
-# TCP keepalive: first probe after 1 s idle, then every 1 s; the connection is
-# dead after 2 unanswered probes, or when sent bytes stay unacknowledged for
-# 2000 ms.
+# A connection is dead when the remote host has acknowledged nothing for
+# 2000 ms, neither sent bytes nor the keepalive probes that follow 1 s of
+# silence.  Linux ignores the number of probes beside TCP_USER_TIMEOUT.
 _KEEPALIVE_OPTIONS: Final = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2000),
 )
 
