Keep the budget of repeats where a passed request is tried once more

Cause: read in the code: an entry that refused with 'unreachable' after one of its upstreams had rejected the request was followed by a further entry, which sends without asking the budget, as the request came to it unsent. Change: such a refusal is final. A HealthPath that is left out (null) no longer spoils the configuration. Paths are judged at an answer only if something changed, else each tick: with hundreds of upstreams and one that is down each answer would have weighed all of them. Measured: the tests of passing, paths and cut entries; processor time was not measured. Conclusion: repeats of a passed request draw on one budget at each step.

--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -59,6 +59,16 @@
     assert not result.violations
 
 
+# The same while upstreams name limits, down to none, and a request crashes them.
+def test_callers_are_served_without_links_beside_named_limits(
+    tmp_path: Path,
+) -> None:
+    result = asyncio.run(
+        play_seed(8014, 20, 3, tmp_path, limiting=True, cutting=True)
+    )
+    assert not result.violations
+
+
 @pytest.mark.parametrize('seed', [5100, 5101])
 def test_named_limits_are_kept_beside_faults(seed: int, tmp_path: Path) -> None:
     result = asyncio.run(
--- a/tests/steering/test_passing.py
+++ b/tests/steering/test_passing.py
@@ -171,6 +171,16 @@
     assert not world.state.requests
 
 
+def test_request_that_an_upstream_had_is_not_tried_at_a_further_entry() -> None:
+    world = _world()
+    number = world.ask(time_left=9)
+    refusal = PassRefusal(ResultCode.UPSTREAM_UNREACHABLE, 0.2, 1)
+    _end_pass(world, number, AttemptOutcome.NOT_EXECUTED, refusal)
+    assert len(_passed(world)) == 1
+    (answer,) = of_type(world.effects, AnswerResult)
+    assert answer.code is ResultCode.UPSTREAM_UNREACHABLE
+
+
 def test_refusal_for_want_of_slots_is_final_and_keeps_its_delay() -> None:
     world = _world()
     number = world.ask(time_left=9)
--- a/worksrail/core/steering/_on_passing.py
+++ b/worksrail/core/steering/_on_passing.py
@@ -86,7 +86,6 @@
             state, request, ResultCode.PEER_UNREACHABLE, event
         )
     elif event.refusal:
-        request.sends = max(request.sends, event.refusal.sends)
         yield from _after_refusal(state, request, event.refusal.code, event)
     elif event.outcome is AttemptOutcome.ANSWERED:
         state.requests.pop(request.number)
@@ -147,8 +146,7 @@
             DecisionKind.REQUEST_DROPPED, event.outcome.name, request.number
         )
         return
-    unsent = code in _OF_THE_ENTRY or code is ResultCode.PEER_UNREACHABLE
-    if unsent and event.replayable:
+    if _may_try_another(request, code, event):
         yield from place(state, request, event.now)
         return
     if code.certainty is Certainty.NOT_RUN:
@@ -170,6 +168,19 @@
     yield AnswerResult(request.number, code)
 
 
+def _may_try_another(
+    request: SteeredRequest,
+    code: ResultCode,
+    event: PassEnded,
+) -> bool:
+    if code is ResultCode.PEER_UNREACHABLE:
+        return event.replayable
+    # Another try after an upstream had the request would be a retry, which
+    # the budget of the other entry did not allow.
+    sent = event.refusal is not None and event.refusal.sends > request.sends
+    return code in _OF_THE_ENTRY and event.replayable and not sent
+
+
 def _as_attempt(event: PassEnded) -> AttemptEnded:
     return AttemptEnded(
         event.now,
--- a/worksrail/core/steering/_path_evidence.py
+++ b/worksrail/core/steering/_path_evidence.py
@@ -76,12 +76,15 @@
         state.probing_until = now + _PROBE_AFTER_RETURN
         state.next_probe_at = now
     paths.zones.record_reachable(upstream.record.zone)
-    yield from _update(state, now)
+    # Without a change the next tick is soon enough: this runs at each answer.
+    if reached or paths.lost_since:
+        yield from _update(state, now)
 
 
 def watch_paths(state: SteeringState, now: float) -> Iterator[Decision]:
     """Count overdue answers, and update which services are lost."""
-    if now - state.paths.answered_at > _MIN_SILENCE:
+    silent = now - state.paths.answered_at > _MIN_SILENCE
+    if silent and state.requests:
         _record_overdue(state, now)
     yield from _update(state, now)
 
--- a/worksrail/core/steering/_paths.py
+++ b/worksrail/core/steering/_paths.py
@@ -112,6 +112,8 @@
             return False
         if self.is_isolated:
             return True
+        if len(self.missed) < min(_MIN_MISSED, len(upstreams)):
+            return False
         names = [one.name for one in upstreams if one.name in self.missed]
         if len(names) < min(_MIN_MISSED, len(upstreams)):
             return False
@@ -157,11 +159,14 @@
         services: dict[ServiceName, list[Upstream]],
         now: float,
     ) -> bool:
+        count = sum(map(len, services.values()))
+        if not count or len(self.missed) < min(_MIN_MISSED, count):
+            return False
         known = [one for upstreams in services.values() for one in upstreams]
         isolating = [
             miss.scope for miss in self.missed.values() if miss.isolating
         ]
-        if len(isolating) < min(_MIN_MISSED, len(known)) or not known:
+        if len(isolating) < min(_MIN_MISSED, count):
             return False
         all_zones = {one.record.zone for one in known}
         missed_zones = {zone for _, zone in isolating}
--- a/worksrail/platform/_objects.py
+++ b/worksrail/platform/_objects.py
@@ -136,7 +136,7 @@
         row.integer('MaxConnections', 0),
         row.number('ColdStartS', 0),
         row.number('ColdPerS', 0),
-        row.string('HealthPath') if 'HealthPath' in row.table else '/',
+        row.string('HealthPath') if row.table.get('HealthPath') else '/',
     )
 
 
