--- a/tests/steering/test_passing.py
+++ b/tests/steering/test_passing.py
@@ -237,6 +237,17 @@
     ]
 
 
+def test_request_may_leave_one_silent_entry_after_another() -> None:
+    world = _world()
+    number = world.ask(time_left=9)
+    _hear(world, 'far', 2, zone='b1', region='b')
+    world.wait(1.2)
+    _end_pass(world, number, AttemptOutcome.NOT_CONNECTED)
+    world.wait(2)
+    cancelled = [one.request for one in of_type(world.effects, CancelAttempt)]
+    assert cancelled == [number, number]
+
+
 def test_quota_counts_a_passed_request_once() -> None:
     buyer = customer('buyer', 'key', quota=Quota(5, 5))
     sender = _world(customers=[buyer])
--- a/worksrail/core/steering/_on_passing.py
+++ b/worksrail/core/steering/_on_passing.py
@@ -146,6 +146,7 @@
             DecisionKind.REQUEST_DROPPED, event.outcome.name, request.number
         )
         return
+    request.rerouting = False
     if _may_try_another(request, code, event):
         yield from place(state, request, event.now)
         return
--- a/worksrail/core/steering/_paths.py
+++ b/worksrail/core/steering/_paths.py
@@ -20,8 +20,6 @@
 # Zones that they must be in, unless all known upstreams are in one zone: a zone
 # that lost power says nothing about the links of this entry.
 _MIN_ZONES: Final = 2
-
-
 # Seconds after an answer of a service for which that service counts as reached,
 # unless an upstream of it was missed.
 _RECENT_ANSWER: Final = 1.0
