Probe only upstreams that may get requests

Cause: read in the code: health checks of missed upstreams also went to those that drain and to evacuated zones. Change: probes go to usable upstreams only. Conclusion: nothing reaches an evacuated zone on account of probes.

--- a/tests/steering/test_passing.py
+++ b/tests/steering/test_passing.py
@@ -35,6 +35,7 @@
     AttemptOutcome,
     CallerGone,
     DigestReceived,
+    EvacuationsRead,
     PassedRequestArrived,
     PassEnded,
     PassRefusal,
@@ -325,6 +326,16 @@
     assert world.sent(world.ask(time_left=9))
 
 
+def test_evacuated_zones_get_no_health_checks() -> None:
+    world = _world()
+    world.run(EvacuationsRead(world.now, frozenset(('a2', 'b1')), 2))
+    world.effects.clear()
+    world.wait(1.2)
+    probed = {one.upstream for one in of_type(world.effects, ProbeUpstream)}
+    assert probed
+    assert {name[:2] for name in probed} == {'a1'}
+
+
 def test_failed_health_check_changes_nothing() -> None:
     world = _world()
     world.wait(0.6)
--- a/worksrail/core/steering/_probing.py
+++ b/worksrail/core/steering/_probing.py
@@ -48,15 +48,15 @@
 def _choose_upstreams(state: SteeringState) -> list[Upstream]:
     """Choose one upstream for each service and zone in which some were missed.
 
-    If there are many, some of these are sampled.
+    If there are many, some of these are sampled.  Draining upstreams and those
+    of evacuated zones are left alone.
     """
-    known = state.catalog.upstreams
-    names = set(state.paths.missed)
-    for service in state.paths.lost_since:
-        names.update(state.catalog.names_of(service))
+    paths = state.paths
     by_scope: dict[Scope, list[Upstream]] = {}
-    for name in sorted(names & known.keys()):
-        by_scope.setdefault(scope_of(known[name]), []).append(known[name])
+    for service, upstreams in state.catalog.services.items():
+        for upstream in upstreams:
+            if service in paths.lost_since or upstream.name in paths.missed:
+                by_scope.setdefault(scope_of(upstream), []).append(upstream)
     count = min(_MAX_PROBES, len(by_scope))
     scopes = state.rng.sample(sorted(by_scope), count)
     return [state.rng.choice(by_scope[scope]) for scope in scopes]
