Count requests without an end in the soak's check of cuts

Cause: a caller that gives up waiting recorded no end, so an entry that hangs its callers would not have been noticed. Change: such a request counts as not served unless its caller still waits. Measured: a test of the checker; the process tests of cut entries pass. Conclusion: the check is stricter.

--- a/tests/soak/_promises.py
+++ b/tests/soak/_promises.py
@@ -21,6 +21,8 @@
 _LIMIT_WINDOW = 4.0
 _LIMIT_FACTOR = 1.5
 _LIMIT_EXTRA = 5
+# Seconds that a caller waits for the end of its request.
+_PATIENCE = 4.0
 # Share of the others' success that an entry without links to upstreams has at
 # least, unless so few first tries fail there: a number, and a share of all.
 _CUT_SHARE = 2 / 3
@@ -283,12 +285,14 @@
     def _share_of(self, cut: Cut) -> CutShare:
         there = [0, 0]
         elsewhere = [0, 0]
+        last = max((end.at for end in self.ended.values()), default=0)
         for trace, sent in self.sent.items():
             host = sent.entry.partition(':')[0]
-            if (
-                not cut.begin + _CALM <= sent.at < cut.end
-                or trace not in self.ended
-            ):
+            if not cut.begin + _CALM <= sent.at < cut.end:
+                continue
+            # A caller that saw no end of its request was not served, unless
+            # it still waits.
+            if trace not in self.ended and sent.at > last - _PATIENCE:
                 continue
             if self._was_disturbed(host, sent.at) or self._was_out_of_touch(
                 host, sent.at
@@ -297,7 +301,8 @@
             counts = there if host == cut.host else elsewhere
             if host != cut.host and self._was_cut(host, sent.at):
                 continue
-            counts[0] += self.ended[trace].status == _OK
+            end = self.ended.get(trace)
+            counts[0] += end is not None and end.status == _OK
             counts[1] += 1
         return CutShare(cut, (there[0], there[1]), (elsewhere[0], elsewhere[1]))
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -352,3 +352,11 @@
     witness = _cut_off('one', 5, served=False)
     witness.out_of_touch['one'].append((0, 2))
     assert not witness.violations()
+
+
+def test_request_without_an_end_counts_as_not_served() -> None:
+    witness = _cut_off('one', 5, served=True)
+    for number in range(60):
+        witness.ended.pop(f'one-{number}')
+    witness.ended['two-0'] = replace(witness.ended['two-0'], at=12)
+    assert [one.promise for one in witness.violations()] == [Promise.CUT_SERVED]
