--- a/tests/processes/test_cut_entries.py
+++ b/tests/processes/test_cut_entries.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.soak._promises import CutShare
+from tests.soak._cuts import CutShare
 from tests.soak._proxy import Link
 from tests.soak._repeats import Budget
 from tests.soak._soak import start_callers, wait_served
--- a/tests/soak/_promises.py
+++ b/tests/soak/_promises.py
@@ -6,6 +6,7 @@
 from enum import Enum, unique
 from math import inf
 
+from tests.soak._cuts import Cut, CutShare
 from tests.soak._repeats import Budget, Excess, worst_windows
 
 # Statuses that say: not executed, and it never will be.
@@ -23,11 +24,6 @@
 _LIMIT_EXTRA = 5
 # Seconds that a caller waits for the end of its request.
 _PATIENCE = 4.0
-# Share of the others' success that an entry without links to upstreams has at
-# least, unless so few first tries fail there: a number, and a share of all.
-_CUT_SHARE = 2 / 3
-_CUT_FAILURES = 10
-_CUT_FAILURE_SHARE = 1 / 50
 # Seconds before a request in which an unplanned fault may still cut it.
 _CALM = 4.0
 
@@ -153,46 +149,6 @@
     """When it ceased."""
 
 
-@dataclass(slots=True)
-class Cut:
-    """A time in which an entry had no links to upstreams."""
-
-    host: str
-    """The entry."""
-
-    begin: float
-    """When it lost them."""
-
-    end: float = inf
-    """When it got them back."""
-
-
-@dataclass(frozen=True, slots=True)
-class CutShare:
-    """First tries from some seconds after the begin of a cut on."""
-
-    cut: Cut
-    """The cut."""
-
-    there: tuple[int, int]
-    """Served at the entry, and sent to it."""
-
-    elsewhere: tuple[int, int]
-    """The same at the entries that were not cut off."""
-
-    def is_broken(self) -> bool:
-        """Whether the callers of the entry were served too seldom."""
-        served, sent = self.there
-        others_served, others_sent = self.elsewhere
-        failed = sent - served
-        if not sent or not others_sent:
-            return False
-        share = served / sent
-        others = others_served / others_sent
-        most = _CUT_FAILURES + (sent + others_sent) * _CUT_FAILURE_SHARE
-        return share < others * _CUT_SHARE and failed > most
-
-
 @dataclass(frozen=True, slots=True)
 class Violation:
     """A promise that was broken."""
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -10,8 +10,9 @@
 from typing import TypeVar
 
 from tests.soak._callers import Caller
+from tests.soak._cuts import CutShare
 from tests.soak._faults import Fault, Step, cuts_of, steps_of
-from tests.soak._promises import CutShare, Sent, Violation
+from tests.soak._promises import Sent, Violation
 from tests.soak._proxy import Link
 from tests.soak._repeats import Budget, Excess
 from tests.soak._turns import Turns
--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -15,8 +15,9 @@
 
 from tests.hangups import keep_hangups
 from tests.platform.test_decoding import CONFIGURATION, SETTINGS
+from tests.soak._cuts import Cut
 from tests.soak._owners import owner_of
-from tests.soak._promises import Arrival, Crash, Cut, Witness
+from tests.soak._promises import Arrival, Crash, Witness
 from tests.soak._proxy import Link, Proxy
 from tests.soak._repeats import Budget
 from tests.soak._turns import Turns
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,12 +8,11 @@
 
 import pytest
 
+from tests.soak._cuts import Cut, CutShare
 from tests.soak._faults import Fault, cuts_of, steps_of
 from tests.soak._promises import (
     Arrival,
     Crash,
-    Cut,
-    CutShare,
     Ended,
     Executed,
     Limited,
