--- a/worksrail/core/steering/_path_evidence.py
+++ b/worksrail/core/steering/_path_evidence.py
@@ -68,11 +68,14 @@
 ) -> Iterator[Decision]:
     """Update the evidence about a path after an answer."""
     paths = state.paths
+    was_lost = upstream.record.service in paths.lost_since
+    is_returning = was_lost or now < state.probing_until
     reached = paths.record_answer(upstream, now, new_connection=new_connection)
-    for name in reached:
-        # Its failures came from the links of this entry.
-        state.loads.of(name).forget_failures()
-    if paths.missed and reached:
+    if reached and is_returning:
+        # Their failures came from the links of this entry.
+        for name in reached:
+            state.loads.of(name).forget_failures()
+    if was_lost:
         state.probing_until = now + _PROBE_AFTER_RETURN
         state.next_probe_at = now
     paths.zones.record_reachable(upstream.record.zone)
