Log what upstreams state of themselves in the heads of their answers

Callers saw requests at upstreams that had said that they leave, and at ones that had asked for no requests. The logs could not tell whether that was heard.

Change: each attempt shows the head of its answer to an observer as soon as it is read, in both modes' client (HttpAttempt.on_head). worksrail.core.availability parses the two statements: a leave, and a backoff (Retry-After of a 503, as a number or a date). An entry logs upstream-leaving, upstream-backoff, upstream-resumed and, once each, upstream-notice-unreadable, with the request whose answer said so; two gauges count them. Answers of another upstream (421), late or second ones, spoiled heads and answers of other entries state nothing. Health checks are heard too, by the upstream's identifier. Nothing is decided by it yet.

--- /dev/null
+++ b/worksrail/core/availability/_backoffs.py
@@ -0,0 +1,109 @@
+"""Times for which upstreams have asked this instance for no requests."""
+
+from collections.abc import Container
+from dataclasses import dataclass, field
+from math import inf
+
+from worksrail.core.availability._notice import Statement
+
+
+@dataclass(slots=True)
+class Backoff:
+    """The time for which one upstream wants no requests from this instance."""
+
+    began_at: float
+    """When it first asked, without an end of the time since."""
+
+    until: float
+    """End of the time."""
+
+    usual_rate: float
+    """Requests per second that this instance sent to it before."""
+
+    has_ended: bool = False
+    """Whether the end of the time was reported."""
+
+
+@dataclass(slots=True)
+class Backoffs:
+    """All backoffs that upstreams have asked this instance for.
+
+    Each of them binds until its own end, so a shorter one that comes later does
+    not end a longer one.
+
+    >>> backoffs = Backoffs()
+    >>> backoffs.note('u1', 3.0, 10.0), backoffs.note('u1', 0.5, 11.0)
+    (True, False)
+    >>> backoffs.is_active('u1', 12.9), backoffs.is_active('u1', 13.0)
+    (True, False)
+    """
+
+    by_upstream: dict[str, Backoff] = field(default_factory=dict)
+    """Backoffs by name of the upstream."""
+
+    reported: set[tuple[str, Statement]] = field(default_factory=set)
+    """Unreadable statements that were reported, by upstream."""
+
+    def note(
+        self,
+        upstream: str,
+        seconds: float,
+        now: float,
+        usual_rate: float = 0,
+    ) -> bool:
+        """Record a request for a backoff; return whether it changes the end.
+
+        ``usual_rate`` counts only if no backoff is remembered: during and just
+        after one, fewer requests than usual are sent.
+        """
+        until = now + seconds
+        known = self.by_upstream.get(upstream)
+        if known is None:
+            self.by_upstream[upstream] = Backoff(now, until, usual_rate)
+            return True
+        if until <= known.until:
+            return False
+        if known.has_ended or now >= known.until:
+            known.began_at = now
+        known.until = until
+        known.has_ended = False
+        return True
+
+    def note_unreadable(self, upstream: str, statement: Statement) -> bool:
+        """Return whether an unreadable statement is the upstream's first."""
+        key = (upstream, statement)
+        if key in self.reported:
+            return False
+        self.reported.add(key)
+        return True
+
+    def is_active(self, upstream: str, now: float) -> bool:
+        """Return whether an upstream wants no requests now."""
+        known = self.by_upstream.get(upstream)
+        return known is not None and now < known.until
+
+    def end_of(self, upstream: str) -> float:
+        """Return when the backoff of an upstream ends or ended."""
+        known = self.by_upstream.get(upstream)
+        return known.until if known else -inf
+
+    def take_ended(self, now: float, keep_for: float) -> list[str]:
+        """Return the upstreams whose backoff has just ended.
+
+        Backoffs are remembered for ``keep_for`` seconds after their end.
+        """
+        ended = []
+        for upstream, backoff in tuple(self.by_upstream.items()):
+            if now >= backoff.until and not backoff.has_ended:
+                backoff.has_ended = True
+                ended.append(upstream)
+            if now >= backoff.until + keep_for:
+                self.by_upstream.pop(upstream)
+        return ended
+
+    def keep_only(self, upstreams: Container[str]) -> None:
+        """Drop upstreams that are gone."""
+        for upstream in tuple(self.by_upstream):
+            if upstream not in upstreams:
+                self.by_upstream.pop(upstream)
+        self.reported = {key for key in self.reported if key[0] in upstreams}
--- a/worksrail/core/steering/_catalog.py
+++ b/worksrail/core/steering/_catalog.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from worksrail.core.availability import LeavingUpstreams
 from worksrail.core.identity import RegionName, ServiceName, ZoneName
 from worksrail.core.steering._store_health import StoreHealth
 
@@ -117,6 +118,9 @@
     services: dict[ServiceName, list[Upstream]] = field(default_factory=dict)
     """Usable upstreams by service; draining ones are excluded."""
 
+    leaving: LeavingUpstreams = field(default_factory=LeavingUpstreams)
+    """Upstreams that have said in their answers that they are shutting down."""
+
     missing: set[str] = field(default_factory=set)
     """Names of upstreams that are no longer listed and not yet removed."""
 
--- a/worksrail/core/steering/_on_store.py
+++ b/worksrail/core/steering/_on_store.py
@@ -148,6 +148,7 @@
     listed = state.catalog.upstreams.keys()
     state.loads.keep_only(listed)
     state.paths.keep_only(listed)
+    state.rates.backoffs.keep_only(listed)
     state.rates.cold.forget(
         {
             name
--- a/worksrail/core/steering/_on_time.py
+++ b/worksrail/core/steering/_on_time.py
@@ -5,6 +5,7 @@
 
 from worksrail.core.identity import RegionName
 from worksrail.core.steering._admitting import maintain_limits
+from worksrail.core.steering._availability import maintain_availability
 from worksrail.core.steering._on_digests import (
     forget_expired_zones,
     schedule_digests,
@@ -92,6 +93,7 @@
     yield from _detect_dead_entries(state, now)
     yield from watch_paths(state, now)
     yield from probe_paths(state, now)
+    yield from maintain_availability(state, now)
     yield from sync_with_store(state, now)
     _update_key_homes(state, now)
     _update_budgets(state, now)
--- a/worksrail/core/steering/_probing.py
+++ b/worksrail/core/steering/_probing.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from worksrail.core.steering._availability import learn_notice
 from worksrail.core.steering._catalog import Upstream
 from worksrail.core.steering._path_evidence import record_path_answer
 from worksrail.core.steering._paths import Scope, scope_of
@@ -28,16 +29,19 @@
         return
     state.next_probe_at = now + _INTERVAL
     for upstream in _choose_upstreams(state):
-        name = upstream.name
+        record = upstream.record
         path = _health_path(state, upstream)
-        yield ProbeUpstream(name, upstream.record.address, path)
+        yield ProbeUpstream(
+            record.name, record.address, path, record.discovery_id
+        )
 
 
 def on_path_probed(
     state: SteeringState,
     event: PathProbed,
 ) -> Iterator[Effect]:
-    """Learn from an answer to a probe."""
+    """Learn from the end of a probe."""
+    yield from learn_notice(state, event.upstream, event.notice, event.now)
     upstream = state.catalog.upstreams.get(event.upstream)
     if upstream and event.answered:
         yield from record_path_answer(
--- a/worksrail/core/steering/_rate_limits.py
+++ b/worksrail/core/steering/_rate_limits.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from worksrail.core.availability import Backoffs
 from worksrail.core.pacing import Pacer
 from worksrail.core.steering._catalog import Catalog
 from worksrail.core.steering._cold_limits import ColdLimits
@@ -24,6 +25,9 @@
     cold: ColdLimits = field(default_factory=ColdLimits)
     """Limits of upstreams that have just started or become cold again."""
 
+    backoffs: Backoffs = field(default_factory=Backoffs)
+    """Times for which upstreams have asked this entry for no requests."""
+
     waiting: dict[RequestNumber, str] = field(default_factory=dict)
     """Upstream whose token each waiting request awaits."""
 
--- a/worksrail/core/steering/_reducer.py
+++ b/worksrail/core/steering/_reducer.py
@@ -10,6 +10,7 @@
 
 from worksrail.core.steering import (
     _admitting,
+    _availability,
     _on_digests,
     _on_passing,
     _on_requests,
@@ -27,6 +28,7 @@
     DigestReceived,
     Event,
     LimitMessageReceived,
+    NoticeReceived,
     PacingMessageReceived,
     PassedRequestArrived,
     PassEnded,
@@ -54,6 +56,7 @@
     RequestArrived: _on_requests.on_arrival,
     CallerGone: _on_requests.on_caller_gone,
     AttemptEnded: _on_requests.on_attempt_ended,
+    NoticeReceived: _availability.on_notice,
     PassEnded: _on_passing.on_pass_ended,
     PassedRequestArrived: _on_passing.on_passed_arrival,
     PathProbed: _probing.on_path_probed,
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -76,6 +76,9 @@
     path: str
     """Path of the health check."""
 
+    identifier: str = ''
+    """Identifier that the upstream must have."""
+
 
 @dataclass(frozen=True, slots=True)
 class AnswerResult:
@@ -224,6 +227,10 @@
     UPSTREAM_LIMIT_UNREADABLE = (
         'upstream advertised a limit that is not a number'
     )
+    UPSTREAM_LEAVING = 'upstream says in its answers that it is shutting down'
+    UPSTREAM_BACKOFF = 'upstream asked for no requests for some time'
+    UPSTREAM_RESUMED = 'backoff that an upstream asked for has ended'
+    UPSTREAM_NOTICE_UNREADABLE = 'statement of an upstream is unreadable'
     UPSTREAM_SILENT = 'upstream unresponsive'
     ZONE_UNREACHED = 'zone excluded: its upstreams cannot be reached'
     PATHS_LOST = 'no upstream of a service can be reached from here'
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
+from worksrail.core.availability import NO_NOTICE, AvailabilityNotice
 from worksrail.core.customers import KeyDigest
 from worksrail.core.identity import ZoneName
 from worksrail.core.limits import LimitMessage
@@ -309,6 +310,23 @@
     """Limit advertised by the response; None if no response came."""
 
 
+@dataclass(frozen=True, slots=True)
+class NoticeReceived:
+    """The head of an answer states something about its upstream."""
+
+    now: float
+    """Monotonic time in seconds."""
+
+    request: RequestNumber
+    """Number of the request."""
+
+    attempt: int
+    """Number of the attempt."""
+
+    notice: AvailabilityNotice
+    """The statements."""
+
+
 @dataclass(frozen=True, slots=True)
 class PassRefusal:
     """Result with which another entry answered a request in its own name."""
@@ -382,6 +400,9 @@
     answered: bool
     """Whether any answer came."""
 
+    notice: AvailabilityNotice = NO_NOTICE
+    """What the answer states about the upstream."""
+
 
 @dataclass(frozen=True, slots=True)
 class StopRequested:
@@ -391,6 +412,14 @@
     """Monotonic time in seconds."""
 
 
+_RequestEvent = (
+    RequestArrived
+    | CallerGone
+    | AttemptEnded
+    | NoticeReceived
+    | PassEnded
+    | PassedRequestArrived
+)
 Event = (
     Ticked
     | ConfigurationRead
@@ -405,11 +434,7 @@
     | DigestReceived
     | LimitMessageReceived
     | PacingMessageReceived
-    | RequestArrived
-    | CallerGone
-    | AttemptEnded
-    | PassEnded
-    | PassedRequestArrived
+    | _RequestEvent
     | PathProbed
     | StopRequested
 )
--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -116,6 +116,15 @@
     not responding."""
 
 
+HeadObserver = Callable[[int, httputil.HTTPHeaders], None]
+"""Is called with status and headers as soon as the head of an answer to the
+request was read, before its body arrives."""
+
+
+def ignore_head(status: int, headers: httputil.HTTPHeaders) -> None:
+    """Observe nothing."""
+
+
 @dataclass(slots=True)
 class _AnswerReader(httputil.HTTPMessageDelegate):
     """Reads one answer and passes it to the sink."""
@@ -124,6 +133,7 @@
     sink: AnswerSink
     report: AttemptReport
     takes_unframed: bool
+    on_head: HeadObserver
     use: AnswerUse = AnswerUse.HOLD_BACK
     until_close: bool = False
     read_to_close: bool = False
@@ -149,6 +159,7 @@
             return
         self.report.status = start_line.code
         self.report.headers = headers
+        self.on_head(start_line.code, headers)
         if self.use is AnswerUse.PASS_ON:
             self.report.end = AttemptEnd.CUT_ANSWER
             await self.sink.start_answer(start_line, headers)
@@ -214,6 +225,9 @@
     sink: AnswerSink
     """Receives the answer."""
 
+    on_head: HeadObserver = ignore_head
+    """Observes the head of the answer."""
+
     async def run(self) -> AttemptReport:
         """Make the attempt; failures and cancellation end up in the report."""
         report = AttemptReport(AttemptEnd.NOT_SENT)
@@ -289,6 +303,7 @@
                 self.sink,
                 report,
                 self.outgoing.takes_unframed,
+                self.on_head,
             )
             await connection.read_response(reader)
             if reader.read_to_close and stream.error is None:
--- a/worksrail/daemon/steered/_adapter.py
+++ b/worksrail/daemon/steered/_adapter.py
@@ -10,6 +10,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from worksrail.core.availability import AvailabilityNotice
 from worksrail.core.customers import CustomerName
 from worksrail.core.identity import RegionName, ZoneName
 from worksrail.core.pacing import NoRate
@@ -108,6 +109,19 @@
     def read_answer(self, status: int, headers: HTTPHeaders) -> UpstreamAnswer:
         """Parse the head of an answer."""
 
+    def read_notice(
+        self,
+        status: int,
+        headers: HTTPHeaders,
+    ) -> AvailabilityNotice:
+        """Parse what an answer states about the upstream asked for.
+
+        The answer of another upstream at the address states nothing about it.
+        """
+
+    def read_identifier(self, headers: HTTPHeaders) -> str:
+        """Return which upstream answered a health check; empty if unknown."""
+
 
 @dataclass(frozen=True, slots=True)
 class LookUpQuery:
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -171,7 +171,9 @@
         return {
             effects.SendUpstream: self.requests.send_upstream,
             effects.PassRequest: self.requests.pass_request,
-            effects.ProbeUpstream: PathProber(self.engine).probe,
+            effects.ProbeUpstream: PathProber(
+                self.engine, self.adapter.upstreams
+            ).probe,
             effects.AnswerResult: self.requests.answer_result,
             effects.CancelAttempt: self.requests.cancel,
             effects.DropConnections: self.requests.drop_connections,
--- a/worksrail/daemon/steered/_metrics.py
+++ b/worksrail/daemon/steered/_metrics.py
@@ -97,6 +97,14 @@
     services_lost: Gauge
     """Number of services of which no upstream can be reached from here."""
 
+    leaving_upstreams: Gauge
+    """Number of listed upstreams that say that they are shutting down, by
+    service."""
+
+    backoffs: Gauge
+    """Number of upstreams that want no requests from this entry now, by
+    service."""
+
     lines_dropped: Gauge
     """Number of dropped log lines."""
 
@@ -162,6 +170,16 @@
                 _BY_SERVICE,
             ),
             gauge('worksrail_services_unreachable', 'Services not reached'),
+            gauge(
+                'worksrail_leaving_upstreams',
+                'Upstreams that say that they leave',
+                _BY_SERVICE,
+            ),
+            gauge(
+                'worksrail_upstream_backoffs',
+                'Upstreams that want no requests from this entry',
+                _BY_SERVICE,
+            ),
             gauge('worksrail_log_lines_dropped', 'Log lines dropped'),
         )
 
@@ -202,7 +220,7 @@
         self.services_lost.set(len(state.paths.lost_since))
         self._update_store(state, now)
         self.requests_held.set(state.quarantine.count_held(now))
-        self._update_limits(state)
+        self._update_limits(state, now)
         self._update_budgets(state, now)
         self.lines_dropped.set(dropped)
         return generate_latest(self.registry)
@@ -222,7 +240,22 @@
                 sum(state.loads.of(upstream.name).own for upstream in usable)
             )
 
-    def _update_limits(self, state: SteeringState) -> None:
+    def _update_availability(self, state: SteeringState, now: float) -> None:
+        leaving = dict.fromkeys(state.catalog.services, 0)
+        backing_off = dict.fromkeys(state.catalog.services, 0)
+        for name, upstream in state.catalog.upstreams.items():
+            service = upstream.record.service
+            if name in state.catalog.leaving:
+                leaving[service] = leaving.get(service, 0) + 1
+            if state.rates.backoffs.is_active(name, now):
+                backing_off[service] = backing_off.get(service, 0) + 1
+        for service, count in leaving.items():
+            self.leaving_upstreams.labels(service).set(count)
+        for service, count in backing_off.items():
+            self.backoffs.labels(service).set(count)
+
+    def _update_limits(self, state: SteeringState, now: float) -> None:
+        self._update_availability(state, now)
         pacer = state.rates.named
         for service, usable in state.catalog.services.items():
             rates = [pacer.rate_of(upstream.name) for upstream in usable]
--- a/worksrail/daemon/steered/_probing.py
+++ b/worksrail/daemon/steered/_probing.py
@@ -1,18 +1,20 @@
 """Health checks of upstreams that cannot be reached."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import inf
 from typing import Final
 
 from tornado import httputil
 
+from worksrail.core.availability import NO_NOTICE, AvailabilityNotice
 from worksrail.core.steering.effects import ProbeUpstream
 from worksrail.core.steering.events import PathProbed
 from worksrail.daemon.http._attempt import AttemptEnd, HttpAttempt, Outgoing
 from worksrail.daemon.http._body import BodyStream
 from worksrail.daemon.http._collected import CollectedAnswer
 from worksrail.daemon.http._connections import ConnectionPool
+from worksrail.daemon.steered._adapter import UpstreamDialect
 from worksrail.daemon.steered._engine import SteeringEngine
 
 # Seconds that a health check may take; a slow upstream answers later.
@@ -26,6 +28,9 @@
     engine: SteeringEngine
     """Handles the events."""
 
+    dialect: UpstreamDialect
+    """Parses the answers."""
+
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     """Checks in progress."""
 
@@ -37,6 +42,7 @@
 
     async def _probe(self, effect: ProbeUpstream) -> None:
         pool = ConnectionPool(self.engine.now)
+        heads = _ProbeHead(self.dialect, effect.identifier)
         attempt = HttpAttempt(
             pool,
             self.engine.now,
@@ -49,10 +55,38 @@
             ),
             BodyStream.from_bytes(b''),
             CollectedAnswer(),
+            heads.receive,
         )
         report = await attempt.run()
         pool.close()
         answered = report.end is AttemptEnd.WHOLE
         self.engine.dispatch(
-            PathProbed(self.engine.now(), effect.upstream, answered)
+            PathProbed(
+                self.engine.now(), effect.upstream, answered, heads.notice
+            )
+        )
+
+
+@dataclass(slots=True)
+class _ProbeHead:
+    """Keeps what the answer to a health check states about its upstream.
+
+    Health checks do not name the upstream that they are meant for, so another
+    one may answer at its address.
+    """
+
+    dialect: UpstreamDialect
+    identifier: str
+    notice: AvailabilityNotice = NO_NOTICE
+
+    def receive(self, status: int, headers: httputil.HTTPHeaders) -> None:
+        """Keep the notice if the upstream that was meant has answered."""
+        answered_by = self.dialect.read_identifier(headers)
+        if answered_by not in {'', self.identifier}:
+            return
+        notice = self.dialect.read_notice(status, headers)
+        # An upstream does not return once it counts as leaving, so that needs
+        # its identifier; a backoff ends by itself.
+        self.notice = replace(
+            notice, leaving=notice.leaving and bool(answered_by)
         )
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -1,6 +1,7 @@
 """Runs the effects on callers' requests."""
 
 from dataclasses import dataclass, field
+from functools import partial
 from math import inf
 from typing import Final
 
@@ -19,6 +20,7 @@
     AttemptEnded,
     AttemptOutcome,
     CallerGone,
+    NoticeReceived,
     PassedRequestArrived,
     PassEnded,
     RequestArrived,
@@ -173,6 +175,7 @@
             self._build_request(exchange, effect),
             exchange.body,
             sink,
+            partial(self._learn_notice, effect),
         )
         report = await attempt.run()
         outcome = _outcome(report, sink.answer)
@@ -193,6 +196,20 @@
         if effect.request not in self.engine.state.requests:
             self.exchanges.pop(effect.request, None)
 
+    def _learn_notice(
+        self,
+        effect: SendUpstream,
+        status: int,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        notice = self.adapter.upstreams.read_notice(status, headers)
+        if not notice.is_empty:
+            self.engine.dispatch(
+                NoticeReceived(
+                    self.engine.now(), effect.request, effect.attempt, notice
+                )
+            )
+
     async def _attempt_passing(
         self,
         exchange: Exchange,
--- a/worksrail/platform/_dialect.py
+++ b/worksrail/platform/_dialect.py
@@ -7,11 +7,13 @@
 
 from tornado.httputil import HTTPHeaders
 
+from worksrail.core.availability import NO_NOTICE, AvailabilityNotice
 from worksrail.core.customers import CustomerName, KeyDigest, digest_of_key
 from worksrail.core.pacing import read_rate
 from worksrail.core.results import ResultCode
 from worksrail.core.steering import EntryList
 from worksrail.core.steering.events import ReportedLoad, SteeredHead
+from worksrail.daemon.http._notices import notice_of
 from worksrail.daemon.steered import LookUpQuery, UpstreamAnswer
 from worksrail.platform import _names as names
 
@@ -131,6 +133,20 @@
             read_rate(headers.get_list(names.RATE_LIMIT)),
         )
 
+    def read_notice(
+        self,
+        status: int,
+        headers: HTTPHeaders,
+    ) -> AvailabilityNotice:
+        """Parse what an answer states about the upstream asked for."""
+        if status == names.MISDIRECTED:
+            return NO_NOTICE
+        return notice_of(status, headers, names.LEAVING)
+
+    def read_identifier(self, headers: HTTPHeaders) -> str:
+        """Return which upstream answered a health check; empty if unknown."""
+        return headers.get(names.IDENTIFIER, '')
+
 
 def _parse_affinity_key(headers: HTTPHeaders) -> str:
     text = headers.get('Cookie')
--- a/worksrail/platform/_names.py
+++ b/worksrail/platform/_names.py
@@ -23,6 +23,10 @@
 LOAD: Final = 'Server-Load'
 # Requests per second that the upstream accepts from all entries together.
 RATE_LIMIT: Final = 'Server-Limit'
+# Present, with the value 1, if the upstream is shutting down.
+LEAVING: Final = 'Server-Leaving'
+# In answers to health checks: the identifier of the upstream.
+IDENTIFIER: Final = 'Instance-Id'
 # A caller's API key and nothing else.
 API_KEY: Final = 'Credential'
 # Name of the customer that owns the key; only entries set it, for upstreams.
