--- a/tests/soak/_promises.py
+++ b/tests/soak/_promises.py
@@ -8,6 +8,12 @@
 
 from tests.soak._cuts import Cut, CutShare
 from tests.soak._repeats import Budget, Excess, worst_windows
+from tests.soak._statements import (
+    Met,
+    Stated,
+    broken_backoffs,
+    late_requests,
+)
 
 # Statuses that say: not executed, and it never will be.
 _REFUSALS = frozenset((408, 421, 429, 503))
@@ -44,6 +50,8 @@
     NAMED_LIMIT = 'an upstream that names a limit gets no more than it allows'
     FEW_REPEATS = 'repeats over all entries stay within the budget they share'
     CUT_SERVED = 'callers of an entry without links to upstreams are served'
+    LEAVES = 'an upstream that says in its answers that it leaves is left alone'
+    BACKOFF = 'an upstream that asks for no requests gets few'
     FEW_CRASHES = 'a request that crashed three upstreams reaches few more'
 
 
@@ -228,6 +236,12 @@
     cuts: list[Cut] = field(default_factory=list)
     """Entries that were cut off from upstreams."""
 
+    stated: list[Stated] = field(default_factory=list)
+    """Statements in answers whose way to the entry was sound, in order."""
+
+    met: list[Met] = field(default_factory=list)
+    """Requests that reached the upstream that they were meant for, in order."""
+
     def end_cuts(self, host: str, now: float) -> None:
         """Note that an entry has its links to upstreams back."""
         for cut in self.cuts:
@@ -302,6 +316,7 @@
             for one in self.cut_shares()
             if one.is_broken()
         ]
+        found += self._of_statements()
         found += self._of_crashes()
         for limited in self.limited:
             found += self._of_limit(limited)
@@ -357,6 +372,51 @@
             return [Violation(Promise.PLANNED_STOP, sent.trace, details)]
         return []
 
+    def _of_statements(self) -> list[Violation]:
+        late = late_requests(
+            self.stated,
+            self.met,
+            self._passed_on_at,
+            lambda trace: self.sent[trace].at if trace in self.sent else -inf,
+            self._was_disturbed_between,
+        )
+        broken = broken_backoffs(
+            self.stated, self.met, self._is_excused_from_backoff
+        )
+        return [
+            Violation(
+                Promise.LEAVES, one.upstream, f'{one.trace} from {one.entry}'
+            )
+            for one in late
+        ] + [
+            Violation(Promise.BACKOFF, one.upstream, f'{count} in {one}')
+            for one, count in broken
+        ]
+
+    def _passed_on_at(self, stated: Stated) -> float:
+        """When the caller had the answer; infinite if it came from another."""
+        end = self.ended.get(stated.trace)
+        last = next(
+            (one for one in reversed(self.met) if one.trace == stated.trace),
+            None,
+        )
+        if end is None or end.status != _OK or last is None:
+            return inf
+        return end.at if last.upstream == stated.upstream else inf
+
+    def _was_disturbed_between(
+        self, host: str, begin: float, end: float
+    ) -> bool:
+        return any(begin <= at <= end for at in self.disturbed.get(host, []))
+
+    def _is_excused_from_backoff(
+        self, host: str, begin: float, end: float
+    ) -> bool:
+        return self._was_disturbed_between(host, begin, end) or any(
+            cut.host == host and cut.begin <= end and cut.end >= begin
+            for cut in self.cuts
+        )
+
     def _of_crashes(self) -> list[Violation]:
         if len(self.crashes) < _PROOFS:
             return []
--- a/tests/soak/_proxy.py
+++ b/tests/soak/_proxy.py
@@ -47,6 +47,13 @@
     of_entries: dict[asyncio.StreamWriter, str] = field(default_factory=dict)
     """Open connections of entries."""
 
+    of_ports: dict[int, str] = field(default_factory=dict)
+    """Entries by the port from which their bytes reach the target."""
+
+    def is_sound(self, entry: str) -> bool:
+        """Whether the bytes of an entry pass undisturbed."""
+        return self._link_of(entry) is Link.PASSING
+
     def cut(self, entry: str, link: Link) -> None:
         """Change what happens to the bytes of one entry."""
         self.cuts[entry] = link
@@ -91,6 +98,7 @@
             writer.transport.abort()
             return
         self.writers.add(far_writer)
+        self.of_ports[far_writer.get_extra_info('sockname')[1]] = entry
         try:
             await asyncio.gather(
                 self._pump(reader, far_writer, entry, towards=True),
--- a/tests/soak/_upstreams.py
+++ b/tests/soak/_upstreams.py
@@ -53,12 +53,22 @@
     crash: Callable[['Upstream', str], None]
     """Is told which request crashes it."""
 
-    meet: Callable[['Upstream', str, bool], None]
-    """Is told of each request, and whether it is meant for this upstream."""
+    meet: Callable[['Upstream', str, bool, int], None]
+    """Is told of each request, whether it is meant for this upstream, and the
+    port that it came from."""
 
     rejecting: Callable[[], bool]
     """Whether it rejects most requests now."""
 
+    state: Callable[['Upstream', str, int], None] = lambda *_: None
+    """Is told of each answer that states something, and the port it goes to."""
+
+    leaving: bool = False
+    """Whether it says in each answer that it leaves."""
+
+    backoff: float = 0
+    """Seconds that it asks for in rejections; while it does it rejects all."""
+
     habit: Habit = Habit.WELL
     """How it answers now."""
 
@@ -115,12 +125,14 @@
             writer.write(_answer('', 200, b'', f'Instance-Id: {self.name}\r\n'))
             return True
         meant = _first(_TARGET, head) == self.name
-        self.meet(self, trace, meant)
+        port = writer.get_extra_info('peername')[1]
+        self.meet(self, trace, meant, port)
         if not meant:
             writer.write(_answer(trace, 421, b'', _NOT_EXECUTED))
             return True
         if self._rejects():
-            extra = _NOT_EXECUTED + self._named()
+            extra = _NOT_EXECUTED + self._named() + self._stated()
+            self.state(self, trace, port)
             writer.write(_answer(trace, 503, b'', extra))
             return True
         self.note(Executed(trace, path, body, self.service))
@@ -128,11 +140,20 @@
             self.crash(self, trace)
             return False
         await asyncio.sleep(self.rng.uniform(*_EXECUTION))
+        if self.leaving:
+            self.state(self, trace, port)
         return self._write(writer, trace, answer_of(trace, path, body))
 
     def _rejects(self) -> bool:
+        if self.backoff:
+            return True
         return self.rejecting() and self.rng.random() < REJECTED
 
+    def _stated(self) -> str:
+        leaving = 'Server-Leaving: 1\r\n' if self.leaving else ''
+        asked = f'Retry-After: {self.backoff}\r\n' if self.backoff else ''
+        return leaving + asked
+
     def _named(self) -> str:
         return '' if self.limit is None else f'Server-Limit: {self.limit}\r\n'
 
@@ -142,7 +163,8 @@
         trace: str,
         body: bytes,
     ) -> bool:
-        named = self._named()
+        leaving = 'Server-Leaving: 1\r\n' if self.leaving else ''
+        named = self._named() + leaving
         right = _answer(trace, 200, body, f'Response-Signature: s\r\n{named}')
         if self.habit is Habit.WELL or self.rng.random() < 0.5:
             writer.write(right)
--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -20,6 +20,7 @@
 from tests.soak._promises import Arrival, Crash, Witness
 from tests.soak._proxy import Link, Proxy
 from tests.soak._repeats import Budget
+from tests.soak._statements import Met, Stated
 from tests.soak._turns import Turns
 from tests.soak._upstreams import Upstream
 from worksrail.standins.objects import ObjectStore, application
@@ -252,15 +253,36 @@
     def _rejecting(self) -> bool:
         return self.turns is not None and self.turns.rejecting(self.clock())
 
-    def _meet(self, upstream: Upstream, trace: str, meant: bool) -> None:
+    def _meet(
+        self, upstream: Upstream, trace: str, meant: bool, port: int
+    ) -> None:
         arrivals = self.witness.arrivals if meant else self.witness.misdirected
         now = self.clock()
         arrivals.append(Arrival(upstream.name, trace, now, upstream.service))
+        if meant:
+            entry = self._link_to(upstream).of_ports.get(port, '')
+            self.witness.met.append(Met(upstream.name, entry, trace, now))
+
+    def _state(self, upstream: Upstream, trace: str, port: int) -> None:
+        link = self._link_to(upstream)
+        entry = link.of_ports.get(port, '')
+        now = self.clock()
+        if not entry or not link.is_sound(entry):
+            return
+        if upstream.backoff:
+            self.witness.stated.append(
+                Stated(upstream.name, entry, trace, now, upstream.backoff)
+            )
+        if upstream.leaving:
+            self.witness.stated.append(Stated(upstream.name, entry, trace, now))
+
+    def _link_to(self, upstream: Upstream) -> Proxy:
+        return self.upstream_links[self.upstreams.index(upstream)]
 
     def _crash(self, upstream: Upstream, trace: str) -> None:
         """An upstream breaks all connections and is away for a while."""
         self.witness.crashes.append(Crash(trace, self.clock()))
-        link = self.upstream_links[self.upstreams.index(upstream)]
+        link = self._link_to(upstream)
         link.close()
         upstream.abort_all()
         self.returns.add(asyncio.ensure_future(_come_back(link)))
@@ -275,6 +297,7 @@
             self._crash,
             self._meet,
             self._rejecting,
+            self._state,
         )
         self.upstreams.append(await upstream.open())
         link = Proxy(upstream.address, entry_at=self._entry_at)
