--- a/tests/processes/test_availability.py
+++ b/tests/processes/test_availability.py
@@ -61,3 +61,12 @@
     world = asyncio.run(_play(tmp_path, services, count, leaving=True))
     assert world.witness.stated
     assert not world.witness.violations()
+
+
+@pytest.mark.parametrize(('services', 'count'), _CHOSEN)
+def test_process_keeps_the_backoffs_that_upstreams_ask_for(
+    services: str, count: int, tmp_path: Path
+) -> None:
+    world = asyncio.run(_play(tmp_path, services, count, leaving=False))
+    assert world.witness.stated
+    assert not world.witness.violations()
--- a/tests/steering/test_availability.py
+++ b/tests/steering/test_availability.py
@@ -42,3 +42,19 @@
     assert world.seen.told_leaving
     assert world.sends_after_leave(_DRAIN_BOUND_S) == 0
     assert world.sends_after_leave() == 0
+
+
+@pytest.mark.parametrize(('zones', 'rate'), _FLEETS)
+@pytest.mark.parametrize('names', _NAMES)
+def test_upstream_that_asks_for_a_backoff_gets_no_requests_in_it(
+    zones: dict[str, int],
+    rate: float,
+    names: list[str],
+) -> None:
+    world = AvailabilityWorld(zones, rate)
+    world.wait(2)
+    world.reject(5, 3, *names)
+    world.wait(6)
+    assert world.seen.asked_for
+    assert world.broken_backoffs() == 0
+    assert world.sends_in_backoffs() == 0
