Send no more requests to upstreams that say in their answers that they leave

Callers saw requests at an upstream 3 s after an answer had said that it leaves (2.5 s allowed): its record in the store was the only ear for it, and the store was away from 7 to 20 s.

Cause: nothing read what an upstream says of itself in band. Change: the head of an answer marks the incarnation as leaving, before its body arrives. It is out of the catalog then as a draining one is, so homes of keys, slots and shares of regions follow once; its idle connections are closed; other entries are told by the next digest, and again each second while its record says otherwise. A record that says ready, or lapses and returns, does not undo it; a new incarnation does not inherit it. A request that waits for a connection is withdrawn when that opens: no repeat, no fault, no missed path. If all upstreams of a service leave, requests are refused at once with result 2116.

--- a/worksrail/core/results.py
+++ b/worksrail/core/results.py
@@ -226,6 +226,12 @@
         'The entry it was passed to has no capacity left for it.',
         _RETRY_LATER,
     )
+    UPSTREAMS_LEAVING = _not_run(
+        2116,
+        503,
+        'All upstreams are shutting down.',
+        _RETRY_LATER,
+    )
     ALREADY_RUN = ResultDefinition(
         3001,
         Certainty.RUN,
--- a/worksrail/core/steering/__init__.py
+++ b/worksrail/core/steering/__init__.py
@@ -1,5 +1,6 @@
 """Steering with discovered upstreams: routing, choice, retries, recovery."""
 
+from worksrail.core.steering._availability import wants_requests
 from worksrail.core.steering._catalog import (
     Catalog,
     UpstreamRecord,
@@ -71,4 +72,5 @@
     'look_up',
     'reduce',
     'store_update_since',
+    'wants_requests',
 )
--- a/worksrail/core/steering/_availability.py
+++ b/worksrail/core/steering/_availability.py
@@ -1,10 +1,15 @@
 """Learns what upstreams state about themselves in their answers."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 from worksrail.core.availability import AvailabilityNotice
-from worksrail.core.steering.effects import Decision, DecisionKind, Effect
+from worksrail.core.steering.effects import (
+    Decision,
+    DecisionKind,
+    DropConnections,
+    Effect,
+)
 from worksrail.core.steering.events import NoticeReceived, RequestNumber
 from worksrail.core.steering.state import SteeringState
 
@@ -43,8 +48,8 @@
                 request,
                 (('statement', statement.name.lower()),),
             )
-    if notice.leaving and state.catalog.leaving.note(name, now):
-        yield Decision(DecisionKind.UPSTREAM_LEAVING, name, request)
+    if notice.leaving:
+        yield from _exclude_leaving(state, name, now, request)
     if notice.backoff and state.rates.backoffs.note(name, notice.backoff, now):
         yield Decision(
             DecisionKind.UPSTREAM_BACKOFF,
@@ -54,6 +59,45 @@
         )
 
 
+def receive_leaving(
+    state: SteeringState,
+    names: Iterable[str],
+    now: float,
+) -> Iterator[Effect]:
+    """Learn from another entry which upstreams say that they leave."""
+    for name in names:
+        if name in state.catalog.upstreams:
+            yield from _exclude_leaving(state, name, now, told=True)
+
+
+def leaving_to_advertise(
+    state: SteeringState,
+    max_count: int,
+    now: float,
+    *,
+    with_all: bool,
+) -> tuple[str, ...]:
+    """Return the leaving upstreams to name in a digest.
+
+    Those whose records say the same are not repeated.
+    """
+    catalog = state.catalog
+    names = catalog.leaving.advertise(max_count, now, with_all=with_all)
+    return tuple(
+        name
+        for name in names
+        if name in catalog.upstreams
+        and not catalog.upstreams[name].record.draining
+    )
+
+
+def wants_requests(state: SteeringState, name: str, now: float) -> bool:
+    """Return whether an upstream has said nothing against requests now."""
+    if name in state.catalog.leaving:
+        return False
+    return not state.rates.backoffs.is_active(name, now)
+
+
 def maintain_availability(
     state: SteeringState,
     now: float,
@@ -62,3 +106,25 @@
     state.catalog.leaving.forget(state.catalog.upstreams, now)
     for name in state.rates.backoffs.take_ended(now, _BACKOFF_TTL):
         yield Decision(DecisionKind.UPSTREAM_RESUMED, name)
+
+
+def _exclude_leaving(
+    state: SteeringState,
+    name: str,
+    now: float,
+    request: RequestNumber = 0,
+    *,
+    told: bool = False,
+) -> Iterator[Effect]:
+    """Send nothing more to an upstream that leaves, and tell other entries."""
+    if not state.catalog.mark_leaving(name, now):
+        return
+    yield Decision(
+        DecisionKind.UPSTREAM_LEAVING,
+        name,
+        request,
+        (('told', int(told)),),
+    )
+    yield DropConnections(state.catalog.upstreams[name].record.address)
+    state.next_digest_at = now
+    state.next_zone_digest_at = now
--- a/worksrail/core/steering/_catalog.py
+++ b/worksrail/core/steering/_catalog.py
@@ -116,7 +116,7 @@
     """Name of the current incarnation by identifier."""
 
     services: dict[ServiceName, list[Upstream]] = field(default_factory=dict)
-    """Usable upstreams by service; draining ones are excluded."""
+    """Usable upstreams by service; draining and leaving ones are excluded."""
 
     leaving: LeavingUpstreams = field(default_factory=LeavingUpstreams)
     """Upstreams that have said in their answers that they are shutting down."""
@@ -193,6 +193,16 @@
             upstream.misdirected = True
             self._rebuild_index()
 
+    def mark_leaving(self, name: str, now: float) -> bool:
+        """Exclude an upstream that says that it leaves; return if that is new.
+
+        A record that still calls it ready does not undo this.
+        """
+        if not self.leaving.note(name, now):
+            return False
+        self._rebuild_index()
+        return True
+
     def expire(self, now: float) -> list[str]:
         """Remove and return upstreams that have been missing for too long."""
         if not self.missing or self.store_health.missing_may_reappear(now):
@@ -264,24 +274,29 @@
             return
         if (
             upstream.record.draining
+            or upstream.name in self.leaving
             or not self.store_health.missing_may_reappear(now)
         ):
             self._drop(upstream)
         else:
             self.missing.add(upstream.name)
 
+    def _may_get_requests(self, upstream: Upstream) -> bool:
+        record = upstream.record
+        if record.draining or record.name in self.leaving:
+            return False
+        if upstream.misdirected or record.zone in self.evacuated:
+            return False
+        # Without a known zone, neither its distance nor the regions that may
+        # use it can be determined.
+        return record.zone in self.regions
+
     def _rebuild_index(self) -> None:
         services: dict[ServiceName, list[Upstream]] = {}
         for upstream in self.upstreams.values():
-            record = upstream.record
-            if record.draining or upstream.misdirected:
-                continue
-            if record.zone not in self.regions:
-                # Without a known zone, neither its distance nor the regions
-                # that may use it can be determined.
-                continue
-            if record.zone not in self.evacuated:
-                services.setdefault(record.service, []).append(upstream)
+            if self._may_get_requests(upstream):
+                service = upstream.record.service
+                services.setdefault(service, []).append(upstream)
         placements = {
             service: tuple(_placement(upstream) for upstream in usable)
             for service, usable in services.items()
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -302,12 +302,26 @@
             state.rates.named.add_demand(state.rng.choice(model.limited))
             state.rates.refused_at[request.priority] = now
             return ResultCode.UPSTREAMS_LIMITED
-        return ResultCode.NO_SLOT
+        return _code_without_upstreams(state, request)
     if _is_in_time(model, best):
         return best
     return _best_home_in_time(model) or ResultCode.QUEUE_FULL
 
 
+def _code_without_upstreams(
+    state: SteeringState,
+    request: SteeredRequest,
+) -> ResultCode:
+    catalog = state.catalog
+    if request.service not in catalog.services and any(
+        upstream.record.service == request.service
+        for name, upstream in catalog.upstreams.items()
+        if name in catalog.leaving
+    ):
+        return ResultCode.UPSTREAMS_LEAVING
+    return ResultCode.NO_SLOT
+
+
 def region_rtt(state: SteeringState, region: RegionName) -> LatencyEwma:
     """Return the average round-trip time to a region."""
     rtt = state.region_rtts.get(region)
--- a/worksrail/core/steering/_digests.py
+++ b/worksrail/core/steering/_digests.py
@@ -126,6 +126,9 @@
     budgets: AdvertisedBudgets = AdvertisedBudgets()
     """Use of the retry budgets."""
 
+    leaving: tuple[str, ...] = ()
+    """Upstreams that say in their answers that they are shutting down."""
+
 
 class ZoneDigest(msgspec.Struct, frozen=True, array_like=True, tag='zone'):
     """Digest that the relay of a zone sends to the relays of other zones."""
@@ -168,5 +171,8 @@
     budgets: AdvertisedBudgets = AdvertisedBudgets()
     """Use of the retry budgets."""
 
+    leaving: tuple[str, ...] = ()
+    """Upstreams that say in their answers that they are shutting down."""
+
 
 Digest = EntryDigest | ZoneDigest
--- a/worksrail/core/steering/_learning.py
+++ b/worksrail/core/steering/_learning.py
@@ -30,6 +30,10 @@
     AttemptOutcome.NOT_EXECUTED,
     AttemptOutcome.OTHER_UPSTREAM,
 }
+# Outcomes that show no fault of the upstream.
+_NO_FAULT: Final = frozenset(
+    (AttemptOutcome.NOT_EXECUTED, AttemptOutcome.WITHDRAWN)
+)
 _SERVER_ERROR: Final = 500
 # Minimum expected time that an execution is compared with; seconds.
 _MIN_EXPECTED: Final = 0.02
@@ -63,7 +67,7 @@
         if event.status < _SERVER_ERROR:
             load.record_success(event.now)
             return
-    elif outcome is AttemptOutcome.NOT_EXECUTED:
+    elif outcome in _NO_FAULT:
         return
     if load.record_failure(event.now, silent=request.rerouting):
         yield Decision(
--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -6,6 +6,10 @@
 import msgspec
 
 from worksrail.core.identity import RegionName
+from worksrail.core.steering._availability import (
+    leaving_to_advertise,
+    receive_leaving,
+)
 from worksrail.core.steering._digests import (
     Contact,
     Digest,
@@ -53,7 +57,10 @@
 # Maximum number of upstream-advertised limits, likewise.
 _MAX_LIMITS: Final = 32
 _MAX_ZONE_LIMITS: Final = 96
-# Every Nth digest repeats the quarantine and limit state even if it is
+# Maximum number of upstreams that say that they leave, likewise.
+_MAX_LEAVING: Final = 32
+_MAX_ZONE_LEAVING: Final = 96
+# Every Nth digest repeats the quarantine, limit and leaving state even if it is
 # unchanged, in addition to the digests that answer a new entry.
 _FULL_STATE_PERIOD: Final = 5
 
@@ -140,8 +147,7 @@
     if not state.fleet.apply_digest(digest, now):
         return
     yield from merge_store_report(state, digest, now)
-    yield from receive_crashes(state, digest.crashes, now)
-    yield from receive_named_limits(state, digest.limits, now)
+    yield from _apply_advertised(state, digest, now)
     if digest.sender.zone == state.settings.zone:
         state.loads.update_reported(name, digest.in_flight)
         state.budgets.receive(digest.sender.who, digest.budgets, now)
@@ -160,8 +166,7 @@
     if not state.fleet.apply_zone_digest(digest, now):
         return
     yield from merge_store_report(state, digest, now)
-    yield from receive_crashes(state, digest.crashes, now)
-    yield from receive_named_limits(state, digest.limits, now)
+    yield from _apply_advertised(state, digest, now)
     state.loads.update_reported(_load_key(digest.zone), digest.in_flight)
     state.budgets.receive(digest.relay, digest.budgets, now, zone=digest.zone)
     region = state.settings.regions.get(digest.zone, '')
@@ -183,6 +188,17 @@
             yield SendDigest(tuple(sorted(zone_peers)), forwarded_digest)
 
 
+def _apply_advertised(
+    state: SteeringState,
+    digest: Digest,
+    now: float,
+) -> Iterator[Effect]:
+    """Apply what another entry advertises about requests and upstreams."""
+    yield from receive_crashes(state, digest.crashes, now)
+    yield from receive_named_limits(state, digest.limits, now)
+    yield from receive_leaving(state, digest.leaving, now)
+
+
 def forget_expired_zones(state: SteeringState, now: float) -> None:
     """Drop the loads of zones from which no digest arrives any more."""
     for zone in state.fleet.expire_zones(now):
@@ -259,6 +275,7 @@
             _MAX_LIMITS, now, with_all=with_held
         ),
         state.budgets.advertise(now),
+        leaving_to_advertise(state, _MAX_LEAVING, now, with_all=with_held),
     )
 
 
@@ -286,6 +303,9 @@
             _MAX_ZONE_LIMITS, now, with_all=with_held
         ),
         budgets=state.budgets.advertise_zone(now),
+        leaving=leaving_to_advertise(
+            state, _MAX_ZONE_LEAVING, now, with_all=with_held
+        ),
     )
 
 
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -21,7 +21,11 @@
     version_of,
 )
 from worksrail.core.steering._quarantining import fingerprint_of, learn_crash
-from worksrail.core.steering._repeating import NOT_EXECUTED, repeat_denial
+from worksrail.core.steering._repeating import (
+    NEVER_SENT,
+    NOT_EXECUTED,
+    repeat_denial,
+)
 from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._routes import (
     NoRoute,
@@ -51,6 +55,7 @@
 _FIRST_ATTEMPT_SHARE: Final = 0.99
 _FINAL_CODES: Final = {
     AttemptOutcome.NOT_CONNECTED: ResultCode.UPSTREAM_UNREACHABLE,
+    AttemptOutcome.WITHDRAWN: ResultCode.NO_SLOT,
     AttemptOutcome.NOT_EXECUTED: ResultCode.UPSTREAM_SHED,
     AttemptOutcome.OTHER_UPSTREAM: ResultCode.UPSTREAM_UNREACHABLE,
     AttemptOutcome.BROKE_BEFORE_ANSWER: ResultCode.UPSTREAM_BROKE,
@@ -144,7 +149,7 @@
         )
         return
     request.rerouting = False
-    is_repeat = event.outcome is not AttemptOutcome.NOT_CONNECTED
+    is_repeat = event.outcome not in NEVER_SENT
     denial = repeat_denial(state, request, event)
     if denial:
         yield from _finish(state, request, event, denial)
--- a/worksrail/core/steering/_path_evidence.py
+++ b/worksrail/core/steering/_path_evidence.py
@@ -47,6 +47,8 @@
             state, upstream, event.now, new_connection=is_new
         )
         return
+    if event.outcome is AttemptOutcome.WITHDRAWN:
+        return
     # An attempt that ends early because the caller left shows nothing.
     abandoned = request.caller_gone or (
         event.outcome is AttemptOutcome.CANCELLED
--- a/worksrail/core/steering/_repeating.py
+++ b/worksrail/core/steering/_repeating.py
@@ -7,8 +7,9 @@
 from worksrail.core.steering.events import AttemptEnded, AttemptOutcome
 from worksrail.core.steering.state import SteeringState
 
-# Maximum number of attempts if some do not reach their upstream, because the
-# connection fails or another upstream has its address.  Such attempts do not
+# Maximum number of attempts if some do not reach their upstream: the connection
+# fails, another upstream has its address, or it says meanwhile that it wants no
+# requests.  Such attempts do not
 # count against the route's maximum: while addresses are reassigned, callers
 # would otherwise be refused with most of their time left.
 _MAX_MISSED_ATTEMPTS: Final = 4
@@ -17,13 +18,15 @@
 NOT_EXECUTED: Final = frozenset(
     (
         AttemptOutcome.NOT_CONNECTED,
+        AttemptOutcome.WITHDRAWN,
         AttemptOutcome.NOT_EXECUTED,
         AttemptOutcome.OTHER_UPSTREAM,
     )
 )
-_MISSED: Final = frozenset(
-    (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.OTHER_UPSTREAM)
+NEVER_SENT: Final = frozenset(
+    (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.WITHDRAWN)
 )
+_MISSED: Final = NEVER_SENT | {AttemptOutcome.OTHER_UPSTREAM}
 _REPEATABLE: Final = frozenset(
     (
         AttemptOutcome.BROKE_BEFORE_ANSWER,
@@ -52,8 +55,9 @@
         if request.attempts >= _max_missed(request):
             return 'connections'
     if event.outcome is AttemptOutcome.NOT_CONNECTED:
-        # Nothing was sent, so no upstream got a repeat that the budget counts.
         request.unconnected += 1
+    if event.outcome in NEVER_SENT:
+        # No upstream got a repeat that the budget counts.
         return ''
     if request.sends >= request.route.max_attempts:
         return 'attempts'
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -28,6 +28,7 @@
 
     ANSWERED = 'the complete answer was passed on'
     NOT_CONNECTED = 'connecting failed; nothing was sent'
+    WITHDRAWN = 'not sent: the upstream said meanwhile that it wants none'
     NOT_EXECUTED = 'the upstream reported that it did not execute it'
     OTHER_UPSTREAM = 'another upstream answered at the address; not executed'
     BROKE_BEFORE_ANSWER = 'the connection broke before an answer'
--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -43,6 +43,9 @@
     """How an attempt ended."""
 
     NOT_SENT = 'no byte of the request was sent'
+    WITHDRAWN = (
+        'no byte was sent, since the upstream wants no requests any more'
+    )
     WHOLE = 'the complete answer was read'
     NO_ANSWER = 'the connection failed before the answer'
     CUT_ANSWER = 'the connection failed within the answer'
@@ -125,6 +128,11 @@
     """Observe nothing."""
 
 
+def always_admit() -> bool:
+    """Admit each request."""
+    return True
+
+
 @dataclass(slots=True)
 class _AnswerReader(httputil.HTTPMessageDelegate):
     """Reads one answer and passes it to the sink."""
@@ -228,6 +236,9 @@
     on_head: HeadObserver = ignore_head
     """Observes the head of the answer."""
 
+    admits: Callable[[], bool] = always_admit
+    """Whether the request may still be sent once there is a connection."""
+
     async def run(self) -> AttemptReport:
         """Make the attempt; failures and cancellation end up in the report."""
         report = AttemptReport(AttemptEnd.NOT_SENT)
@@ -239,6 +250,10 @@
         if sent_at >= self.outgoing.not_after:
             self.pool.release(self.outgoing.address, stream)
             return report
+        if not self.admits():
+            self.pool.release(self.outgoing.address, stream)
+            report.end = AttemptEnd.WITHDRAWN
+            return report
         report.end = AttemptEnd.NO_ANSWER
         try:
             await self._exchange(stream, report)
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -9,6 +9,7 @@
 
 from worksrail.core.customers import CustomerName
 from worksrail.core.results import ResultCode
+from worksrail.core.steering import wants_requests
 from worksrail.core.steering.effects import (
     AnswerResult,
     CancelAttempt,
@@ -49,6 +50,7 @@
 
 _OUTCOME_BY_END: Final = {
     AttemptEnd.NOT_SENT: AttemptOutcome.NOT_CONNECTED,
+    AttemptEnd.WITHDRAWN: AttemptOutcome.WITHDRAWN,
     AttemptEnd.WHOLE: AttemptOutcome.ANSWERED,
     AttemptEnd.NO_ANSWER: AttemptOutcome.BROKE_BEFORE_ANSWER,
     AttemptEnd.CUT_ANSWER: AttemptOutcome.BROKE_IN_ANSWER,
@@ -176,6 +178,7 @@
             exchange.body,
             sink,
             partial(self._learn_notice, effect),
+            partial(self._is_wanted, self._upstream_of(effect)),
         )
         report = await attempt.run()
         outcome = _outcome(report, sink.answer)
@@ -196,6 +199,13 @@
         if effect.request not in self.engine.state.requests:
             self.exchanges.pop(effect.request, None)
 
+    def _upstream_of(self, effect: SendUpstream) -> str:
+        request = self.engine.state.requests.get(effect.request)
+        return request.upstream if request else ''
+
+    def _is_wanted(self, upstream: str) -> bool:
+        return wants_requests(self.engine.state, upstream, self.engine.now())
+
     def _learn_notice(
         self,
         effect: SendUpstream,
