Send no requests to upstreams for as long as they ask in Retry-After

Callers saw 12 and 9 requests (two allowed) at upstreams that had answered 503 with Retry-After: 3, and refusals for two rejected attempts while 17 of 24 upstreams of the service had room.

Cause: nothing read what an upstream asks for in band; a rejection only added to a cost that decays in 4 s, and where all upstreams of a service rejected, nothing held requests back. Change: a 503 with Retry-After excludes the upstream at this entry until that time, from the head on; each answer binds until its own end, 600 s at most. Requests, repeats, requests for tokens, passed requests, health checks and requests that wait for a connection keep it. It is no fault, no lost path and no rejection (but for an upstream that rejects whenever it returns). Its slots are not counted meanwhile. If all upstreams back off, callers are refused at once with result 2117 and the first end plus a random time. For up to 2 s after it an entry sends at most 1.4 times its usual rate to returning upstreams of a service, more urgent requests first.

--- a/worksrail/core/availability/__init__.py
+++ b/worksrail/core/availability/__init__.py
@@ -15,6 +15,7 @@
     parse_leaving,
     read_notice,
 )
+from worksrail.core.availability._returns import ReturnLimits
 
 __all__ = (
     'MAX_BACKOFF',
@@ -23,6 +24,7 @@
     'Backoff',
     'Backoffs',
     'LeavingUpstreams',
+    'ReturnLimits',
     'Statement',
     'parse_backoff',
     'parse_leaving',
--- a/worksrail/core/availability/_backoffs.py
+++ b/worksrail/core/availability/_backoffs.py
@@ -3,9 +3,13 @@
 from collections.abc import Container
 from dataclasses import dataclass, field
 from math import inf
+from typing import Final
 
 from worksrail.core.availability._notice import Statement
 
+# Maximum seconds for which requests to an upstream are limited after a backoff.
+_MAX_RETURN_WINDOW: Final = 2.0
+
 
 @dataclass(slots=True)
 class Backoff:
@@ -23,6 +27,20 @@
     has_ended: bool = False
     """Whether the end of the time was reported."""
 
+    @property
+    def length(self) -> float:
+        """Return the seconds of the whole time."""
+        return self.until - self.began_at
+
+    def is_active(self, now: float) -> bool:
+        """Return whether the upstream wants no requests now."""
+        return now < self.until
+
+    def is_returning(self, now: float) -> bool:
+        """Return whether requests refused in the time may still come back."""
+        window = min(_MAX_RETURN_WINDOW, self.length)
+        return self.until <= now < self.until + window
+
 
 @dataclass(slots=True)
 class Backoffs:
@@ -80,7 +98,12 @@
     def is_active(self, upstream: str, now: float) -> bool:
         """Return whether an upstream wants no requests now."""
         known = self.by_upstream.get(upstream)
-        return known is not None and now < known.until
+        return known is not None and known.is_active(now)
+
+    def has_lately_ended(self, upstream: str, now: float) -> bool:
+        """Return whether a backoff of an upstream is over but remembered."""
+        known = self.by_upstream.get(upstream)
+        return known is not None and now >= known.until
 
     def end_of(self, upstream: str) -> float:
         """Return when the backoff of an upstream ends or ended."""
--- a/worksrail/core/results.py
+++ b/worksrail/core/results.py
@@ -232,6 +232,12 @@
         'All upstreams are shutting down.',
         _RETRY_LATER,
     )
+    UPSTREAMS_BACKING_OFF = _not_run(
+        2117,
+        503,
+        'All upstreams have asked for no requests for some time.',
+        _RETRY_LATER,
+    )
     ALREADY_RUN = ResultDefinition(
         3001,
         Certainty.RUN,
--- a/worksrail/core/steering/_availability.py
+++ b/worksrail/core/steering/_availability.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from worksrail.core.availability import AvailabilityNotice
+from worksrail.core.steering._backing_off import usual_rate_at
 from worksrail.core.steering.effects import (
     Decision,
     DecisionKind,
@@ -25,6 +26,12 @@
     request = state.requests.get(event.request)
     if request is None or event.attempt != request.attempts:
         return
+    if event.notice.backoff:
+        # An upstream that rejects again as soon as it gets requests is taken
+        # for overloaded like any other that rejects.
+        request.backed_off = not state.rates.backoffs.has_lately_ended(
+            request.upstream, event.now
+        )
     yield from learn_notice(
         state, request.upstream, event.notice, event.now, request.number
     )
@@ -50,13 +57,15 @@
             )
     if notice.leaving:
         yield from _exclude_leaving(state, name, now, request)
-    if notice.backoff and state.rates.backoffs.note(name, notice.backoff, now):
-        yield Decision(
-            DecisionKind.UPSTREAM_BACKOFF,
-            name,
-            request,
-            (('seconds', round(notice.backoff, 3)),),
-        )
+    if notice.backoff:
+        usual = usual_rate_at(state, name, now)
+        if state.rates.backoffs.note(name, notice.backoff, now, usual):
+            yield Decision(
+                DecisionKind.UPSTREAM_BACKOFF,
+                name,
+                request,
+                (('seconds', round(notice.backoff, 3)),),
+            )
 
 
 def receive_leaving(
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -9,6 +9,7 @@
 from worksrail.core.pacing import Permission
 from worksrail.core.results import ResultCode
 from worksrail.core.steering._affinity import Homes
+from worksrail.core.steering._backing_off import BackoffFilter
 from worksrail.core.steering._catalog import Upstream
 from worksrail.core.steering._cold_limits import cold_senders
 from worksrail.core.steering._congestion import (
@@ -131,6 +132,9 @@
     has_limits: bool
     """Whether any upstream has named a limit."""
 
+    backing_off: BackoffFilter
+    """Excludes upstreams that have asked for a backoff."""
+
     yields: bool = False
     """Whether the request leaves tokens to more urgent ones."""
 
@@ -167,6 +171,7 @@
             request.route.target_latency * _FAILURE_COST,
             request.route.target_latency * _REJECTION_COST,
             state.rates.named.has_limits,
+            BackoffFilter.from_request(state, request, now),
             _yields_tokens(state, request, now),
         )
 
@@ -216,6 +221,8 @@
         regions = self.request.regions
         if regions and upstream.region not in regions:
             return False
+        if not self.backing_off.allows(upstream.name):
+            return False
         if upstream.cold_until > self.now and self.policy is not None:
             if not self._cold_allows(upstream, self.policy.cold_rate):
                 return False
@@ -300,8 +307,11 @@
     if best is None:
         if model.limited:
             state.rates.named.add_demand(state.rng.choice(model.limited))
-            state.rates.refused_at[request.priority] = now
+            state.rates.refused.record(request.priority, now)
             return ResultCode.UPSTREAMS_LIMITED
+        if model.backing_off.excluded:
+            state.rates.refused_in_backoff.record(request.priority, now)
+            return ResultCode.UPSTREAMS_BACKING_OFF
         return _code_without_upstreams(state, request)
     if _is_in_time(model, best):
         return best
@@ -341,8 +351,7 @@
 
     Some of the less urgent requests do not yield, so that none starve.
     """
-    rates = state.rates
-    if not rates.is_needed_by_higher_priority(request.priority, now):
+    if not state.rates.refused.is_needed(request.priority, now):
         return False
     return state.rng.random() < _YIELD_PROBABILITY
 
--- a/worksrail/core/steering/_congestion.py
+++ b/worksrail/core/steering/_congestion.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from worksrail.core.identity import ServiceName
+from worksrail.core.steering._backing_off import slots_backing_off
 from worksrail.core.steering.state import SlotUsage, SteeringState
 
 # Share of an upstream's slots in use from which its slots have a price.
@@ -37,7 +38,7 @@
     """Return requests in flight at a service over its slots; may exceed 1."""
     cached = state.slot_usage.get(service)
     if cached is None or now - cached.measured_at > _usage_ttl(state, service):
-        cached = SlotUsage(_measured_usage(state, service), now)
+        cached = SlotUsage(_measured_usage(state, service, now), now)
         state.slot_usage[service] = cached
     return cached.used
 
@@ -60,9 +61,13 @@
     return _USAGE_TTL * max(1, count / _MANY_UPSTREAMS)
 
 
-def _measured_usage(state: SteeringState, service: ServiceName) -> float:
+def _measured_usage(
+    state: SteeringState, service: ServiceName, now: float
+) -> float:
     slots = state.catalog.slots_of(service)
-    if not slots:
+    if state.rates.backoffs.by_upstream:
+        slots -= slots_backing_off(state, service, now)
+    if slots <= 0:
         return 1
     names = state.catalog.names_of(service)
     return state.loads.in_flight_at(names) / slots
--- a/worksrail/core/steering/_learning.py
+++ b/worksrail/core/steering/_learning.py
@@ -56,6 +56,9 @@
     load.record_end(event.now)
     yield from _record_reachability(state, request, event)
     outcome = event.outcome
+    if request.backed_off:
+        # A backoff is no fault, and its end is known exactly.
+        return
     _record_rates(load, event)
     if outcome is AttemptOutcome.CANCELLED and not is_overdue(request, event):
         return
--- a/worksrail/core/steering/_placing.py
+++ b/worksrail/core/steering/_placing.py
@@ -7,6 +7,10 @@
 from worksrail.core.pacing import Permission
 from worksrail.core.quarantine import label
 from worksrail.core.results import ResultCode
+from worksrail.core.steering._backing_off import (
+    delay_after_backoffs,
+    record_return,
+)
 from worksrail.core.steering._choosing import Choice, choose
 from worksrail.core.steering._passing import (
     cannot_send,
@@ -68,8 +72,7 @@
             return
     choice, permission = _choose_permitted(state, request, now)
     if isinstance(choice, ResultCode):
-        limited = choice is ResultCode.UPSTREAMS_LIMITED
-        delay = delay_until_token(state, request, now) if limited else 0
+        delay = _delay_of(state, request, choice, now)
         yield from refuse(state, request, choice, now, delay=delay)
     elif permission is Permission.TOKEN_NEEDED:
         yield from await_token(state, request, choice.upstream.name, now)
@@ -77,6 +80,20 @@
         yield from _send(state, request, choice, now)
 
 
+def _delay_of(
+    state: SteeringState,
+    request: SteeredRequest,
+    code: ResultCode,
+    now: float,
+) -> float:
+    """Return when a refused caller should come back; zero if unknown."""
+    if code is ResultCode.UPSTREAMS_LIMITED:
+        return delay_until_token(state, request, now)
+    if code is ResultCode.UPSTREAMS_BACKING_OFF:
+        return delay_after_backoffs(state, request, now)
+    return 0
+
+
 def drop(state: SteeringState, request: SteeredRequest) -> Iterator[Effect]:
     """End a request whose caller disconnected before it was sent."""
     state.requests.pop(request.number)
@@ -123,9 +140,12 @@
     request.expected_time = choice.wait + choice.latency
     request.warm = choice.warm
     request.queue = choice.queue
+    request.backed_off = False
     if upstream.cold_until > now:
         state.rates.cold.record_sent(upstream.name, now)
     state.rates.named.record_sent(upstream.name, now)
+    state.rates.record_sent(request.service, now)
+    record_return(state, upstream, now)
     yield from record_sent(state, request, now)
     yield SendUpstream(
         request.number,
--- a/worksrail/core/steering/_probing.py
+++ b/worksrail/core/steering/_probing.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from worksrail.core.steering._availability import learn_notice
+from worksrail.core.steering._availability import learn_notice, wants_requests
 from worksrail.core.steering._catalog import Upstream
 from worksrail.core.steering._path_evidence import record_path_answer
 from worksrail.core.steering._paths import Scope, scope_of
@@ -28,7 +28,7 @@
     if not wanted or now < state.next_probe_at:
         return
     state.next_probe_at = now + _INTERVAL
-    for upstream in _choose_upstreams(state):
+    for upstream in _choose_upstreams(state, now):
         record = upstream.record
         path = _health_path(state, upstream)
         yield ProbeUpstream(
@@ -49,16 +49,18 @@
         )
 
 
-def _choose_upstreams(state: SteeringState) -> list[Upstream]:
+def _choose_upstreams(state: SteeringState, now: float) -> list[Upstream]:
     """Choose one upstream for each service and zone in which some were missed.
 
-    If there are many, some of these are sampled.  Draining upstreams and those
-    of evacuated zones are left alone.
+    If there are many, some of these are sampled.  Draining upstreams, those of
+    evacuated zones and those that asked for a backoff are left alone.
     """
     paths = state.paths
     by_scope: dict[Scope, list[Upstream]] = {}
     for service, upstreams in state.catalog.services.items():
         for upstream in upstreams:
+            if not wants_requests(state, upstream.name, now):
+                continue
             if service in paths.lost_since or upstream.name in paths.missed:
                 by_scope.setdefault(scope_of(upstream), []).append(upstream)
     count = min(_MAX_PROBES, len(by_scope))
--- a/worksrail/core/steering/_rate_limits.py
+++ b/worksrail/core/steering/_rate_limits.py
@@ -3,18 +3,41 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from worksrail.core.availability import Backoffs
+from worksrail.core._meters import RateMeter
+from worksrail.core.availability import Backoffs, ReturnLimits
+from worksrail.core.identity import ServiceName
 from worksrail.core.pacing import Pacer
 from worksrail.core.steering._catalog import Catalog
 from worksrail.core.steering._cold_limits import ColdLimits
 from worksrail.core.steering._settings import EntrySettings
 from worksrail.core.steering.events import RequestNumber
 
-# Seconds after a refusal for want of a token during which less urgent requests
-# leave tokens to those of the refused priority.
+# Time constant of the rates of requests sent, in seconds.
+_SENDS_TIME_CONSTANT: Final = 4.0
+# Seconds after a refusal during which less urgent requests leave what was
+# missing to those of the refused priority.
 _YIELD_WINDOW: Final = 1.0
 
 
+@dataclass(slots=True)
+class PriorityRefusals:
+    """When requests were last refused for some want, by priority."""
+
+    refused_at: dict[int, float] = field(default_factory=dict)
+    """Time of the last refusal by priority."""
+
+    def record(self, priority: int, now: float) -> None:
+        """Record a refusal."""
+        self.refused_at[priority] = now
+
+    def is_needed(self, priority: int, now: float) -> bool:
+        """Return whether more urgent requests were refused lately."""
+        return any(
+            rank < priority and now - at < _YIELD_WINDOW
+            for rank, at in self.refused_at.items()
+        )
+
+
 @dataclass(slots=True)
 class UpstreamRateLimits:
     """Rate limits of single upstreams."""
@@ -31,15 +54,25 @@
     waiting: dict[RequestNumber, str] = field(default_factory=dict)
     """Upstream whose token each waiting request awaits."""
 
-    refused_at: dict[int, float] = field(default_factory=dict)
-    """When a request was last refused for want of a token, by priority."""
+    refused: PriorityRefusals = field(default_factory=PriorityRefusals)
+    """Refusals for want of a token."""
 
-    def is_needed_by_higher_priority(self, priority: int, now: float) -> bool:
-        """Whether more urgent requests were refused for want of a token."""
-        return any(
-            rank < priority and now - at < _YIELD_WINDOW
-            for rank, at in self.refused_at.items()
-        )
+    refused_in_backoff: PriorityRefusals = field(
+        default_factory=PriorityRefusals
+    )
+    """Refusals because all upstreams had asked for a backoff."""
+
+    returns: ReturnLimits = field(default_factory=ReturnLimits)
+    """Limits of requests to upstreams whose backoffs have just ended."""
+
+    sends: dict[ServiceName, RateMeter] = field(default_factory=dict)
+    """Rate of requests that this entry sends, by service."""
+
+    def record_sent(self, service: ServiceName, now: float) -> None:
+        """Count a request to an upstream of a service."""
+        if service not in self.sends:
+            self.sends[service] = RateMeter(seconds=_SENDS_TIME_CONSTANT)
+        self.sends[service].note(now)
 
     @classmethod
     def begin(
--- a/worksrail/core/steering/_request.py
+++ b/worksrail/core/steering/_request.py
@@ -91,6 +91,9 @@
     rerouting: bool = False
     """Whether its attempt was cancelled here to try another upstream."""
 
+    backed_off: bool = False
+    """Whether its upstream asked for a backoff, the first one in a row."""
+
     fingerprint: Fingerprint = 0
     """Value that it shares with its retries by the caller."""
 
