Keep to what upstreams of bundles say of their availability

Its permits cannot be taken until a backoff ends, after which it starts slowly as it does after an ejection; a leave lasts 30 s (leave_time), since upstreams of bundles have no incarnations, and then one request at a time shows whether another has its place. A backoff is no failure and no lost path. A request that waits for a connection is withdrawn. The stand-in of upstreams and the virtual ones can say both.

Not told between instances: each hears for itself, and a request may be on the way in each slot when it does.

--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, get_args
 
 import pytest
 from hypothesis import Phase, settings
@@ -29,6 +29,7 @@
 )
 from worksrail.core.bundle import Topology
 from worksrail.core.configuration import Configuration, HeadVerdict
+from worksrail.core.events import Event
 from worksrail.core.permits import _ledger, _lending, _pool, _seats
 from worksrail.core.requests import KeyMemory, KeyState
 from worksrail.core.routing import RiseLimit
@@ -230,7 +231,7 @@
 
 
 def test_reducer_handles_every_event() -> None:
-    assert len(reducer._HANDLERS) == 14
+    assert set(reducer._HANDLERS) == set(get_args(Event))
 
 
 def test_use_of_a_late_grant_is_detected(
--- a/worksrail/bench/world/_runner.py
+++ b/worksrail/bench/world/_runner.py
@@ -24,6 +24,7 @@
     AttemptOutcome,
     BundleFetchFailed,
     MessageReceived,
+    NoticeReceived,
     PassEnded,
     SeatTableWritten,
     WriteOutcome,
@@ -208,6 +209,12 @@
         upstream = self.world.upstreams[effect.upstream]
         load = upstream.load()
         named = upstream.named_limit() if outcome in _ANSWERS else None
+        notice = upstream.notice(outcome)
+        if outcome in _ANSWERS and not notice.is_empty:
+            self.world.deliver(
+                process,
+                lambda now: NoticeReceived(now, effect.request, notice),
+            )
         if outcome is AttemptOutcome.ANSWERED:
             exchange.reply(ResultCode.OK, 0)
         exchange.execution = None
--- a/worksrail/bench/world/_upstreams.py
+++ b/worksrail/bench/world/_upstreams.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from worksrail.bench.world._clock import VirtualClock
+from worksrail.core.availability import AvailabilityNotice
 from worksrail.core.bundle import Upstream
 from worksrail.core.events import AttemptOutcome
 from worksrail.core.pacing import NamedLimit, NoRate
@@ -103,6 +104,12 @@
     limit: float | None = None
     """Requests a second that it names in its answers."""
 
+    leaving: bool = False
+    """It says in its answers that it leaves."""
+
+    backoff: float = 0
+    """Seconds that it asks for when it sheds."""
+
     taken_at: list[float] = field(default_factory=list)
     """When requests reached it."""
 
@@ -154,6 +161,11 @@
         rate = NoRate.NOT_NAMED if self.limit is None else self.limit
         return NamedLimit(rate, self.clock.now)
 
+    def notice(self, outcome: AttemptOutcome) -> AvailabilityNotice:
+        """What an answer says of its availability."""
+        shed = outcome is AttemptOutcome.SHED
+        return AvailabilityNotice(self.leaving, self.backoff if shed else 0)
+
     def load(self) -> float | None:
         """The load report that goes with an answer."""
         true = self.in_flight / self.upstream.slots
--- a/worksrail/core/_dispatching.py
+++ b/worksrail/core/_dispatching.py
@@ -4,6 +4,7 @@
 from math import inf
 from typing import Final
 
+from worksrail.core._availability import delay_until_return, retry_delay
 from worksrail.core._borrowing import borrow
 from worksrail.core._finishing import finish
 from worksrail.core._placing import (
@@ -39,6 +40,10 @@
 _SHORT_WAIT_SHARE: Final = 0.25
 # The request is quarantined, or the budget allows no retry.
 _BLOCKED_CODES: Final = MAYBE_SENT | {ResultCode.REQUEST_HELD}
+# All upstreams of this region want no requests.
+_UNAVAILABLE_CODES: Final = frozenset(
+    (ResultCode.UPSTREAMS_BACKING_OFF, ResultCode.UPSTREAMS_LEAVING)
+)
 
 
 def place(
@@ -70,6 +75,9 @@
     if placement is ResultCode.UPSTREAMS_LIMITED:
         yield from _wait_for_token(instance, active, now)
         return
+    if placement in _UNAVAILABLE_CODES:
+        yield from _wait_for_return(instance, active, placement, now)
+        return
     if _may_queue(instance, active, now, _SHORT_WAIT_SHARE):
         yield from _enqueue(instance, active, now)
         return
@@ -177,6 +185,27 @@
     yield from finish(instance, active, ResultCode.UPSTREAMS_LIMITED, now, wait)
 
 
+def _wait_for_return(
+    instance: Instance,
+    active: ActiveRequest,
+    code: ResultCode,
+    now: float,
+) -> Iterator[Effect]:
+    """Pass a request on, queue it if an upstream returns soon, or refuse it."""
+    delay = delay_until_return(instance, active.service, now)
+    target = _remote_target(instance, active, now)
+    if target:
+        active.tried_regions.add(target.place.region)
+        yield from pass_on(instance, active, target)
+    elif delay < _max_wait(instance, active, now) and _may_queue(
+        instance, active, now, 1
+    ):
+        yield from _enqueue(instance, active, now)
+    else:
+        wait = retry_delay(instance, delay)
+        yield from finish(instance, active, code, now, wait)
+
+
 def _dispatch_retry(
     instance: Instance,
     service: str,
--- a/worksrail/core/_on_configuration.py
+++ b/worksrail/core/_on_configuration.py
@@ -182,6 +182,12 @@
         health.begin_trial()
         health.cold_since = now
         state.ejected -= 1
+    if not instance.wants_requests(key, now):
+        health.cold_since = now
+        return 0
+    if health.leaving_until:
+        health.leaving_until = 0
+        health.begin_trial()
     may_eject = _may_eject(
         instance.settings, state.ejected, len(view.regional[region.name])
     )
--- a/worksrail/core/_on_requests.py
+++ b/worksrail/core/_on_requests.py
@@ -18,8 +18,10 @@
     PassEnded,
 )
 from worksrail.core.instance import Instance, TimedRelease
+from worksrail.core.permits import PoolKey
 from worksrail.core.requests.active import ActiveRequest, RequestState
 from worksrail.core.results import Certainty, ResultCode
+from worksrail.core.routing import ServiceReach
 
 _AVOID_DURATION: Final = 1.0
 
@@ -42,10 +44,13 @@
         AttemptOutcome.TIMED_OUT,
     )
 )
-_NOT_RUN: Final = frozenset((AttemptOutcome.NOT_SENT, AttemptOutcome.SHED))
+_NOT_RUN: Final = frozenset(
+    (AttemptOutcome.NOT_SENT, AttemptOutcome.WITHDRAWN, AttemptOutcome.SHED)
+)
 
 _FINAL_CODES: Final = {
     AttemptOutcome.NOT_SENT: ResultCode.UPSTREAM_UNREACHABLE,
+    AttemptOutcome.WITHDRAWN: ResultCode.NO_SLOT,
     AttemptOutcome.SHED: ResultCode.UPSTREAM_SHED,
     AttemptOutcome.BROKE_BEFORE_ANSWER: ResultCode.UPSTREAM_BROKE,
     AttemptOutcome.UNVERIFIABLE: ResultCode.UNVERIFIABLE_ANSWER,
@@ -166,19 +171,19 @@
     active: ActiveRequest,
     event: AttemptEnded,
 ) -> None:
-    if active.upstream is None:
+    if active.upstream is None or event.outcome is AttemptOutcome.WITHDRAWN:
         return
     health = instance.upstream_health(active.upstream)
     state = instance.service_state(active.service)
-    if event.outcome in _MISSED:
-        state.reach.record_miss(active.upstream)
-    elif event.outcome is not AttemptOutcome.CANCELLED:
-        state.reach.record_answer()
+    _update_reach(state.reach, active.upstream, event.outcome)
     if event.load is not None:
         health.record_report(event.load, event.now)
     if event.outcome is AttemptOutcome.CANCELLED:
         return
     health.last_answer_at = event.now
+    if active.backed_off:
+        # A backoff is no fault, and its end is known exactly.
+        return
     if event.outcome is AttemptOutcome.ANSWERED:
         instance.retry_budget(active.service).record_success(event.now)
     if event.outcome is AttemptOutcome.ANSWERED and not event.failed:
@@ -194,6 +199,17 @@
         instance.monitored.add(active.upstream)
 
 
+def _update_reach(
+    reach: ServiceReach,
+    upstream: PoolKey,
+    outcome: AttemptOutcome,
+) -> None:
+    if outcome in _MISSED:
+        reach.record_miss(upstream)
+    elif outcome is not AttemptOutcome.CANCELLED:
+        reach.record_answer()
+
+
 def _retry_or_finish(
     instance: Instance,
     active: ActiveRequest,
--- a/worksrail/core/_on_time.py
+++ b/worksrail/core/_on_time.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from worksrail.core._arriving import maintain_limits
+from worksrail.core._availability import maintain_availability
 from worksrail.core._borrowing import borrow_all, send_effect
 from worksrail.core._dispatching import (
     dispatch_waiting,
@@ -64,6 +65,7 @@
 def _maintain_rates(instance: Instance, now: float) -> Iterator[Effect]:
     yield from maintain_limits(instance, now)
     yield from maintain_pacing(instance, now)
+    yield from maintain_availability(instance, now)
 
 
 def _periodic_tasks(instance: Instance, now: float) -> Iterator[Effect]:
--- a/worksrail/core/_placing.py
+++ b/worksrail/core/_placing.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from worksrail.core._availability import code_if_unavailable
 from worksrail.core._tokens import MAX_TOKEN_REQUESTS, has_token
 from worksrail.core.bundle import CompiledService, Topology
 from worksrail.core.effects import Effect, Note, NoteKind, SendUpstream
@@ -65,14 +66,26 @@
     slot = _acquire_slot(instance, active, now)
     if isinstance(slot, NoPermit):
         release_all(instance, caps, now)
-        if slot is NoPermit.RATE_LIMITED:
-            return ResultCode.UPSTREAMS_LIMITED
-        return ResultCode.NO_SLOT
+        return _code_without_slot(instance, active.service, slot, now)
     if shifted:
         instance.service_state(active.service).rise(active.home).note(now)
     return Placement(slot.pool, (slot, *caps))
 
 
+def _code_without_slot(
+    instance: Instance,
+    service: str,
+    reason: NoPermit,
+    now: float,
+) -> ResultCode:
+    unavailable = code_if_unavailable(instance, service, now)
+    if unavailable:
+        return unavailable
+    if reason is NoPermit.RATE_LIMITED:
+        return ResultCode.UPSTREAMS_LIMITED
+    return ResultCode.NO_SLOT
+
+
 def send(
     instance: Instance,
     active: ActiveRequest,
@@ -86,6 +99,7 @@
     active.attempts += 1
     active.upstream = placement.upstream
     active.sent_at = now
+    active.backed_off = False
     instance.pacer.record_sent(placement.upstream, now)
     active.crash_number = instance.quarantine.begin(active.fingerprint, now)
     active.holds = tuple(hold for hold in placement.holds if not _is_rate(hold))
--- a/worksrail/core/effects.py
+++ b/worksrail/core/effects.py
@@ -163,6 +163,10 @@
     UPSTREAM_LIMITED = 'upstream-limited'
     UPSTREAM_UNLIMITED = 'upstream-unlimited'
     UPSTREAM_LIMIT_UNREADABLE = 'upstream-limit-unreadable'
+    UPSTREAM_LEAVING = 'upstream-leaving'
+    UPSTREAM_BACKOFF = 'upstream-backoff'
+    UPSTREAM_RESUMED = 'upstream-resumed'
+    UPSTREAM_NOTICE_UNREADABLE = 'upstream-notice-unreadable'
     UPSTREAM_RETURNED = 'upstream-returned'
 
 
--- a/worksrail/core/events.py
+++ b/worksrail/core/events.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
+from worksrail.core.availability import AvailabilityNotice
 from worksrail.core.bundle import Bundle
 from worksrail.core.identity import Incarnation
 from worksrail.core.membership import ListedInstance
@@ -31,6 +32,7 @@
     BROKE_IN_ANSWER = 'the connection broke within the answer'
     UNVERIFIABLE = 'the answer has no verifiable length'
     TIMED_OUT = 'the deadline passed after sending'
+    WITHDRAWN = 'not sent: the upstream said meanwhile that it wants none'
     CANCELLED = 'the caller went away'
 
 
@@ -223,6 +225,20 @@
     """Rate limit named in its answer; None without an answer."""
 
 
+@dataclass(frozen=True, slots=True)
+class NoticeReceived:
+    """The head of an answer states something about its upstream."""
+
+    now: float
+    """Monotonic time in seconds."""
+
+    request: RequestId
+    """Number of the request."""
+
+    notice: AvailabilityNotice
+    """The statements."""
+
+
 @dataclass(frozen=True, slots=True)
 class PassEnded:
     """An attempt to pass a request to another instance ended."""
@@ -264,6 +280,7 @@
     | RequestArrived
     | CallerGone
     | AttemptEnded
+    | NoticeReceived
     | PassEnded
     | StopRequested
 )
--- a/worksrail/core/explanations.py
+++ b/worksrail/core/explanations.py
@@ -88,6 +88,10 @@
     reason = '' if available else 'no permit free'
     if now < health.ejected_until:
         reason = 'ejected'
+    if instance.backoffs.is_active(key, now):
+        reason = 'asked for a backoff'
+    if health.is_leaving(now):
+        reason = 'says that it leaves'
     if topology.is_drained(upstream, instance.configuration.drains):
         reason = 'drained'
     return UpstreamExplanation(
--- a/worksrail/core/instance.py
+++ b/worksrail/core/instance.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass, field
 
+from worksrail.core.availability import Backoffs
 from worksrail.core.bundle import Drain, DrainKind
 from worksrail.core.configuration import Configuration
 from worksrail.core.identity import Endpoints, Incarnation, Place
@@ -122,6 +123,9 @@
     monitored: set[PoolKey] = field(default_factory=set)
     """Upstreams whose maximum of permits in use is updated on every tick."""
 
+    backoffs: Backoffs = field(default_factory=Backoffs)
+    """Times for which upstreams want no requests, by slot pool."""
+
     quarantine: Quarantine = field(default_factory=Quarantine)
     """Requests that crash upstreams."""
 
@@ -234,6 +238,15 @@
         budget.follow(seats, self.settings.saved_retries(self.max_total_seats))
         return budget
 
+    def unavailable_until(self, key: PoolKey) -> float:
+        """Until when an upstream wants no requests, by its own answers."""
+        leaving_until = self.upstream_health(key).leaving_until
+        return max(leaving_until, self.backoffs.end_of(key))
+
+    def wants_requests(self, key: PoolKey, now: float) -> bool:
+        """Whether an upstream has said nothing against requests now."""
+        return now >= self.unavailable_until(key)
+
     def upstream_health(self, key: PoolKey) -> UpstreamHealth:
         """Health of an upstream, created on first use."""
         return self.health.setdefault(key, UpstreamHealth())
--- a/worksrail/core/reducer.py
+++ b/worksrail/core/reducer.py
@@ -10,6 +10,7 @@
 
 from worksrail.core import (
     _arriving,
+    _availability,
     _on_configuration,
     _on_messages,
     _on_requests,
@@ -26,6 +27,7 @@
     HeadSeen,
     InstanceListRead,
     MessageReceived,
+    NoticeReceived,
     PassEnded,
     RequestArrived,
     SeatTableRead,
@@ -49,6 +51,7 @@
     BundleFetchFailed: _on_configuration.on_fetch_failed,
     RequestArrived: _arriving.on_arrival,
     CallerGone: _on_requests.on_caller_gone,
+    NoticeReceived: _availability.on_notice,
     AttemptEnded: _on_requests.on_attempt_ended,
     PassEnded: _on_requests.on_pass_ended,
     StopRequested: _on_time.on_stop,
--- a/worksrail/core/requests/active.py
+++ b/worksrail/core/requests/active.py
@@ -86,6 +86,9 @@
     to_owner: bool = False
     """Whether it was passed to the owner of its ticket."""
 
+    backed_off: bool = False
+    """Whether its upstream asked for a backoff, the first one in a row."""
+
     fingerprint: Fingerprint = 0
     """Hash of what it has in common with repetitions by the caller."""
 
--- a/worksrail/core/routing/_health.py
+++ b/worksrail/core/routing/_health.py
@@ -60,6 +60,9 @@
     ejected_until: float = 0
     """Until when it gets no requests."""
 
+    leaving_until: float = 0
+    """Until when it counts as shutting down, by its own answers."""
+
     trial: bool = False
     """Whether an ejection has ended and its next answer decides."""
 
@@ -92,6 +95,10 @@
         )
         return latency * (1 + weight * self.reported_load)
 
+    def is_leaving(self, now: float) -> bool:
+        """Return whether it has said lately that it is shutting down."""
+        return now < self.leaving_until
+
     def is_outlier(self, typical: float) -> bool:
         """Return whether it fails, or is far slower than its service."""
         if self.failures >= _MAX_FAILURES:
--- a/worksrail/core/settings.py
+++ b/worksrail/core/settings.py
@@ -73,6 +73,10 @@
     ejection_time: float = 5
     """Duration of the first ejection of an upstream."""
 
+    leave_time: float = 30
+    """Time for which an upstream that says that it leaves gets no requests;
+    then one tells whether another upstream has taken its place."""
+
     offer_interval: float = 0.3
     """Time between two sends of an unconfirmed seat offer."""
 
--- a/worksrail/daemon/http/_headers.py
+++ b/worksrail/daemon/http/_headers.py
@@ -24,6 +24,7 @@
 TERMS: Final = 'Worksrail-Terms'
 SENDS: Final = 'Worksrail-Sends'
 RATE_LIMIT: Final = 'Worksrail-Limit'
+LEAVING: Final = 'Worksrail-Leaving'
 
 _CONTENT_LENGTH: Final = 'Content-Length'
 _TRANSFER_ENCODING: Final = 'Transfer-Encoding'
--- a/worksrail/daemon/http/_requests.py
+++ b/worksrail/daemon/http/_requests.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Final
 
 from tornado import httputil
@@ -18,6 +19,7 @@
     AttemptEnded,
     AttemptOutcome,
     CallerGone,
+    NoticeReceived,
     PassEnded,
     RequestArrived,
 )
@@ -40,6 +42,7 @@
 )
 from worksrail.daemon.http._connections import ConnectionPool
 from worksrail.daemon.http._exchange import Exchange
+from worksrail.daemon.http._notices import notice_of
 
 _INVALID_TIMEOUT: Final = -1.0
 _HTTP_VERSION: Final = 'HTTP/1.1'
@@ -47,6 +50,7 @@
 
 _OUTCOMES: Final = {
     AttemptEnd.NOT_SENT: AttemptOutcome.NOT_SENT,
+    AttemptEnd.WITHDRAWN: AttemptOutcome.WITHDRAWN,
     AttemptEnd.WHOLE: AttemptOutcome.ANSWERED,
     AttemptEnd.NO_ANSWER: AttemptOutcome.BROKE_BEFORE_ANSWER,
     AttemptEnd.CUT_ANSWER: AttemptOutcome.BROKE_IN_ANSWER,
@@ -215,7 +219,16 @@
         exchange: Exchange,
         outgoing: Outgoing,
     ) -> None:
-        report = await self._run_attempt(self.upstreams, exchange, outgoing)
+        attempt = HttpAttempt(
+            self.upstreams,
+            self.engine.now,
+            outgoing,
+            exchange.body,
+            exchange,
+            partial(self._learn_notice, exchange.number),
+            partial(self._is_wanted, exchange.number),
+        )
+        report = await attempt.run()
         outcome = _OUTCOMES[report.end]
         if report.end is AttemptEnd.WHOLE and names.NOT_RUN in report.headers:
             outcome = AttemptOutcome.SHED
@@ -238,7 +251,10 @@
         exchange: Exchange,
         outgoing: Outgoing,
     ) -> None:
-        report = await self._run_attempt(self.peers, exchange, outgoing)
+        attempt = HttpAttempt(
+            self.peers, self.engine.now, outgoing, exchange.body, exchange
+        )
+        report = await attempt.run()
         code = _pass_result(report)
         if code is ResultCode.OK:
             self._abort_partial_answer(exchange, AttemptOutcome.ANSWERED)
@@ -256,16 +272,24 @@
         )
         self._discard_finished(exchange)
 
-    async def _run_attempt(
+    def _learn_notice(
         self,
-        pool: ConnectionPool,
-        exchange: Exchange,
-        outgoing: Outgoing,
-    ) -> AttemptReport:
-        attempt = HttpAttempt(
-            pool, self.engine.now, outgoing, exchange.body, exchange
-        )
-        return await attempt.run()
+        number: int,
+        status: int,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        notice = notice_of(status, headers, names.LEAVING)
+        if not notice.is_empty:
+            self.engine.dispatch(
+                NoticeReceived(self.engine.now(), number, notice)
+            )
+
+    def _is_wanted(self, number: int) -> bool:
+        instance = self.engine.instance
+        active = instance.requests.get(number)
+        if active is None or active.upstream is None:
+            return True
+        return instance.wants_requests(active.upstream, self.engine.now())
 
     def _rewind_body(self, exchange: Exchange) -> bool:
         if exchange.begun or not exchange.body.replayable:
--- a/worksrail/standins/upstream.py
+++ b/worksrail/standins/upstream.py
@@ -80,6 +80,12 @@
     break_before_answer: bool = False
     """Execute, then close the connection without an answer."""
 
+    leaving: bool = False
+    """Say in each answer that it leaves."""
+
+    backoff: float = 0
+    """Seconds that it asks for when it refuses a request."""
+
 
 @dataclass(slots=True)
 class UpstreamState:
@@ -194,6 +200,9 @@
         if state.faults.shed or state.waiting >= state.plan.queue:
             state.shed += 1
             self.set_header('Worksrail-Not-Run', 'true')
+            self._state_availability()
+            if state.faults.backoff:
+                self.set_header('Retry-After', str(state.faults.backoff))
             self.set_status(_SHED_STATUS)
             self.finish()
             return
@@ -258,9 +267,14 @@
         report = self.state.report()
         if report:
             self.set_header('Worksrail-Load', report)
+        self._state_availability()
         self.set_header('Content-Type', 'application/json')
         self.finish(payload)
 
+    def _state_availability(self) -> None:
+        if self.state.faults.leaving:
+            self.set_header('Worksrail-Leaving', '1')
+
     def _payload(self, key: str) -> bytes:
         padding = int(self.get_query_argument('bytes', '0'))
         document = {
