--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -69,6 +69,21 @@
     assert not result.violations
 
 
+# Upstreams leave in answers only and ask for backoffs, beside a silent store,
+# stops, kills, new settings and entries that lose their links.
+@pytest.mark.parametrize('seed', [9201, 9202])
+def test_statements_of_upstreams_are_kept_beside_faults(
+    seed: int, tmp_path: Path
+) -> None:
+    result = asyncio.run(
+        play_seed(
+            seed, 16, 3, tmp_path, crashing=False, cutting=True, stating=True
+        )
+    )
+    assert result.statements
+    assert not result.violations
+
+
 @pytest.mark.parametrize('seed', [5100, 5101])
 def test_named_limits_are_kept_beside_faults(seed: int, tmp_path: Path) -> None:
     result = asyncio.run(
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,6 +22,7 @@
     rejecting: float = 0,
     faulty: bool = True,
     cutting: bool = False,
+    stating: bool = False,
 ) -> None:
     """Play seeds, and end with 1 if a promise was broken.
 
@@ -46,12 +47,14 @@
                     rejecting=rejecting,
                     faulty=faulty,
                     cutting=cutting,
+                    stating=stating,
                 )
             )
         faults = ' '.join(step.fault.name for step in result.steps)
         print(
             f'seed {number}: {result.requests} requests, '
-            f'{result.served} served, {len(result.violations)} broken; '
+            f'{result.served} served, {result.statements} statements, '
+            f'{len(result.violations)} broken; '
             f'{faults}',
             flush=True,
         )
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -15,6 +15,7 @@
 from tests.soak._promises import Sent, Violation
 from tests.soak._proxy import Link
 from tests.soak._repeats import Budget, Excess
+from tests.soak._stating import end_statements, state_availability
 from tests.soak._turns import Turns
 from tests.soak._upstreams import CRASHING_PATH, Habit
 from tests.soak._world import SoakWorld
@@ -69,6 +70,9 @@
     repeats: list[Excess]
     """Worst window of each service, by the budget of repeats."""
 
+    statements: int
+    """Statements of upstreams in answers."""
+
     violations: list[Violation]
     """Promises that were broken."""
 
@@ -256,12 +260,15 @@
     rejecting: float = 0,
     faulty: bool = True,
     cutting: bool = False,
+    stating: bool = False,
 ) -> Result:
     """Play one seed from start to end.
 
     A request that crashes upstreams comes all the while, unless it is left out;
-    upstreams name limits if they are to, and entries lose their links to upstreams.  With the window of a budget of repeats,
-    in seconds, callers move from entry to entry and upstreams reject at times.
+    upstreams name limits if they are to, say that they leave or want no requests,
+    and entries lose their links to upstreams.  With the window of a budget of
+    repeats, in seconds, callers move from entry to entry and upstreams reject at
+    times.
     """
     steps = steps_of(seed, seconds) if faulty else []
     if cutting:
@@ -281,9 +288,15 @@
             callers.append(asyncio.ensure_future(_crash_upstreams(world, seed)))
         if limiting:
             callers.append(asyncio.ensure_future(_name_limits(world, seed)))
+        if stating:
+            statements = state_availability(world, seed)
+            callers.append(asyncio.ensure_future(statements))
         await Soak(world).play(steps, seconds)
         _end_limits(world)
         world.turns = None
+        if stating:
+            callers.pop().cancel()
+            end_statements(world)
         world.witness.silent = await wait_served(world)
     finally:
         for caller in callers:
@@ -298,6 +311,7 @@
         sum(end.status == 200 for end in ends),
         world.witness.cut_shares(),
         world.witness.repeats(),
+        len(world.witness.stated),
         world.witness.violations(),
     )
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,6 +24,7 @@
 from tests.soak._proxy import Link, Proxy
 from tests.soak._repeats import Budget
 from tests.soak._soak import _PLAYERS
+from tests.soak._statements import Met, Stated
 
 _WRITE = Sent('t', '/w/1', b'x', True, 'one', 10.0)
 _READ = Sent('t', '/r/1', b'', False, 'one', 10.0)
@@ -246,6 +247,75 @@
     assert violation.about == 'one'
 
 
+def _with_statement(stated: Stated, arrivals: list[float]) -> Witness:
+    """Let an upstream state something in a whole answer, and get requests."""
+    witness = Witness(_SERVICES)
+    for number, at in enumerate([stated.at - 0.1, *arrivals]):
+        trace = 't' if not number else f't-{number}'
+        witness.sent[trace] = replace(_READ, trace=trace, at=at, entry='one:80')
+        witness.met.append(Met('u', 'one', trace, at))
+    right = answer_of('t', '/r/1', b'')
+    witness.ended['t'] = Ended('t', 200, right, stated.at)
+    witness.stated.append(stated)
+    return witness
+
+
+_LEFT = Stated('u', 'one', 't', 20)
+_ASKED = Stated('u', 'one', 't', 20, backoff=3)
+
+
+# Seconds at which requests reach an upstream after its statement.
+@pytest.mark.parametrize(
+    ('stated', 'arrivals', 'promise'),
+    [
+        (_LEFT, [22.6], Promise.LEAVES),
+        (_LEFT, [20.1, 22.4], None),
+        (_ASKED, [20.6, 21, 22.9], Promise.BACKOFF),
+        (_ASKED, [20.6, 22.9], None),
+        (_ASKED, [20.1, 20.2, 20.3, 20.4], None),
+        (_ASKED, [23.1, 23.2, 23.3], None),
+    ],
+)
+def test_requests_that_upstreams_do_not_want_are_noticed(
+    stated: Stated, arrivals: list[float], promise: Promise | None
+) -> None:
+    found = {
+        one.promise for one in _with_statement(stated, arrivals).violations()
+    }
+    assert found == ({promise} if promise else set())
+
+
+@pytest.mark.parametrize('stated', [_LEFT, _ASKED])
+def test_entry_that_was_disturbed_since_is_excused(stated: Stated) -> None:
+    witness = _with_statement(stated, [22.6, 22.7, 22.8])
+    witness.disturbed['one'].append(21)
+    assert not witness.violations()
+
+
+@pytest.mark.parametrize(
+    ('stated', 'broken'), [(_LEFT, {Promise.LEAVES}), (_ASKED, set())]
+)
+def test_cut_excuses_from_backoffs_only(
+    stated: Stated, broken: set[Promise]
+) -> None:
+    witness = _with_statement(stated, [22.6, 22.7, 22.8])
+    witness.cuts.append(Cut('one', 21, 22))
+    assert {one.promise for one in witness.violations()} == broken
+
+
+def test_statements_to_other_entries_and_of_other_upstreams_do_not_count() -> (
+    None
+):
+    for stated in (replace(_LEFT, entry='two'), replace(_LEFT, upstream='v')):
+        assert not _with_statement(stated, [25]).violations()
+
+
+def test_answer_that_no_caller_got_does_not_count() -> None:
+    witness = _with_statement(_LEFT, [25])
+    witness.ended['t'] = replace(witness.ended['t'], status=502)
+    assert not witness.violations()
+
+
 def test_seed_brings_the_same_faults_again() -> None:
     assert steps_of(5, 60) == steps_of(5, 60)
     assert steps_of(5, 60) != steps_of(6, 60)
