Let entries avoid upstreams that have asked other entries for a backoff

The backoff is asked of one entry, so the others may not take it for their own: they avoid the upstream while there is another one, and use it if not.

Change: digests name the backoffs that changed within the last second (32, in those of zones 96).

--- a/tests/steering/test_backing_off.py
+++ b/tests/steering/test_backing_off.py
@@ -2,6 +2,7 @@
 
 from math import inf
 
+import msgspec
 import pytest
 
 from tests.steering.availability_world import (
@@ -11,9 +12,10 @@
     THREE,
     AvailabilityWorld,
 )
-from tests.steering.world import World, of_type, route, upstream
+from tests.steering.world import World, digest, of_type, route, upstream
 from worksrail.core.availability import (
     MAX_BACKOFF,
+    AdvertisedBackoff,
     AvailabilityNotice,
     Statement,
 )
@@ -24,9 +26,11 @@
     Decision,
     DecisionKind,
     ProbeUpstream,
+    SendDigest,
 )
 from worksrail.core.steering.events import (
     AttemptOutcome,
+    DigestReceived,
     NoticeReceived,
     PathProbed,
     UpstreamsListed,
@@ -289,3 +293,62 @@
     (refusal,) = of_type(world.effects, AnswerResult)
     assert refusal.code is ResultCode.UPSTREAMS_BACKING_OFF
     assert refusal.retry_after >= 3
+
+
+def test_usual_rate_is_remembered_through_a_time_without_upstreams() -> None:
+    world = AvailabilityWorld(THREE, 120, seed=4)
+    world.wait(20)
+    world.leave(*_UPSTREAMS)
+    world.wait(7)
+    state = world.states['a1-0']
+    usual = state.rates.sends['orders'].usual(world.now)
+    # Each of three entries gets 40 requests a second.
+    assert usual >= 0.25 * 40
+
+
+# Each entry that asks for itself costs an upstream in need one more rejection.
+@pytest.mark.parametrize('count', [1, 6], ids=['one', 'half'])
+def test_others_avoid_an_upstream_that_asked_one_entry(count: int) -> None:
+    names = _UPSTREAMS[:count]
+    world = AvailabilityWorld(SIXTY_SEVEN, 600)
+    world.wait(3)
+    world.reject(2.9, 3, *names)
+    world.wait(3)
+    rejections = len(world.seen.asked_for)
+    assert rejections <= len(names) * len(world.states) / 2
+
+
+def test_upstream_that_asked_another_entry_is_used_if_there_is_no_other() -> (
+    None
+):
+    told = AdvertisedBackoff('u1', 30)
+    world = _world('u1', 'u2')
+    advertised = msgspec.structs.replace(digest('two'), backoffs=(told,))
+    world.run(DigestReceived(world.now, advertised))
+    assert _answered_by(world) == {'u2'}
+    alone = _world('u1')
+    alone.run(DigestReceived(alone.now, advertised))
+    assert _answered_by(alone) == {'u1'}
+
+
+def test_own_backoff_binds_though_another_entry_told_of_one_before() -> None:
+    told = AdvertisedBackoff('u1', 5)
+    world = _world('u1')
+    advertised = msgspec.structs.replace(digest('two'), backoffs=(told,))
+    world.run(DigestReceived(world.now, advertised))
+    _ask_for(world, 3)
+    assert not _answered_by(world)
+    world.run(DigestReceived(world.now, advertised))
+    world.wait(2.9)
+    assert not _answered_by(world)
+
+
+def test_backoff_is_advertised_while_it_is_new() -> None:
+    world = _world('u1', 'u2')
+    name = _ask_for(world, 3)
+    sent = of_type(world.wait(0.1), SendDigest)
+    (told,) = sent[0].digest.backoffs
+    assert told.upstream == name
+    assert 28 <= told.left <= 30
+    later = of_type(world.wait(2), SendDigest)[-1]
+    assert not later.digest.backoffs
--- a/tests/steering/test_leaving_upstreams.py
+++ b/tests/steering/test_leaving_upstreams.py
@@ -168,7 +168,7 @@
 
 def test_digest_of_an_earlier_release_names_no_leaving_upstream() -> None:
     fields = msgspec.msgpack.decode(msgspec.msgpack.encode(digest('two')))
-    older = msgspec.msgpack.encode(fields[:-1])
+    older = msgspec.msgpack.encode(fields[:-2])
     decoded = msgspec.msgpack.decode(older, type=EntryDigest)
     assert decoded.leaving == ()
 
--- a/worksrail/core/availability/__init__.py
+++ b/worksrail/core/availability/__init__.py
@@ -4,7 +4,11 @@
 it rejects for no further requests for some time.
 """
 
-from worksrail.core.availability._backoffs import Backoff, Backoffs
+from worksrail.core.availability._backoffs import (
+    AdvertisedBackoff,
+    Backoff,
+    Backoffs,
+)
 from worksrail.core.availability._leaving import LeavingUpstreams
 from worksrail.core.availability._notice import (
     MAX_BACKOFF,
@@ -20,6 +24,7 @@
 __all__ = (
     'MAX_BACKOFF',
     'NO_NOTICE',
+    'AdvertisedBackoff',
     'AvailabilityNotice',
     'Backoff',
     'Backoffs',
--- a/worksrail/core/steering/_availability.py
+++ b/worksrail/core/steering/_availability.py
@@ -3,7 +3,10 @@
 from collections.abc import Iterable, Iterator
 from typing import Final
 
-from worksrail.core.availability import AvailabilityNotice
+from worksrail.core.availability import (
+    AdvertisedBackoff,
+    AvailabilityNotice,
+)
 from worksrail.core.steering._backing_off import usual_rate_at
 from worksrail.core.steering.effects import (
     Decision,
@@ -60,6 +63,7 @@
     if notice.backoff:
         usual = usual_rate_at(state, name, now)
         if state.rates.backoffs.note(name, notice.backoff, now, usual):
+            state.next_digest_at = now
             yield Decision(
                 DecisionKind.UPSTREAM_BACKOFF,
                 name,
@@ -100,6 +104,18 @@
     )
 
 
+def receive_backoffs(
+    state: SteeringState,
+    advertised: Iterable[AdvertisedBackoff],
+    now: float,
+) -> None:
+    """Learn which upstreams have asked other entries for a backoff."""
+    for one in advertised:
+        if one.upstream in state.catalog.upstreams:
+            usual = usual_rate_at(state, one.upstream, now)
+            state.rates.backoffs.note_told(one, now, usual)
+
+
 def wants_requests(state: SteeringState, name: str, now: float) -> bool:
     """Return whether an upstream has said nothing against requests now."""
     if name in state.catalog.leaving:
--- a/worksrail/core/steering/_backing_off.py
+++ b/worksrail/core/steering/_backing_off.py
@@ -60,25 +60,29 @@
         if backoff.is_returning(self.now):
             allowed = self.may_return
         else:
-            allowed = not backoff.is_active(self.now)
+            allowed = backoff.told or not backoff.is_active(self.now)
         if not allowed:
             self.excluded.append(upstream)
         return allowed
 
+    def avoids(self, upstream: str) -> bool:
+        """Return whether an upstream has asked another entry for a backoff.
 
-def usual_rate_at(state: SteeringState, name: str, now: float) -> float:
-    """Return the requests per second that an upstream usually gets from here.
+        It gets requests only if there is no other: it may have asked that entry
+        alone, and this one need not ask each upstream in need for itself.
+        """
+        backoff = self.backoffs.get(upstream)
+        return (
+            backoff is not None and backoff.told and backoff.is_active(self.now)
+        )
 
-    Of many instances with low rates, only those that have just sent a request
-    are asked for a backoff, so this one request is left out or counts half.
-    """
+
+def usual_rate_at(state: SteeringState, name: str, now: float) -> float:
+    """Return the requests per second that an upstream usually gets."""
     service = state.catalog.upstreams[name].record.service
-    meter = state.rates.sends.get(service)
+    sends = state.rates.sends.get(service)
     count = len(state.catalog.names_of(service))
-    if meter is None or not count:
-        return 0
-    rate = meter.rate(now)
-    return max(rate - 1 / meter.seconds, rate / 2) / count
+    return sends.usual(now) / count if sends and count else 0
 
 
 def record_return(state: SteeringState, upstream: Upstream, now: float) -> None:
@@ -103,6 +107,7 @@
         backoffs[one.name]
         for one in state.catalog.usable(request.service)
         if one.name in backoffs
+        and not (backoffs[one.name].told and backoffs[one.name].is_active(now))
         and (not request.regions or one.region in request.regions)
     ]
     first = min(known, key=lambda backoff: backoff.until, default=None)
@@ -121,11 +126,11 @@
     service: ServiceName,
     now: float,
 ) -> int:
-    """Return the slots of a service's upstreams that want no requests now."""
+    """Return the slots of a service's upstreams that are in a backoff."""
     return sum(
         one.record.slots
         for one in state.catalog.usable(service)
-        if state.rates.backoffs.is_active(one.name, now)
+        if state.rates.backoffs.end_of(one.name) > now
     )
 
 
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -448,6 +448,7 @@
         unavailable = (
             load.ejected_until > model.now
             or state.paths.zones.is_excluded(upstream.record.zone, model.now)
+            or model.backing_off.avoids(upstream.name)
             or load.is_silent(
                 model.execution_time, upstream.record.slots, model.now
             )
--- a/worksrail/core/steering/_digests.py
+++ b/worksrail/core/steering/_digests.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from worksrail.core.availability import AdvertisedBackoff
 from worksrail.core.budgets import AdvertisedBudgets
 from worksrail.core.identity import (
     Incarnation,
@@ -129,6 +130,9 @@
     leaving: tuple[str, ...] = ()
     """Upstreams that say in their answers that they are shutting down."""
 
+    backoffs: tuple[AdvertisedBackoff, ...] = ()
+    """Backoffs that upstreams have lately asked entries for."""
+
 
 class ZoneDigest(msgspec.Struct, frozen=True, array_like=True, tag='zone'):
     """Digest that the relay of a zone sends to the relays of other zones."""
@@ -174,5 +178,8 @@
     leaving: tuple[str, ...] = ()
     """Upstreams that say in their answers that they are shutting down."""
 
+    backoffs: tuple[AdvertisedBackoff, ...] = ()
+    """Backoffs that upstreams have lately asked entries for."""
+
 
 Digest = EntryDigest | ZoneDigest
--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -8,6 +8,7 @@
 from worksrail.core.identity import RegionName
 from worksrail.core.steering._availability import (
     leaving_to_advertise,
+    receive_backoffs,
     receive_leaving,
 )
 from worksrail.core.steering._digests import (
@@ -60,6 +61,9 @@
 # Maximum number of upstreams that say that they leave, likewise.
 _MAX_LEAVING: Final = 32
 _MAX_ZONE_LEAVING: Final = 96
+# Maximum number of backoffs, likewise.
+_MAX_BACKOFFS: Final = 32
+_MAX_ZONE_BACKOFFS: Final = 96
 # Every Nth digest repeats the quarantine, limit and leaving state even if it is
 # unchanged, in addition to the digests that answer a new entry.
 _FULL_STATE_PERIOD: Final = 5
@@ -197,6 +201,7 @@
     yield from receive_crashes(state, digest.crashes, now)
     yield from receive_named_limits(state, digest.limits, now)
     yield from receive_leaving(state, digest.leaving, now)
+    receive_backoffs(state, digest.backoffs, now)
 
 
 def forget_expired_zones(state: SteeringState, now: float) -> None:
@@ -276,6 +281,7 @@
         ),
         state.budgets.advertise(now),
         leaving_to_advertise(state, _MAX_LEAVING, now, with_all=with_held),
+        state.rates.backoffs.advertise(_MAX_BACKOFFS, now),
     )
 
 
@@ -306,6 +312,7 @@
         leaving=leaving_to_advertise(
             state, _MAX_ZONE_LEAVING, now, with_all=with_held
         ),
+        backoffs=state.rates.backoffs.advertise(_MAX_ZONE_BACKOFFS, now),
     )
 
 
--- a/worksrail/core/steering/_rate_limits.py
+++ b/worksrail/core/steering/_rate_limits.py
@@ -12,8 +12,10 @@
 from worksrail.core.steering._settings import EntrySettings
 from worksrail.core.steering.events import RequestNumber
 
-# Time constant of the rates of requests sent, in seconds.
-_SENDS_TIME_CONSTANT: Final = 4.0
+# Time constants of the rates of requests sent, in seconds.  The long one
+# remembers the usual rate through a time in which nothing could be sent.
+_SHORT_TIME_CONSTANT: Final = 4.0
+_LONG_TIME_CONSTANT: Final = 30.0
 # Seconds after a refusal during which less urgent requests leave what was
 # missing to those of the refused priority.
 _YIELD_WINDOW: Final = 1.0
@@ -38,6 +40,36 @@
         )
 
 
+@dataclass(slots=True)
+class SendRate:
+    """Rate of requests that this entry sends to the upstreams of a service."""
+
+    lately: RateMeter = field(
+        default_factory=lambda: RateMeter(seconds=_SHORT_TIME_CONSTANT)
+    )
+    """Rate over some seconds."""
+
+    before: RateMeter = field(
+        default_factory=lambda: RateMeter(seconds=_LONG_TIME_CONSTANT)
+    )
+    """Rate over a longer time."""
+
+    def record(self, now: float) -> None:
+        """Count a request."""
+        self.lately.note(now)
+        self.before.note(now)
+
+    def usual(self, now: float) -> float:
+        """Return the usual requests per second.
+
+        Of many entries with low rates, only those that have just sent a request
+        are asked for a backoff, so this one request is left out or counts half.
+        """
+        rate = self.lately.rate(now)
+        without_last = rate - 1 / self.lately.seconds
+        return max(without_last, rate / 2, self.before.rate(now))
+
+
 @dataclass(slots=True)
 class UpstreamRateLimits:
     """Rate limits of single upstreams."""
@@ -65,14 +97,14 @@
     returns: ReturnLimits = field(default_factory=ReturnLimits)
     """Limits of requests to upstreams whose backoffs have just ended."""
 
-    sends: dict[ServiceName, RateMeter] = field(default_factory=dict)
-    """Rate of requests that this entry sends, by service."""
+    sends: dict[ServiceName, SendRate] = field(default_factory=dict)
+    """Rates of requests that this entry sends, by service."""
 
     def record_sent(self, service: ServiceName, now: float) -> None:
         """Count a request to an upstream of a service."""
         if service not in self.sends:
-            self.sends[service] = RateMeter(seconds=_SENDS_TIME_CONSTANT)
-        self.sends[service].note(now)
+            self.sends[service] = SendRate()
+        self.sends[service].record(now)
 
     @classmethod
     def begin(
