Keep a service lost while its missed upstreams leave or are replaced

Callers of an entry without links were sent to upstreams that the entry had never met, one after the other, each time that all upstreams of a service were replaced or said that they leave: the evidence went with the upstreams, and the log told of paths regained.

Change: a lost service whose missed upstreams are gone or leave stays lost until an answer on a new connection, for which probes ask each 0.5 s, or 10 s at most.

Measured: two new tests fail without it.

--- a/tests/steering/test_paths.py
+++ b/tests/steering/test_paths.py
@@ -2,12 +2,18 @@
 
 from typing import Final
 
+import msgspec
 import pytest
 
-from tests.steering.world import World, of_type, route, upstream
+from tests.steering.world import World, digest, of_type, route, upstream
 from worksrail.core.steering import ServiceWeight
 from worksrail.core.steering.effects import Decision, DecisionKind
-from worksrail.core.steering.events import AttemptOutcome
+from worksrail.core.steering.events import (
+    AttemptOutcome,
+    DigestReceived,
+    PathProbed,
+    UpstreamsListed,
+)
 
 _ORDERS: Final = [
     upstream(f'{zone}-{number}', zone=zone)
@@ -164,3 +170,34 @@
     _try(world, AttemptOutcome.NOT_CONNECTED, attempts=6)
     world.state.paths.keep_only({'s0'})
     assert not world.state.paths.missed
+
+
+def test_upstreams_that_replace_missed_ones_show_no_path() -> None:
+    world = World(upstreams=[upstream(f'u{number}') for number in range(3)])
+    for _ in range(3):
+        number = world.ask()
+        while number in world.state.requests:
+            world.end(number, AttemptOutcome.NOT_CONNECTED, status=0)
+    assert 'orders' in world.state.paths.lost_since
+    fresh = tuple(upstream(f'v{number}') for number in range(3))
+    world.run(UpstreamsListed(world.now, fresh, 2))
+    world.wait(0.2)
+    assert 'orders' in world.state.paths.lost_since
+    world.run(PathProbed(world.now, 'v0', True))
+    world.wait(0.2)
+    assert 'orders' not in world.state.paths.lost_since
+
+
+def test_upstreams_that_leave_show_no_path() -> None:
+    names = [f'u{number}' for number in range(3)]
+    world = World(upstreams=[upstream(name) for name in names])
+    for _ in range(3):
+        number = world.ask()
+        while number in world.state.requests:
+            world.end(number, AttemptOutcome.NOT_CONNECTED, status=0)
+    told = msgspec.structs.replace(digest('two'), leaving=tuple(names))
+    world.run(DigestReceived(world.now, told))
+    world.wait(0.2)
+    assert 'orders' in world.state.paths.lost_since
+    world.wait(12)
+    assert 'orders' not in world.state.paths.lost_since
--- a/worksrail/core/steering/_paths.py
+++ b/worksrail/core/steering/_paths.py
@@ -20,6 +20,8 @@
 # Zones that they must be in, unless all known upstreams are in one zone: a zone
 # that lost power says nothing about the links of this entry.
 _MIN_ZONES: Final = 2
+# Maximum seconds for which a service stays lost without fresh misses.
+_MAX_UNPROVEN: Final = 10.0
 # Seconds after an answer of a service for which that service counts as reached,
 # unless an upstream of it was missed.
 _RECENT_ANSWER: Final = 1.0
@@ -56,6 +58,12 @@
     missed: dict[str, Miss] = field(default_factory=dict)
     """Upstreams that were missed, with no answer of their scope since."""
 
+    replaced: set[ServiceName] = field(default_factory=set)
+    """Lost services of which missed upstreams have gone meanwhile."""
+
+    reached_at: dict[ServiceName, float] = field(default_factory=dict)
+    """When an answer last showed a path to a service."""
+
     answered_at: float = -inf
     """When any upstream last answered."""
 
@@ -86,6 +94,7 @@
         """
         scope = scope_of(upstream)
         reached: list[str] = []
+        service = upstream.record.service
         self.answered_at = now
         self.answers[scope] = now
         for name, miss in tuple(self.missed.items()):
@@ -95,6 +104,8 @@
             if miss.scope == scope:
                 self.missed.pop(name)
                 reached.append(name)
+        if reached or new_connection:
+            self.reached_at[service] = now
         return reached
 
     def record_miss(self, upstream: Upstream, *, connecting: bool) -> None:
@@ -135,15 +146,24 @@
             for service, upstreams in services.items()
             if self.reaches_none(upstreams)
         }
+        # Upstreams that replace the missed ones are no evidence of a path.
+        lost |= {
+            service
+            for service in self.lost_since
+            if self._is_missed(service, now)
+        }
         self.lost_since = {
             service: self.lost_since.get(service, now) for service in lost
         }
 
     def keep_only(self, upstreams: Container[str]) -> None:
         """Drop the evidence about upstreams that are gone."""
-        for name in tuple(self.missed):
+        self.replaced &= self.lost_since.keys()
+        for name, miss in tuple(self.missed.items()):
             if name not in upstreams:
                 self.missed.pop(name)
+                if miss.scope[0] in self.lost_since:
+                    self.replaced.add(miss.scope[0])
 
     def last_answer(self, service: ServiceName) -> float:
         """Return when an upstream of a service last answered."""
@@ -152,6 +172,17 @@
         ]
         return max(times, default=-inf)
 
+    def _is_missed(self, service: ServiceName, now: float) -> bool:
+        """Return whether a lost service has not been reached since."""
+        since = self.lost_since[service]
+        if now - since > _MAX_UNPROVEN:
+            return False
+        if self.reached_at.get(service, -inf) >= since:
+            return False
+        return service in self.replaced or any(
+            miss.scope[0] == service for miss in self.missed.values()
+        )
+
     def _has_lost_all(
         self,
         services: dict[ServiceName, list[Upstream]],
