Learn a named limit from the head of an answer, not at its end

Change: it comes with the notice of the head, in both modes. That an answer names none ends a limit when it is complete, as before. The test fails without it.

--- a/tests/steering/test_named_limits.py
+++ b/tests/steering/test_named_limits.py
@@ -14,6 +14,7 @@
     max_allowed,
 )
 from tests.steering.world import World, route, upstream
+from worksrail.core.availability import NO_NOTICE
 from worksrail.core.limits import Members
 from worksrail.core.pacing import (
     ALL_REGIONS,
@@ -24,6 +25,7 @@
 from worksrail.core.steering import reduce
 from worksrail.core.steering.events import (
     CallerGone,
+    NoticeReceived,
     PacingMessageReceived,
     Ticked,
     UpstreamsListed,
@@ -371,3 +373,11 @@
     world.wait(3)
     assert not pacer.has_limits
     assert 'u' not in pacer.stocks
+
+
+def test_limit_is_known_before_the_body_has_arrived() -> None:
+    world = World(upstreams=[upstream('u1')])
+    number = world.ask()
+    limit = NamedLimit(5, world.now)
+    world.run(NoticeReceived(world.now, number, 1, NO_NOTICE, limit))
+    assert world.state.rates.named.rate_of('u1') == 5
--- a/worksrail/core/_availability.py
+++ b/worksrail/core/_availability.py
@@ -4,11 +4,12 @@
 from math import inf
 from typing import Final
 
+from worksrail.core._pacing import learn_limit
 from worksrail.core.effects import Note, NoteKind
 from worksrail.core.events import NoticeReceived
 from worksrail.core.instance import Instance
 from worksrail.core.permits import PoolKey, slot_group
-from worksrail.core.requests.active import RequestState
+from worksrail.core.requests.active import ActiveRequest, RequestState
 from worksrail.core.results import ResultCode
 
 # Seconds for which a backoff is remembered after its end.
@@ -26,6 +27,19 @@
     if active.state is not RequestState.SENT:
         return
     key = active.upstream
+    if event.limit:
+        yield from learn_limit(instance, key, active.number, event.limit)
+    if not event.notice.is_empty:
+        yield from _learn_notice(instance, active, key, event)
+    _stop_requests(instance, key, event.now)
+
+
+def _learn_notice(
+    instance: Instance,
+    active: ActiveRequest,
+    key: PoolKey,
+    event: NoticeReceived,
+) -> Iterator[Note]:
     for statement in event.notice.unreadable:
         if instance.backoffs.note_unreadable(key, statement):
             kind = NoteKind.UPSTREAM_NOTICE_UNREADABLE
@@ -42,7 +56,6 @@
         if not health.is_leaving(event.now):
             yield Note(NoteKind.UPSTREAM_LEAVING, key, active.number)
         health.leaving_until = event.now + instance.settings.leave_time
-    _stop_requests(instance, key, event.now)
 
 
 def maintain_availability(instance: Instance, now: float) -> Iterator[Note]:
--- a/worksrail/core/_on_requests.py
+++ b/worksrail/core/_on_requests.py
@@ -105,7 +105,10 @@
     _release_permits(instance, active, event)
     _update_health(instance, active, event)
     yield from learn_crash(instance, active, event)
-    yield from learn_limit(instance, active, event)
+    if event.limit and active.upstream is not None:
+        yield from learn_limit(
+            instance, active.upstream, active.number, event.limit
+        )
     if event.outcome in _FINAL_CODES:
         yield from _retry_or_finish(instance, active, event)
     else:
--- a/worksrail/core/_pacing.py
+++ b/worksrail/core/_pacing.py
@@ -6,18 +6,18 @@
 from worksrail.core._members import members_by_region
 from worksrail.core._tokens import send_token_requests
 from worksrail.core.effects import Note, NoteKind, SendMessage
-from worksrail.core.events import AttemptEnded
 from worksrail.core.instance import Instance
 from worksrail.core.messages import MemberStatus
 from worksrail.core.pacing import (
     AdvertisedLimit,
     LimitChange,
+    NamedLimit,
     NoRate,
     PacingMessage,
     TokenRequest,
     receive_limits,
 )
-from worksrail.core.requests.active import ActiveRequest
+from worksrail.core.permits import PoolKey
 
 # Maximum number of named limits in one heartbeat.
 _MAX_LIMITS_PER_HEARTBEAT: Final = 32
@@ -25,17 +25,14 @@
 
 def learn_limit(
     instance: Instance,
-    active: ActiveRequest,
-    event: AttemptEnded,
+    upstream: PoolKey,
+    request: int,
+    named: NamedLimit,
 ) -> Iterator[Note]:
     """Record the rate limit that an answer names for its upstream."""
-    if event.limit is None or active.upstream is None:
-        return
-    if event.limit.rate is NoRate.UNREADABLE:
-        yield Note(
-            NoteKind.UPSTREAM_LIMIT_UNREADABLE, active.upstream, active.number
-        )
-    change = instance.pacer.limits.note(active.upstream, event.limit)
+    if named.rate is NoRate.UNREADABLE:
+        yield Note(NoteKind.UPSTREAM_LIMIT_UNREADABLE, upstream, request)
+    change = instance.pacer.limits.note(upstream, named)
     if change:
         yield _note(change)
 
--- a/worksrail/core/events.py
+++ b/worksrail/core/events.py
@@ -236,7 +236,10 @@
     """Number of the request."""
 
     notice: AvailabilityNotice
-    """The statements."""
+    """What it states about its availability."""
+
+    limit: NamedLimit | None = None
+    """Rate limit that it names; None if it names none."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/worksrail/core/steering/_availability.py
+++ b/worksrail/core/steering/_availability.py
@@ -8,6 +8,7 @@
     AvailabilityNotice,
 )
 from worksrail.core.steering._backing_off import usual_rate_at
+from worksrail.core.steering._named_limits import learn_limit
 from worksrail.core.steering.effects import (
     Decision,
     DecisionKind,
@@ -29,6 +30,8 @@
     request = state.requests.get(event.request)
     if request is None or event.attempt != request.attempts:
         return
+    if event.limit:
+        yield from learn_limit(state, request, event.limit)
     if event.notice.backoff:
         # An upstream that rejects again as soon as it gets requests is taken
         # for overloaded like any other that rejects.
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -12,7 +12,7 @@
     resolve_customer,
 )
 from worksrail.core.steering._learning import record_attempt
-from worksrail.core.steering._pacing import learn_limit
+from worksrail.core.steering._named_limits import learn_limit
 from worksrail.core.steering._path_evidence import record_path
 from worksrail.core.steering._placing import (
     place,
@@ -167,7 +167,8 @@
     yield from record_attempt(state, request, event)
     yield from record_path(state, request, event)
     yield from learn_crash(state, request, event)
-    yield from learn_limit(state, request, event)
+    if event.limit:
+        yield from learn_limit(state, request, event.limit)
 
 
 def _resolve(
--- a/worksrail/core/steering/_pacing.py
+++ b/worksrail/core/steering/_pacing.py
@@ -4,49 +4,26 @@
 
 from worksrail.core.pacing import (
     AdvertisedLimit,
-    LimitChange,
-    NoRate,
     TokenRequest,
     receive_limits,
 )
 from worksrail.core.steering._members import members_by_region
+from worksrail.core.steering._named_limits import limit_decision
 from worksrail.core.steering._placing import drop, place
 from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._tokens import send_token_requests
 from worksrail.core.steering.effects import (
     Decision,
-    DecisionKind,
     Effect,
     SendPacingMessage,
 )
 from worksrail.core.steering.events import (
-    AttemptEnded,
     PacingMessageReceived,
     RequestNumber,
 )
 from worksrail.core.steering.state import SteeringState
 
 
-def learn_limit(
-    state: SteeringState,
-    request: SteeredRequest,
-    event: AttemptEnded,
-) -> Iterator[Decision]:
-    """Update the limit of an upstream from its answer."""
-    if event.limit is None:
-        return
-    if event.limit.rate is NoRate.UNREADABLE:
-        yield Decision(
-            DecisionKind.UPSTREAM_LIMIT_UNREADABLE,
-            request.upstream,
-            request.number,
-        )
-    limits = state.rates.named.limits
-    change = limits.note(request.upstream, event.limit)
-    if change:
-        yield _decision(change, request.number)
-
-
 def receive_named_limits(
     state: SteeringState,
     reported: Iterable[AdvertisedLimit],
@@ -55,7 +32,7 @@
     """Handle the limits of upstreams that another entry advertises."""
     known = state.catalog.upstreams
     for change in receive_limits(state.rates.named, reported, known, now):
-        yield _decision(change)
+        yield limit_decision(change)
 
 
 def on_pacing_message(
@@ -114,22 +91,3 @@
 
 def _rank(request: SteeredRequest) -> tuple[int, float]:
     return request.priority, request.arrived_at
-
-
-def _decision(change: LimitChange, request: int = 0) -> Decision:
-    kind = DecisionKind.UPSTREAM_LIMITED
-    if change.after is None:
-        kind = DecisionKind.UPSTREAM_UNLIMITED
-    return Decision(
-        kind,
-        change.upstream,
-        request,
-        (
-            ('rate', -1 if change.after is None else round(change.after, 3)),
-            (
-                'before',
-                -1 if change.before is None else round(change.before, 3),
-            ),
-            ('told', int(change.from_peer)),
-        ),
-    )
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -325,7 +325,10 @@
     """Number of the attempt."""
 
     notice: AvailabilityNotice
-    """The statements."""
+    """What it states about its availability."""
+
+    limit: NamedLimit | None = None
+    """Rate limit that it names; None if it names none."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/worksrail/daemon/http/_requests.py
+++ b/worksrail/daemon/http/_requests.py
@@ -278,11 +278,13 @@
         status: int,
         headers: httputil.HTTPHeaders,
     ) -> None:
+        now = self.engine.now()
         notice = notice_of(status, headers, names.LEAVING)
-        if not notice.is_empty:
-            self.engine.dispatch(
-                NoticeReceived(self.engine.now(), number, notice)
-            )
+        texts = headers.get_list(names.RATE_LIMIT)
+        # An answer without a limit ends one only when it is complete.
+        limit = NamedLimit(read_rate(texts), now) if texts else None
+        if limit or not notice.is_empty:
+            self.engine.dispatch(NoticeReceived(now, number, notice, limit))
 
     def _is_wanted(self, number: int) -> bool:
         instance = self.engine.instance
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -8,6 +8,7 @@
 from tornado import httputil
 
 from worksrail.core.customers import CustomerName
+from worksrail.core.pacing import NoRate
 from worksrail.core.results import ResultCode
 from worksrail.core.steering import wants_requests
 from worksrail.core.steering.effects import (
@@ -177,7 +178,7 @@
             self._build_request(exchange, effect),
             exchange.body,
             sink,
-            partial(self._learn_notice, effect),
+            partial(self._learn_notice, effect, sink),
             partial(self._is_wanted, self._upstream_of(effect)),
         )
         report = await attempt.run()
@@ -209,16 +210,24 @@
     def _learn_notice(
         self,
         effect: SendUpstream,
+        sink: SteeredSink,
         status: int,
         headers: httputil.HTTPHeaders,
     ) -> None:
         notice = self.adapter.upstreams.read_notice(status, headers)
-        if not notice.is_empty:
-            self.engine.dispatch(
-                NoticeReceived(
-                    self.engine.now(), effect.request, effect.attempt, notice
-                )
+        limit = sink.named_limit()
+        if limit and limit.rate is NoRate.NOT_NAMED:
+            # An answer ends a limit when it is complete.
+            limit = None
+        if limit or not notice.is_empty:
+            event = NoticeReceived(
+                self.engine.now(),
+                effect.request,
+                effect.attempt,
+                notice,
+                limit,
             )
+            self.engine.dispatch(event)
 
     async def _attempt_passing(
         self,
