--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -84,6 +84,18 @@
     assert not result.violations
 
 
+@pytest.mark.parametrize('seed', [9310, 9320])
+def test_callers_are_served_without_links_beside_statements(
+    seed: int, tmp_path: Path
+) -> None:
+    result = asyncio.run(
+        play_seed(
+            seed, 20, 3, tmp_path, crashing=False, cutting=True, stating=True
+        )
+    )
+    assert not result.violations
+
+
 @pytest.mark.parametrize('seed', [5100, 5101])
 def test_named_limits_are_kept_beside_faults(seed: int, tmp_path: Path) -> None:
     result = asyncio.run(
