--- a/tests/steering/test_backing_off.py
+++ b/tests/steering/test_backing_off.py
@@ -352,3 +352,12 @@
     assert 28 <= told.left <= 30
     later = of_type(world.wait(2), SendDigest)[-1]
     assert not later.digest.backoffs
+
+
+def test_usual_rate_of_a_fresh_entry_is_not_underestimated() -> None:
+    world = AvailabilityWorld(THREE, 120, seed=4)
+    world.stop('a1-0')
+    world.start('a1-0')
+    world.wait(6)
+    usual = world.states['a1-0'].rates.sends['orders'].usual(world.now)
+    assert 25 <= usual <= 60
--- a/worksrail/core/steering/_availability.py
+++ b/worksrail/core/steering/_availability.py
@@ -30,6 +30,8 @@
     request = state.requests.get(event.request)
     if request is None or event.attempt != request.attempts:
         return
+    if not request.upstream:
+        return
     if event.limit:
         yield from learn_limit(state, request, event.limit)
     if event.notice.backoff:
--- a/worksrail/core/steering/_backing_off.py
+++ b/worksrail/core/steering/_backing_off.py
@@ -10,7 +10,7 @@
 from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering.state import SteeringState
 
-# Multiple of the usual rate of requests that is allowed then.
+# Multiple of the usual rate of requests that returning upstreams may get.
 _RETURN_FACTOR: Final = 1.4
 # Refused callers are asked to come back over this multiple of the time for
 # which their upstreams were unavailable, at most so many seconds.
--- a/worksrail/core/steering/_rate_limits.py
+++ b/worksrail/core/steering/_rate_limits.py
@@ -1,6 +1,7 @@
 """Limits on the request rates of upstreams, over all entries."""
 
 from dataclasses import dataclass, field
+from math import exp, inf
 from typing import Final
 
 from worksrail.core._meters import RateMeter
@@ -16,6 +17,8 @@
 # remembers the usual rate through a time in which nothing could be sent.
 _SHORT_TIME_CONSTANT: Final = 4.0
 _LONG_TIME_CONSTANT: Final = 30.0
+# Seconds of requests from which a rate is estimated at least.
+_MIN_AGE: Final = 4.0
 # Seconds after a refusal during which less urgent requests leave what was
 # missing to those of the refused priority.
 _YIELD_WINDOW: Final = 1.0
@@ -54,8 +57,12 @@
     )
     """Rate over a longer time."""
 
+    since: float = inf
+    """When the first request was counted."""
+
     def record(self, now: float) -> None:
         """Count a request."""
+        self.since = min(self.since, now)
         self.lately.note(now)
         self.before.note(now)
 
@@ -67,7 +74,10 @@
         """
         rate = self.lately.rate(now)
         without_last = rate - 1 / self.lately.seconds
-        return max(without_last, rate / 2, self.before.rate(now))
+        # A meter starts at zero, so at first it shows a part of the rate only.
+        age = max(_MIN_AGE, now - self.since)
+        shown = 1 - exp(-age / self.before.seconds)
+        return max(without_last, rate / 2, self.before.rate(now) / shown)
 
 
 @dataclass(slots=True)
