Count upstreams of a service that has none left; name a check by what it shows

worksrail_upstreams kept its last value when all upstreams of a service left, since only services with usable ones were looked at.

--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -109,3 +109,15 @@
     assert by_all in exported
     assert 'worksrail_requests_of_all{service="orders"} 50.0' in exported
     assert counted in exported
+
+
+def test_upstreams_that_leave_or_back_off_are_counted() -> None:
+    world = World(upstreams=[upstream(f'u{number}') for number in range(3)])
+    metrics = SteeringMetrics.create()
+    world.state.rates.backoffs.note('u0', 5, world.now)
+    for name, usable in (('u1', 2), ('u2', 1), ('u0', 0)):
+        world.state.catalog.mark_leaving(name, world.now)
+        text = metrics.render(world.state, world.now, 0).decode()
+        assert f'worksrail_upstreams{{service="orders"}} {usable}.0' in text
+    assert 'worksrail_leaving_upstreams{service="orders"} 3.0' in text
+    assert 'worksrail_upstream_backoffs{service="orders"} 1.0' in text
--- a/worksrail/core/steering/_paths.py
+++ b/worksrail/core/steering/_paths.py
@@ -150,7 +150,7 @@
         lost |= {
             service
             for service in self.lost_since
-            if self._is_missed(service, now)
+            if self._is_unproven(service, now)
         }
         self.lost_since = {
             service: self.lost_since.get(service, now) for service in lost
@@ -172,8 +172,11 @@
         ]
         return max(times, default=-inf)
 
-    def _is_missed(self, service: ServiceName, now: float) -> bool:
-        """Return whether a lost service has not been reached since."""
+    def _is_unproven(self, service: ServiceName, now: float) -> bool:
+        """Return whether nothing shows that a lost service is reached again.
+
+        Its missed upstreams may have gone or leave, and others replace them.
+        """
         since = self.lost_since[service]
         if now - since > _MAX_UNPROVEN:
             return False
--- a/worksrail/daemon/steered/_metrics.py
+++ b/worksrail/daemon/steered/_metrics.py
@@ -1,5 +1,6 @@
 """Prometheus metrics of an entry."""
 
+from collections import defaultdict
 from dataclasses import dataclass, field
 from functools import partial
 from math import inf
@@ -234,25 +235,26 @@
         configuration = state.configuration
         if isinstance(configuration, RoutingConfiguration):
             self.version.set(configuration.version)
-        for service, usable in state.catalog.services.items():
+        listed: dict[str, list[str]] = {}
+        for name, upstream in state.catalog.upstreams.items():
+            listed.setdefault(upstream.record.service, []).append(name)
+        for service, names in listed.items():
+            usable = state.catalog.services.get(service, ())
             self.upstreams.labels(service).set(len(usable))
             self.in_flight.labels(service).set(
-                sum(state.loads.of(upstream.name).own for upstream in usable)
+                sum(state.loads.of(name).own for name in names)
             )
 
     def _update_availability(self, state: SteeringState, now: float) -> None:
-        leaving = dict.fromkeys(state.catalog.services, 0)
-        backing_off = dict.fromkeys(state.catalog.services, 0)
+        leaving: dict[str, int] = defaultdict(int)
+        backing_off: dict[str, int] = defaultdict(int)
         for name, upstream in state.catalog.upstreams.items():
             service = upstream.record.service
-            if name in state.catalog.leaving:
-                leaving[service] = leaving.get(service, 0) + 1
-            if state.rates.backoffs.is_active(name, now):
-                backing_off[service] = backing_off.get(service, 0) + 1
+            leaving[service] += name in state.catalog.leaving
+            backing_off[service] += state.rates.backoffs.is_active(name, now)
         for service, count in leaving.items():
             self.leaving_upstreams.labels(service).set(count)
-        for service, count in backing_off.items():
-            self.backoffs.labels(service).set(count)
+            self.backoffs.labels(service).set(backing_off[service])
 
     def _update_limits(self, state: SteeringState, now: float) -> None:
         self._update_availability(state, now)
