Test that entries know of all retries that others sent, failing, and list it

Virtual fleets never showed it, since their entries have read the store at once or their relays wait 0.5 s; real ones were ready after 0.01 to 0.6 s. What each entry that may reserve knows to be in use is compared with what was sent.

--- a/tests/steering/repeating_scenes.py
+++ b/tests/steering/repeating_scenes.py
@@ -32,6 +32,9 @@
 _ADDED = 0.3
 # Seconds for which a zone is evacuated.
 _EMPTY_TIME = 6.0
+# Entries of a zone that are large, and load of the others relative to one.
+_LARGE = 2
+_SMALL_LOAD = 0.003
 
 
 def level(world: RetryFleetWorld) -> None:
@@ -162,6 +165,63 @@
     stops(world)
 
 
+def relays_stop(
+    after: float, apart: float = 0
+) -> Callable[[RetryFleetWorld], None]:
+    """Stop and restart the relay of each zone, which has half of its load."""
+
+    def scene(world: RetryFleetWorld) -> None:
+        _use_large(world)
+        world.wait(world.bounds.repeat_window)
+        world.reject(_MANY)
+        world.wait(after)
+        for name in world.relays():
+            world.leave(name)
+            world.wait(apart)
+        world.wait(world.bounds.repeat_window - after)
+
+    return scene
+
+
+def zones_lose_both(
+    after: float, apart: float
+) -> Callable[[RetryFleetWorld], None]:
+    """Stop both large entries of each zone, one soon after the other."""
+
+    def scene(world: RetryFleetWorld) -> None:
+        _use_large(world)
+        world.wait(world.bounds.repeat_window)
+        world.reject(_MANY)
+        world.wait(after)
+        relays = world.relays()
+        _each(world.leave, relays)
+        world.wait(apart)
+        _each(world.leave, sorted(set(_large(world)) - set(relays)))
+        world.wait(world.bounds.repeat_window - after)
+
+    return scene
+
+
+def relays_crash(
+    after: float, before: float = 0
+) -> Callable[[RetryFleetWorld], None]:
+    """Kill the relay of each zone, and its other large entry before that."""
+
+    def scene(world: RetryFleetWorld) -> None:
+        _use_large(world)
+        world.wait(world.bounds.repeat_window)
+        world.reject(_MANY)
+        world.wait(after)
+        relays = world.relays()
+        if before:
+            world.crash(*sorted(set(_large(world)) - set(relays)))
+            world.wait(before)
+        world.crash(*relays)
+        world.wait(world.bounds.repeat_window - after)
+
+    return scene
+
+
 def zone_emptied(world: RetryFleetWorld) -> None:
     """Callers and requests leave a zone and return to it."""
     world.wait(world.bounds.repeat_window)
@@ -285,6 +345,28 @@
     world.demand.entry_weight = entry_weight
 
 
+def _large(world: RetryFleetWorld) -> list[str]:
+    return [
+        name
+        for name in sorted(world.states)
+        if int(name.partition('-')[2]) < _LARGE
+    ]
+
+
+def _use_large(world: RetryFleetWorld) -> None:
+    """Let callers use large entries, and others where none is running."""
+
+    def entry_weight(name: str) -> float:
+        zone = name.partition('-')[0]
+        running = [one for one in world.running() if one.startswith(zone)]
+        large = [one for one in running if one in _large(world)]
+        if not large:
+            return 1 / len(running)
+        return 1 / len(large) if name in large else _SMALL_LOAD
+
+    world.demand.entry_weight = entry_weight
+
+
 def _trouble(
     world: RetryFleetWorld, fault: Callable[[], None], after: float = 1
 ) -> None:
--- a/tests/steering/repeating_world.py
+++ b/tests/steering/repeating_world.py
@@ -13,7 +13,13 @@
 from tests.steering.fleet_world import STEP, FleetWorld
 from tests.steering.repeat_count import RetryCount
 from tests.steering.world import HOST, of_type, route, upstream
-from worksrail.core.steering import SteeringBounds, UpstreamRecord
+from worksrail.core.identity import Incarnation
+from worksrail.core.steering import (
+    EntryLimits,
+    SteeringBounds,
+    UpstreamRecord,
+)
+from worksrail.core.steering._on_digests import own_contact
 from worksrail.core.steering.effects import (
     AnswerResult,
     Decision,
@@ -91,12 +97,18 @@
         rate: float = 0,
         fresh: bool = False,
         seed: int = 1,
+        limits: dict[str, EntryLimits] | None = None,
+        loading_time: float = 0,
     ) -> None:
         """Start entries and upstreams, and callers after a window.
 
-        With ``fresh``, callers start as soon as the entries are ready.
+        With ``fresh``, callers start as soon as the entries are ready.  Entries
+        that restart are ready after ``loading_time``, in which they exchange
+        digests.
         """
         self.bounds = bounds
+        self.loading_time = loading_time
+        self.loads_due: dict[int, list[Incarnation]] = defaultdict(list)
         self.count = RetryCount(STEP, [(0, bounds)])
         self.draw = random.Random(seed)
         self.demand = Demand()
@@ -108,8 +120,9 @@
         self.exits: list[str] = []
         self.restarts: dict[int, list[str]] = defaultdict(list)
         self.evacuations = 1
+        self.observers: list[Callable[[], None]] = []
         self.records: tuple[UpstreamRecord, ...] = ()
-        super().__init__(zones, REGIONS, loss)
+        super().__init__(zones, REGIONS, loss, limits)
         placed = sorted(zones)
         self.records = tuple(
             upstream(
@@ -128,9 +141,12 @@
 
     def start(self, name: str) -> None:
         """Start or restart an entry."""
+        self.with_initial_state = not self.records
         super().start(name)
         if self.records:
-            self.deliver_store(name, 1, self.records)
+            due = self.count.now + round(self.loading_time / STEP)
+            self.loads_due[due].append(self.states[name].who)
+            self._load_stores()
 
     def crash(self, *names: str) -> None:
         """Kill and restart entries; their pending requests are lost."""
@@ -177,15 +193,26 @@
             self.count.now += 1
             super().wait(STEP)
             self._restart_entries()
+            self._load_stores()
             self._run_attempt_ends()
             self._generate_requests()
+            for observe in self.observers:
+                observe()
+
+    def relays(self) -> list[str]:
+        """Return the entries that take themselves for their zone's relay."""
+        return [
+            name
+            for name, state in sorted(self.states.items())
+            if state.fleet.is_relay(own_contact(state, self.now), self.now)
+        ]
 
     def running(self) -> list[str]:
         """Return the entries that callers can use."""
         return sorted(
             name
             for name, state in self.states.items()
-            if name not in self.frozen and not state.leaving
+            if name not in self.frozen and state.ready and not state.leaving
         )
 
     def _perform(self, name: str, effects: list[Effect]) -> None:
@@ -250,6 +277,12 @@
         for name in self.restarts.pop(self.count.now, ()):
             self.start(name)
 
+    def _load_stores(self) -> None:
+        for who in self.loads_due.pop(self.count.now, ()):
+            state = self.states.get(who.name)
+            if state and state.who == who:
+                self.deliver_store(who.name, 1, self.records)
+
     def _generate_requests(self) -> None:
         self.due_requests += self.demand.rate * STEP
         count, self.due_requests = int(self.due_requests), self.due_requests % 1
