--- a/worksrail/cli/_repeats.py
+++ b/worksrail/cli/_repeats.py
@@ -34,7 +34,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Bounds:
+class WindowBounds:
     """Number of retries that the operators allow over all entries."""
 
     ratio: float
@@ -47,7 +47,7 @@
     """Additional retries in each window."""
 
     @classmethod
-    def from_line(cls, line: Line) -> 'Bounds':
+    def from_line(cls, line: Line) -> 'WindowBounds':
         """Read the bounds that an entry logs with its counts."""
         return cls(
             float(line['ratio']),
@@ -84,13 +84,13 @@
     """Counts of one service by second.
 
     >>> line = {'ratio': 0.5, 'window': 10, 'extra': 1}
-    >>> table = ServiceTable(Bounds.from_line(line))
+    >>> table = ServiceTable(WindowBounds.from_line(line))
     >>> table.add(0, 'one', {'requests': 4, 'repeats': 3})
     >>> [(window.begin, window.share) for window in table.windows()]
     [(0, 1.0)]
     """
 
-    bounds: Bounds
+    bounds: WindowBounds
     """The bounds that were logged last."""
 
     by_second: dict[Second, Counter[str]] = field(
@@ -163,7 +163,7 @@
 
 
 def _add(tables: dict[str, ServiceTable], line: Line) -> None:
-    bounds = Bounds.from_line(line)
+    bounds = WindowBounds.from_line(line)
     table = tables.setdefault(line['service'], ServiceTable(bounds))
     table.bounds = bounds
     table.add(int(timestamp(line)), line.get('instance', ''), line)
