Let only entries that know all users of the retry budget speak for their zone

Cause: an entry that has just started became the relay of its zone at once and reported the sum of what it knew. It lacked the lives that had ended before it started, so every other zone lost them too. Two more ways to lose them: of the ended lives that an entry saw itself and those its peers told of, only the greater sum was counted, although each can hold lives that the other lacks; and an entry took over how far back its knowledge reaches from a peer, but not the knowledge.

The older worlds did not show it as their entries are ready at once, or their relays wait 0.5 s.

Change: each life is told by itself, under its incarnation, and counted once by whoever hears of it. An entry is informed when it is older than the window, or an informed peer told it everything. Until then it is the last choice as a relay, its report does not replace an informed one, it reserves nothing, and it asks for everything. What is logged as the requests of all no longer counts moving requests twice.

--- a/tests/budgets/fleet.py
+++ b/tests/budgets/fleet.py
@@ -2,7 +2,8 @@
 
 It simulates only the budgets, since reducers are too slow for a fleet at full
 load.  Instances of a zone send digests to each other, and a relay sends those
-of its zone to the other zones.
+of its zone to the other zones.  Instances that do not know all users of the
+budget ask others, also of other zones, and are told everything.
 """
 
 import math
@@ -22,7 +23,12 @@
 STEP = 0.05
 _DIGEST = 0.2
 _ZONE_DIGEST = 0.36
+# Seconds from the start of an instance until it is ready to be a relay, and
+# until it retries requests.
+_LOADING = 0.15
 _SETTLING = 0.5
+# Instances of other zones that an uninformed one asks with each digest.
+_ASKED = 2
 # Seconds that a digest takes within a zone, to the relay of another zone, and
 # to the instances behind that relay.
 _ZONE_DELAY, _RELAY_DELAY, _FORWARDED_DELAY = 0.02, 0.07, 0.13
@@ -72,10 +78,19 @@
     digest_at: float
     zone_digest_at: float = 0
     received: dict[str, float] = field(default_factory=dict)
+    replies: set[Place] = field(default_factory=set)
     was_frozen: bool = False
 
 
-_Message = tuple[float, float, Place, Incarnation, str, AdvertisedBudgets]
+@dataclass(frozen=True, slots=True)
+class _Message:
+    sender: Place
+    who: Incarnation
+    advertised: AdvertisedBudgets
+    of_zone: bool = False
+
+
+_InTransit = tuple[float, float, Place, _Message]
 
 
 @dataclass(slots=True)
@@ -93,7 +108,7 @@
     requests: list[float] = field(default_factory=list)
     retries: list[float] = field(default_factory=list)
     denied: list[float] = field(default_factory=list)
-    in_transit: list[_Message] = field(default_factory=list)
+    in_transit: list[_InTransit] = field(default_factory=list)
     incarnations: int = 0
 
     def play(self, seconds: float) -> None:
@@ -139,9 +154,12 @@
     def _start(self, place: Place) -> None:
         self.incarnations += 1
         seed = self.rng.randrange(1 << 30)
+        who = Incarnation(str(place), self.incarnations)
         self.instances[place] = _Instance(
-            Incarnation(str(place), self.incarnations),
-            SharedBudgets.begin(self.bounds, self.now, seed),
+            who,
+            SharedBudgets.begin(
+                self.bounds, self.now, seed, who, f'{place[0]}'
+            ),
             self.now,
             self.now + self.rng.random() * _DIGEST,
         )
@@ -160,13 +178,25 @@
 
     def _deliver(self) -> None:
         while self.in_transit and self.in_transit[0][0] <= self.now:
-            _, _, place, sender, zone, advertised = heappop(self.in_transit)
+            _, _, place, message = heappop(self.in_transit)
             if place in self.instances and self._is_connected(place):
-                instance = self.instances[place]
-                instance.received[zone or sender.label] = self.now
-                instance.budgets.receive(
-                    sender, advertised, self.now, zone=zone
-                )
+                self._receive(place, message)
+
+    def _receive(self, place: Place, message: _Message) -> None:
+        instance = self.instances[place]
+        budgets, advertised = instance.budgets, message.advertised
+        zone = str(message.sender[0])
+        if message.of_zone:
+            instance.received[zone] = self.now
+            budgets.receive(message.who, advertised, self.now, zone=zone)
+            return
+        if message.sender[0] == place[0]:
+            instance.received[message.who.label] = self.now
+            budgets.receive(message.who, advertised, self.now)
+        else:
+            budgets.receive_from_afar(advertised, self.now)
+        if advertised.coverage < self.bounds.window:
+            instance.replies.add(message.sender)
 
     def _is_connected(self, place: Place) -> bool:
         scene = self.scene
@@ -198,17 +228,37 @@
             self._send_digests(place, instance)
 
     def _send_digests(self, place: Place, instance: _Instance) -> None:
-        zone = place[0]
+        told_all, instance.replies = instance.replies, set()
+        if told_all:
+            everything = instance.budgets.advertise(self.now, with_all=True)
+            for other in told_all:
+                self._send(other, _Message(place, instance.who, everything))
         advertised = instance.budgets.advertise(self.now)
-        for other in self.instances:
-            if other[0] == zone and other != place:
-                self._send(other, instance.who, '', advertised, _ZONE_DELAY)
-        if place != self._relay(zone):
-            return
-        if self.now < instance.zone_digest_at:
-            return
-        instance.zone_digest_at = self.now + _ZONE_DIGEST
+        message = _Message(place, instance.who, advertised)
+        for other in self._digest_receivers(place, instance) - told_all:
+            self._send(other, message)
+        is_due = self.now >= instance.zone_digest_at
+        if is_due and place == self._relay(place[0]):
+            instance.zone_digest_at = self.now + _ZONE_DIGEST
+            self._send_zone_digest(place, instance)
+
+    def _digest_receivers(
+        self, place: Place, instance: _Instance
+    ) -> set[Place]:
+        receivers = {
+            other
+            for other in self.instances
+            if other[0] == place[0] and other != place
+        }
+        if not instance.budgets.is_informed(self.now):
+            remote = [one for one in self.instances if one[0] != place[0]]
+            receivers.update(self.rng.sample(remote, min(_ASKED, len(remote))))
+        return receivers
+
+    def _send_zone_digest(self, place: Place, instance: _Instance) -> None:
+        zone = place[0]
         advertised = instance.budgets.advertise_zone(self.now)
+        message = _Message(place, instance.who, advertised, of_zone=True)
         for other_zone in range(self.zones):
             if other_zone == zone or self.rng.random() < self.scene.loss:
                 continue
@@ -216,32 +266,27 @@
                 if other[0] == other_zone:
                     is_relay = other == self._relay(other_zone)
                     delay = _RELAY_DELAY if is_relay else _FORWARDED_DELAY
-                    self._send(
-                        other, instance.who, f'{zone}', advertised, delay
-                    )
+                    self._send(other, message, delay)
 
     def _relay(self, zone: int) -> Place | None:
-        settled = [
-            place
+        """Return the relay: of those that know their zone, if any does."""
+        ready = [
+            (instance.budgets.is_starting(self.now), place)
             for place, instance in self.instances.items()
             if place[0] == zone
-            and self.now - instance.born > _SETTLING
+            and self.now - instance.born > _LOADING
             and self._is_connected(place)
         ]
-        return min(settled, default=None)
+        return min(ready)[1] if ready else None
 
     def _send(
-        self,
-        place: Place,
-        who: Incarnation,
-        zone: str,
-        advertised: AdvertisedBudgets,
-        delay: float,
+        self, place: Place, message: _Message, delay: float = _ZONE_DELAY
     ) -> None:
         if self.rng.random() >= self.scene.loss:
             number = len(self.in_transit) + self.rng.random()
-            message = (self.now + delay, number, place, who, zone, advertised)
-            heappush(self.in_transit, message)
+            heappush(
+                self.in_transit, (self.now + delay, number, place, message)
+            )
 
     def _generate_load(self) -> None:
         count = self.rate * STEP * self.scene.load_factor(self.now)
--- a/tests/steering/test_known_retries.py
+++ b/tests/steering/test_known_retries.py
@@ -1,7 +1,8 @@
-"""No entry believes that fewer retries are in use than were sent.
+"""No entry believes that more retries are left than are.
 
 An entry reserves retries out of what it believes to be left.  Whatever it does
-not know of another entry, running or ended, is sent twice.
+not know of another entry, running or ended, is sent twice, and so is what is
+allowed for requests that it counts twice.
 """
 
 from dataclasses import dataclass, field
@@ -36,19 +37,28 @@
     unknown: dict[tuple[float, str], float] = field(default_factory=dict)
     """Retries that an entry did not know of, by time and entry."""
 
+    invented: dict[tuple[float, str], float] = field(default_factory=dict)
+    """Retries that an entry allows beyond what the bounds allow for the
+    requests that came, likewise."""
+
     def observe(self) -> None:
         """Compare at this step, for each entry that may reserve retries."""
         world = self.world
         sent = self._sent()
+        bounds = world.bounds
+        allowed = bounds.repeat_ratio * self._max_asked() + bounds.repeat_extra
         for name, state in world.states.items():
             if name in world.frozen | world.cut_off:
                 continue
             if not state.budgets.peer_view(_SERVICE, world.now).complete:
                 continue
-            known = state.budgets.fleet_use(_SERVICE, world.now).total.reserved
-            if known < sent:
-                place = round(world.count.now * STEP, 2), name
-                self.unknown[place] = sent - known
+            known = state.budgets.fleet_use(_SERVICE, world.now)
+            place = round(world.count.now * STEP, 2), name
+            if known.total.reserved < sent:
+                self.unknown[place] = sent - known.total.reserved
+            believed = state.budgets.bounds.allowed(known.requests, 1)
+            if believed > allowed:
+                self.invented[place] = believed - allowed
 
     def _sent(self) -> int:
         """Return the retries in the window that entries may know of."""
@@ -57,6 +67,18 @@
         last = count.now - round(PROPAGATION_TIME / STEP) - 1
         return sum(count.retries[step] for step in range(first, last))
 
+    def _max_asked(self) -> int:
+        """Return the most requests of any window that entries may know of."""
+        count = self.world.count
+        length = round(self.world.bounds.repeat_window / STEP)
+        latest = range(
+            count.now - round(PROPAGATION_TIME / STEP), count.now + 1
+        )
+        return max(
+            sum(count.requests[step] for step in range(end - length, end + 1))
+            for end in latest
+        )
+
 
 def build_world(
     seed: int, zones: dict[str, int], rate: float
@@ -103,7 +125,9 @@
     scene(world)
     print('entries and steps', len(known.unknown))
     print('most unknown', max(known.unknown.values(), default=0))
+    print('most invented', max(known.invented.values(), default=0))
     assert not known.unknown
+    assert not known.invented
 
 
 @pytest.mark.parametrize(
--- a/worksrail/core/budgets/__init__.py
+++ b/worksrail/core/budgets/__init__.py
@@ -8,7 +8,6 @@
     PROPAGATION_TIME,
     TRANSIT_TIME,
     PeerReport,
-    PeerReports,
 )
 from worksrail.core.budgets._advertised import AdvertisedBudgets, BudgetUse
 from worksrail.core.budgets._budget import (
@@ -16,6 +15,7 @@
     PeerView,
     SharedBudget,
 )
+from worksrail.core.budgets._peer_reports import PeerReports
 from worksrail.core.budgets._shared import FleetUse, SharedBudgets
 
 __all__ = (
--- a/worksrail/core/budgets/_advertised.py
+++ b/worksrail/core/budgets/_advertised.py
@@ -86,6 +86,23 @@
         )
 
 
+class ToldUse(msgspec.Struct, frozen=True, array_like=True):
+    """Use of an incarnation or a zone, as the sender of a digest knows it."""
+
+    sender: str
+    """Key under which its reports are stored."""
+
+    age: float
+    """Seconds since its last report."""
+
+    used: dict[ServiceName, BudgetUse]
+    """Its use at that time."""
+
+    ended: bool = False
+    """Whether it is silent; ``used`` then holds what it may have reserved since
+    its last report as well."""
+
+
 class AdvertisedBudgets(msgspec.Struct, frozen=True, array_like=True):
     """Use of all budgets, as advertised by an instance or for a zone.
 
@@ -101,7 +118,16 @@
     """Use by the sender, or by its whole zone."""
 
     departed: dict[ServiceName, BudgetUse] = {}
-    """Use that instances which are silent by now may still have."""
+    """Sum of what instances which are silent by now may still use, for
+    receivers of an earlier release, which do not know ``told``."""
+
+    told: tuple[ToldUse, ...] | None = None
+    """Use of others, each by itself, so that receivers count each of them once:
+    of those that are silent by now, or of all.  None from senders of an earlier
+    release."""
+
+    tells_all: bool = False
+    """Whether ``told`` holds all senders that this one knows."""
 
 
 @dataclass(slots=True)
--- a/worksrail/core/budgets/_budget.py
+++ b/worksrail/core/budgets/_budget.py
@@ -214,7 +214,7 @@
     def unreserved(self, now: float, peers: PeerView) -> float:
         """Return the retries that no instance is known to have reserved."""
         every = self.use(now).plus(peers.use)
-        surplus = self._double_counted(peers)
+        surplus = self.double_counted(peers)
         allowed = self.bounds.allowed(
             every.requests - surplus, peers.live_share
         )
@@ -225,6 +225,18 @@
         )
         return max(by_window, allowed - every.reserved)
 
+    def double_counted(self, peers: PeerView) -> float:
+        """Estimate the requests that are counted twice where load moves here.
+
+        The reports of peers are a little old, so their windows end earlier and
+        still hold requests that have left the present window.
+        """
+        oldest = max(
+            (0, *peers.use.arrived[ADVERTISED_PARTS - 1 : REQUEST_PARTS])
+        )
+        rate = oldest * ADVERTISED_PARTS / self.bounds.window
+        return max(0, rate - peers.use.load) * _REPORT_AGE
+
     def reservation_bound(
         self, now: float, peers: PeerView
     ) -> ReservationBound:
@@ -271,18 +283,6 @@
         """Handle a suspension of the process: peers consider it gone."""
         self.reserved = min(self.reserved, self.retries.total(now))
 
-    def _double_counted(self, peers: PeerView) -> float:
-        """Estimate the requests that are counted twice where load moves here.
-
-        The reports of peers are a little old, so their windows end earlier and
-        still hold requests that have left the present window.
-        """
-        oldest = max(
-            (0, *peers.use.arrived[ADVERTISED_PARTS - 1 : REQUEST_PARTS])
-        )
-        rate = oldest * ADVERTISED_PARTS / self.bounds.window
-        return max(0, rate - peers.use.load) * _REPORT_AGE
-
     def _release_excess(self, now: float, peers: PeerView) -> None:
         # When the number of requests falls, all instances release the same
         # share of their reservations.
--- a/worksrail/core/budgets/_shared.py
+++ b/worksrail/core/budgets/_shared.py
@@ -2,19 +2,21 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from math import floor
 
-from worksrail.core.budgets._accounts import (
-    PeerReport,
-    PeerReports,
-    ReservationBounds,
+from worksrail.core.budgets._accounts import PeerReport, ReservationBound
+from worksrail.core.budgets._advertised import (
+    AdvertisedBudgets,
+    BudgetUse,
+    ToldUse,
 )
-from worksrail.core.budgets._advertised import AdvertisedBudgets, BudgetUse
 from worksrail.core.budgets._budget import (
     STARTUP_DELAY,
     BudgetBounds,
     PeerView,
     SharedBudget,
 )
+from worksrail.core.budgets._peer_reports import PeerReports, zone_sender
 from worksrail.core.identity import Incarnation, ServiceName, ZoneName
 
 
@@ -28,6 +30,9 @@
     own: int
     """Retries that this instance has reserved."""
 
+    requests: float
+    """Requests of all instances that allow retries, each counted once."""
+
     left: float
     """Retries that no instance has reserved; negative if the number of requests
     fell."""
@@ -62,7 +67,11 @@
     """Retries that all instances together may send to a service."""
 
     known_since: float
-    """Since when this instance has known all users of the budgets."""
+    """Since when this instance has known all users of the budgets, from their
+    own reports or from what peers told it."""
+
+    started_at: float
+    """When it started, or resumed after a suspension."""
 
     reports: PeerReports
     """Use by the other instances."""
@@ -79,7 +88,9 @@
     budgets: dict[ServiceName, SharedBudget] = field(default_factory=dict)
     """This instance's part of each budget, by service."""
 
-    reservation_bounds: ReservationBounds = field(default_factory=dict)
+    reservation_bounds: dict[ServiceName, ReservationBound] = field(
+        default_factory=dict
+    )
     """What peers may reserve before they report it, by service."""
 
     totals: CountedTotals = field(default_factory=CountedTotals)
@@ -87,10 +98,17 @@
 
     @classmethod
     def begin(
-        cls, bounds: BudgetBounds, known_since: float, seed: int = 0
+        cls,
+        bounds: BudgetBounds,
+        known_since: float,
+        seed: int = 0,
+        who: Incarnation | None = None,
+        zone: ZoneName = '',
     ) -> 'SharedBudgets':
         """Create the budgets of a new incarnation."""
-        return cls(bounds, known_since, PeerReports(bounds.window), seed)
+        own = who.label if who else ''
+        reports = PeerReports(bounds.window, own, zone)
+        return cls(bounds, known_since, known_since, reports, seed)
 
     # -- requests
 
@@ -132,42 +150,78 @@
 
         With a zone: what the relay of that zone advertises for all of it.
         """
-        sender = f'zone {zone}' if zone else who.name
+        sender = zone_sender(zone) if zone else who.label
         report = PeerReport(
-            advertised, now, who, not zone, self.reservation_bounds
+            advertised, now, who, not zone, dict(self.reservation_bounds)
         )
+        if not zone:
+            self.reports.end_earlier(who)
+            self._merge(advertised, now)
         self.reports.store(sender, report)
+        # Instances of an earlier release tell what they know in each report.
+        if advertised.told is None or (advertised.tells_all and not zone):
+            self._know_like(advertised, now)
 
-    def advertise(self, now: float) -> AdvertisedBudgets:
-        """Return this instance's use, and what silent ones may still use."""
+    def receive_from_afar(
+        self, advertised: AdvertisedBudgets, now: float
+    ) -> None:
+        """Store what an instance of another zone tells of all zones."""
+        if self.is_informed(now) or not self._tells_all(advertised):
+            return
+        # Instances of the own zone know its lives one by one.
+        is_new = now - self.started_at < STARTUP_DELAY
+        if is_new or self.reports.has_informed_peer():
+            return
+        if self.reports.merge_zones(advertised.told or (), now):
+            self._know_like(advertised, now)
+
+    def advertise(
+        self, now: float, *, with_ended: bool = True, with_all: bool = False
+    ) -> AdvertisedBudgets:
+        """Return this instance's use, and what it knows of others.
+
+        Without ``with_ended``, those that ended are told only once; with
+        ``with_all``, everything is told to instances that are new.
+        """
+        told = self.reports.tell_ended(now, with_all=with_ended)
+        if with_all:
+            own_zone = zone_sender(self.reports.zone)
+            zone_use = ToldUse(own_zone, 0, self._zone_use(now))
+            told = (*self.reports.tell_all(now), zone_use)
         return AdvertisedBudgets(
-            self._coverage(now, same_zone=True),
-            {name: one.use(now) for name, one in self.budgets.items()},
+            self._coverage(now),
+            self._own_use(now),
             self.reports.departed(self.reports.services(), now),
+            told,
+            with_all,
         )
 
     def advertise_zone(self, now: float) -> AdvertisedBudgets:
         """Return the use of all instances of the zone together."""
         services = self.reports.services()
-        used = {
-            name: self.reports.use(name, now, same_zone=True)
-            for name in services
-        }
-        for name, budget in self.budgets.items():
-            used[name] = budget.use(now).plus(used.get(name, BudgetUse()))
         return AdvertisedBudgets(
-            self._coverage(now, same_zone=True),
-            {name: use for name, use in used.items() if use.has_usage()},
+            self._coverage(now),
+            self._zone_use(now),
             self.reports.departed(services, now, far_only=True),
+            (),
         )
 
+    def is_informed(self, now: float) -> bool:
+        """Whether all users of the budgets within the window are known."""
+        return self._coverage(now) >= self.bounds.window
+
+    def is_starting(self, now: float) -> bool:
+        """Whether this instance may not know, or be known to, all others."""
+        is_new = now - self.started_at < STARTUP_DELAY
+        return is_new or not self.is_informed(now)
+
     def peer_view(self, service: ServiceName, now: float) -> PeerView:
         """Return what is known of the peers' use of one budget."""
         return PeerView(
             self.reports.use(service, now),
             self.instances,
             self.live_share,
-            self._is_complete(now),
+            not self.is_starting(now),
         )
 
     def fleet_use(self, service: ServiceName, now: float) -> FleetUse:
@@ -175,11 +229,13 @@
         budget = self._budget(service)
         peers = self.peer_view(service, now)
         total = peers.use.plus(budget.use(now))
+        requests = total.requests - budget.double_counted(peers)
         return FleetUse(
             total,
             budget.reserved,
+            requests,
             budget.unreserved(now, peers),
-            self.bounds.ratio * total.requests + self.bounds.extra,
+            self.bounds.ratio * requests + self.bounds.extra,
         )
 
     # -- time
@@ -200,6 +256,7 @@
     def handle_pause(self, now: float) -> None:
         """Handle a suspension of the process, in which it missed reports."""
         self.known_since = now
+        self.started_at = now
         for budget in self.budgets.values():
             budget.handle_pause(now)
 
@@ -210,6 +267,7 @@
             self.budgets.clear()
             self.reports.window = bounds.window
             self.known_since = now
+            self.started_at = now
         self.bounds = bounds
         for budget in self.budgets.values():
             budget.bounds = bounds
@@ -223,14 +281,38 @@
             self.budgets[service] = budget
         return budget
 
-    def _is_complete(self, now: float) -> bool:
-        # Peers advertise the use of this instance's earlier incarnation only
-        # after they have received the first digest of the present one.
-        if now - self.known_since < STARTUP_DELAY:
-            return False
-        return self._coverage(now, same_zone=False) >= self.bounds.window
-
-    def _coverage(self, now: float, *, same_zone: bool) -> float:
-        own = now - self.known_since
-        coverage = max(own, self.reports.coverage(now, same_zone=same_zone))
-        return round(min(self.bounds.window, coverage), 1)
+    def _own_use(self, now: float) -> dict[ServiceName, BudgetUse]:
+        uses = {name: one.use(now) for name, one in self.budgets.items()}
+        return {name: use for name, use in uses.items() if use.has_usage()}
+
+    def _zone_use(self, now: float) -> dict[ServiceName, BudgetUse]:
+        used = {
+            name: self.reports.use(name, now, same_zone=True)
+            for name in self.reports.services()
+        }
+        for name, use in self._own_use(now).items():
+            used[name] = use.plus(used.get(name, BudgetUse()))
+        return {name: use for name, use in used.items() if use.has_usage()}
+
+    def _merge(self, advertised: AdvertisedBudgets, now: float) -> None:
+        told = advertised.told or ()
+        if self._tells_all(advertised):
+            self.reports.drop_before(told)
+        is_new = not self.is_informed(now)
+        self.reports.merge(told, now, with_before=is_new)
+
+    def _tells_all(self, advertised: AdvertisedBudgets) -> bool:
+        """Whether a sender tells of all users, and knows them."""
+        is_informed = advertised.coverage >= self.bounds.window
+        return is_informed and advertised.tells_all
+
+    def _know_like(self, advertised: AdvertisedBudgets, now: float) -> None:
+        """Know all users for as long as a peer, which has told them."""
+        self.known_since = min(self.known_since, now - advertised.coverage)
+
+    def _coverage(self, now: float) -> float:
+        coverage = now - self.known_since
+        if coverage >= self.bounds.window:
+            return self.bounds.window
+        # Rounded down: others take it over, and tell it to this one again.
+        return floor(10 * coverage) / 10
--- a/worksrail/core/steering/_digests.py
+++ b/worksrail/core/steering/_digests.py
@@ -67,6 +67,9 @@
     """Whether other entries may pass requests to it; earlier releases do not
     know such requests."""
 
+    starting: bool = False
+    """Whether it started so recently that it may not know its whole zone."""
+
     @property
     def name(self) -> str:
         """Return the name of the entry."""
--- a/worksrail/core/steering/_fleet.py
+++ b/worksrail/core/steering/_fleet.py
@@ -31,6 +31,8 @@
 # Number of silent addresses that a discovery digest goes to, sampled anew each
 # time.
 _MAX_SILENT: Final = 3
+# Number of entries of other zones that an uninformed entry asks at once.
+_MAX_REMOTE: Final = 2
 # Seconds for which a new address that has not answered receives every digest,
 # and the maximum number of such addresses at once.
 _NEW_ADDRESS_WINDOW: Final = 3.0
@@ -220,6 +222,11 @@
         )
         return _sample(fresh, _MAX_NEW_ADDRESSES, rng)
 
+    def sample_remote(self, now: float, rng: random.Random) -> list[str]:
+        """Sample live entries of other zones."""
+        remote = sorted(contact.peer for contact in self.remote_entries(now))
+        return _sample(remote, _MAX_REMOTE, rng)
+
     def sample_for_discovery(self, now: float, rng: random.Random) -> list[str]:
         """Sample silent addresses and one of another zone, for discovery.
 
@@ -261,6 +268,10 @@
         return silent
 
     def _outranks(self, one: Contact, other: Contact) -> bool:
+        """Whether one entry comes before another one as their zone's relay."""
+        # What a relay does not know of its zone is unknown to all other zones.
+        if one.starting != other.starting:
+            return other.starting
         return self._rank(one) > self._rank(other)
 
     def _rank(self, contact: Contact) -> tuple[bool, float, int, str]:
--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -1,6 +1,6 @@
 """Sends and receives the digests that entries exchange."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 import msgspec
@@ -75,6 +75,9 @@
 # Every Nth digest repeats the quarantine, limit and leaving state even if it is
 # unchanged, in addition to the digests that answer a new entry.
 _FULL_STATE_PERIOD: Final = 5
+# Every Nth digest tells the use of the retry budgets by all others, in addition
+# to the digests that answer a new entry.
+_ALL_USE_PERIOD: Final = 25
 
 
 def on_digest(
@@ -96,17 +99,24 @@
     fleet = state.fleet
     zone_peers = fleet.zone_peers(now)
     receivers = {contact.peer for contact in zone_peers}
-    receivers.update(
-        state.pending_replies, fleet.sample_new_addresses(now, state.rng)
-    )
-    with_held = (
-        bool(state.pending_replies) or not state.digests % _FULL_STATE_PERIOD
-    )
-    state.pending_replies.clear()
+    receivers.update(fleet.sample_new_addresses(now, state.rng))
     if state.digests % _DISCOVERY_PERIOD == 1:
         receivers.update(fleet.sample_for_discovery(now, state.rng))
-    digest = _entry_digest(state, now, with_held=with_held)
-    yield SendDigest(tuple(sorted(receivers)), digest)
+    if not state.budgets.is_informed(now):
+        receivers.update(fleet.sample_remote(now, state.rng))
+    replies = frozenset(state.pending_replies)
+    state.pending_replies.clear()
+    with_held = bool(replies) or not state.digests % _FULL_STATE_PERIOD
+    yield from _send_entry_digest(
+        state, now, replies, with_held=True, with_all_use=True
+    )
+    yield from _send_entry_digest(
+        state,
+        now,
+        receivers - replies,
+        with_held=with_held,
+        with_all_use=not state.digests % _ALL_USE_PERIOD,
+    )
     own = own_contact(state, now)
     if now < state.next_zone_digest_at:
         return
@@ -146,6 +156,7 @@
         tuple(sorted(state.paths.lost_since)),
         state.paths.is_isolated,
         takes_requests=True,
+        starting=state.budgets.is_starting(now),
     )
 
 
@@ -165,8 +176,11 @@
         state.budgets.receive(digest.sender.who, digest.budgets, now)
         receive_demand(state, name, digest.demand, digest.sender.rate, now)
         _apply_keys(state, name, digest.sender.region, digest.keys, now)
-    if fresh:
+    else:
+        state.budgets.receive_from_afar(digest.budgets, now)
+    if fresh or digest.budgets.coverage < state.budgets.bounds.window:
         state.pending_replies.add(digest.sender.peer)
+    if fresh:
         yield _entry_seen(state, digest.sender)
 
 
@@ -271,11 +285,27 @@
     return f'zone {zone}'
 
 
+def _send_entry_digest(
+    state: SteeringState,
+    now: float,
+    receivers: Iterable[str],
+    *,
+    with_held: bool,
+    with_all_use: bool,
+) -> Iterator[SendDigest]:
+    if receivers:
+        digest = _entry_digest(
+            state, now, with_held=with_held, with_all_use=with_all_use
+        )
+        yield SendDigest(tuple(sorted(receivers)), digest)
+
+
 def _entry_digest(
     state: SteeringState,
     now: float,
     *,
     with_held: bool,
+    with_all_use: bool,
 ) -> Digest:
     zone_peers = [contact.peer for contact in state.fleet.zone_peers(now)]
     alive = [entry.contact.peer for entry in state.fleet.alive(now)]
@@ -295,7 +325,9 @@
         state.rates.named.limits.advertise(
             _MAX_LIMITS, now, with_all=with_held
         ),
-        state.budgets.advertise(now),
+        state.budgets.advertise(
+            now, with_ended=with_held, with_all=with_all_use
+        ),
         leaving_to_advertise(state, _MAX_LEAVING, now, with_all=with_held),
         state.rates.backoffs.advertise(_MAX_BACKOFFS, now),
         demand_to_advertise(state, now, to_new=with_held),
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -297,7 +297,7 @@
             ('left', round(use.left, 1)),
             ('reserved', use.own),
             ('reserved_by_all', round(use.total.reserved)),
-            ('requests_of_all', round(use.total.requests)),
+            ('requests_of_all', round(use.requests)),
         ),
     )
 
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -243,6 +243,8 @@
                 settings.bounds.repeats,
                 -inf if settings.first_start else now,
                 seed,
+                who,
+                settings.zone,
             ),
             now,
             now,
--- a/worksrail/daemon/steered/_metrics.py
+++ b/worksrail/daemon/steered/_metrics.py
@@ -387,7 +387,7 @@
             self.repeats_allowed.labels(service).set(use.allowed)
             self.repeats_reserved.labels(service).set(use.own)
             self.repeats_reserved_by_all.labels(service).set(use.total.reserved)
-            self.requests_of_all.labels(service).set(use.total.requests)
+            self.requests_of_all.labels(service).set(use.requests)
 
     def _count_send(self, decision: Decision) -> None:
         """Count a request sent to an upstream, or a denied retry."""
