Bound what silent peers may have reserved for services without own requests

Cause: an entry bounds what a peer may have reserved after its last report only for services that it serves itself. One without requests of its own, which is what a relay on a small machine often is, added nothing for a peer that crashed, and told all other zones so.

Evidence: relays-crash and both-crash-0.8 of tests/steering/test_known_retries.py: 28 to 263 retries unknown to an entry.

Change: twice a second the bounds are worked out for all services that peers use.

--- a/worksrail/core/budgets/_shared.py
+++ b/worksrail/core/budgets/_shared.py
@@ -2,7 +2,8 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
-from math import floor
+from math import floor, inf
+from typing import Final
 
 from worksrail.core.budgets._accounts import PeerReport, ReservationBound
 from worksrail.core.budgets._advertised import (
@@ -19,6 +20,10 @@
 from worksrail.core.budgets._peer_reports import PeerReports, zone_sender
 from worksrail.core.identity import Incarnation, ServiceName, ZoneName
 
+# Seconds between two updates of what peers may reserve for services that have
+# no requests here.
+_IDLE_BOUND_INTERVAL: Final = 0.5
+
 
 @dataclass(frozen=True, slots=True)
 class FleetUse:
@@ -93,6 +98,9 @@
     )
     """What peers may reserve before they report it, by service."""
 
+    bounded_at: float = -inf
+    """When those of services without own requests were updated."""
+
     totals: CountedTotals = field(default_factory=CountedTotals)
     """Counts since the start, for metrics and logs."""
 
@@ -243,15 +251,18 @@
     def maintain(self, now: float) -> None:
         """Release unused reservations and drop outdated reports."""
         self.reports.prune(now)
-        bounds = {}
         for service, budget in tuple(self.budgets.items()):
             if budget.is_idle(now):
                 self.budgets.pop(service)
                 continue
             peers = self.peer_view(service, now)
             budget.maintain(now, peers)
-            bounds[service] = budget.reservation_bound(now, peers)
-        self.reservation_bounds = bounds
+            self.reservation_bounds[service] = budget.reservation_bound(
+                now, peers
+            )
+        if now - self.bounded_at >= _IDLE_BOUND_INTERVAL:
+            self.bounded_at = now
+            self._bound_idle_services(now)
 
     def handle_pause(self, now: float) -> None:
         """Handle a suspension of the process, in which it missed reports."""
@@ -281,6 +292,21 @@
             self.budgets[service] = budget
         return budget
 
+    def _bound_idle_services(self, now: float) -> None:
+        """Bound what peers may reserve for services without own requests.
+
+        Such an instance may be the relay that speaks for its zone.
+        """
+        used = self.reports.services()
+        kept = used | self.budgets.keys()
+        for service in self.reservation_bounds.keys() - kept:
+            self.reservation_bounds.pop(service)
+        for service in used - self.budgets.keys():
+            budget = SharedBudget.from_bounds(self.bounds, self.seed)
+            peers = self.peer_view(service, now)
+            bound = budget.reservation_bound(now, peers)
+            self.reservation_bounds[service] = bound
+
     def _own_use(self, now: float) -> dict[ServiceName, BudgetUse]:
         uses = {name: one.use(now) for name, one in self.budgets.items()}
         return {name: use for name, use in uses.items() if use.has_usage()}
