Look for entries that fell silent lately in every digest round

Cause, in a model of it: an entry that starts again knows only the addresses of its seeds. If these are away as well, nobody hears it; the others tried three silent addresses a second at most, old ones included. Until then it knows no held request, and answers look-ups with itself alone.

Change: each round also goes to some of the entries that fell silent within 10 s, so many that the live ones try each lost one about once, three at most.

--- a/tests/steering/crashing_world.py
+++ b/tests/steering/crashing_world.py
@@ -111,12 +111,15 @@
         rate: float = 0,
         paths: int = 0,
         seed: int = 1,
+        with_look_ups: bool = False,
     ) -> None:
         """Start entries and upstreams, and wait for the entries' discovery.
 
         Sound requests arrive at ``rate`` a second.  Their paths all differ, or
-        are drawn from ``paths`` popular ones.
+        are drawn from ``paths`` popular ones.  With look-ups, callers use only
+        entries that another one lists, or it itself.
         """
+        self.with_look_ups = with_look_ups
         self.servers: dict[str, _Upstream] = {}
         self.faults = faults or Faults()
         self.rate = rate
@@ -151,12 +154,7 @@
     def start(self, name: str) -> None:
         """Start or restart an entry; a restart breaks its requests."""
         super().start(name)
-        for key in [key for key in self.callers if key[0] == name]:
-            self._schedule_retry(self.callers.pop(key))
-        for server in self.servers.values():
-            server.executing = [
-                one for one in server.executing if one.entry != name
-            ]
+        self._break_requests(name)
         if self.servers:
             self.deliver_store(name, 1, self.records)
 
@@ -173,6 +171,11 @@
         for one in broken:
             self._end(one, AttemptOutcome.BROKE_BEFORE_ANSWER)
 
+    def stop(self, name: str) -> None:
+        """Kill an entry; this breaks its requests."""
+        self._break_requests(name)
+        super().stop(name)
+
     def reached(self, target: str, since: float = 0) -> list[Send]:
         """Return the requests for a path that reached upstreams later on."""
         return [
@@ -197,6 +200,14 @@
             if caller:
                 self._handle_result(caller, answer.code)
 
+    def _break_requests(self, name: str) -> None:
+        for key in [key for key in self.callers if key[0] == name]:
+            self._schedule_retry(self.callers.pop(key))
+        for server in self.servers.values():
+            server.executing = [
+                one for one in server.executing if one.entry != name
+            ]
+
     def _start_execution(self, entry: str, send: SendUpstream) -> None:
         server = self.servers[send.upstream]
         target = self.callers[entry, send.request].target
@@ -282,6 +293,8 @@
 
     def _send(self, caller: _Caller) -> None:
         running = sorted(set(self.states) - self.frozen)
+        if self.with_look_ups:
+            running = self._look_up(running)
         entry = self.traffic_rng.choice(running)
         self.asked += 1
         self.callers[entry, self.asked] = caller
@@ -289,3 +302,12 @@
             f't{self.asked}', HOST, 'GET', caller.target, _CALLER_TIMEOUT, ''
         )
         self._run(entry, RequestArrived(self.now, self.asked, head))
+
+    def _look_up(self, running: list[str]) -> list[str]:
+        """Return the running entries that a random settled one lists."""
+        settled = [
+            name for name in running if self.states[name].settled(self.now)
+        ]
+        asked = self.traffic_rng.choice(settled or running)
+        listed = self.alive_entries(asked) | {asked}
+        return [name for name in running if name in listed]
--- a/tests/steering/test_crashing_requests.py
+++ b/tests/steering/test_crashing_requests.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.steering.crashing_world import CrashingWorld, Faults, WhileDown
+from tests.steering.fleet_world import STEP
 from tests.steering.world import World, of_type, route, upstream
 from worksrail.core.quarantine import AdvertisedCrashes
 from worksrail.core.results import ResultCode
@@ -24,6 +25,10 @@
 _MAX_HELD = 0.05
 # The same once entries know which requests crash upstreams.
 _MAX_HELD_LATER = 0.005
+# Callers of the same crashing request.
+_CALLERS = 6
+# Seconds between the stops of two entries.
+_STOP_INTERVAL = 0.4
 _NINE = {'a1': 2, 'a2': 1, 'b1': 2, 'b2': 1, 'c1': 2, 'c2': 1}
 
 # Entries in each zone, share of lost datagrams, seed.
@@ -58,6 +63,23 @@
     return len(world.reached(_FAULTY, detected_at + _STABLE_WINDOW))
 
 
+def _restart_in_turn(
+    world: CrashingWorld, names: list[str], away: float
+) -> None:
+    """Stop entries one after the other; each is away for some seconds."""
+    interval, steps_away = round(_STOP_INTERVAL / STEP), round(away / STEP)
+    stops = {number * interval: name for number, name in enumerate(names)}
+    starts = {step + steps_away: name for step, name in stops.items()}
+    for step in range(max(starts) + round(2 / STEP)):
+        if step in starts:
+            world.start(starts[step])
+        if step in stops and len(world.states) > 2:
+            world.stop(stops[step])
+        elif step in stops:
+            starts.pop(step + steps_away)
+        world.wait(STEP)
+
+
 @pytest.mark.parametrize(('zones', 'loss', 'seed'), _FLEETS)
 def test_request_that_crashed_three_upstreams_reaches_few_more(
     zones: dict[str, int],
@@ -83,6 +105,41 @@
     assert _sends_after_detection(world) <= _MAX_SENDS_AFTER
 
 
+# Entries in each zone, seconds for which an entry is away, seed.
+_RESTARTS = (
+    (1, 1.6, 1),
+    (1, 1.6, 2),
+    (2, 1.6, 1),
+    (2, 0.6, 2),
+    (3, 0.6, 3),
+    (1, 3.5, 4),
+    (2, 3.5, 2),
+)
+
+
+@pytest.mark.parametrize(('per_zone', 'away', 'seed'), _RESTARTS)
+def test_entries_that_hear_nobody_after_a_restart_are_soon_told_what_is_held(
+    per_zone: int, away: float, seed: int
+) -> None:
+    world = CrashingWorld(
+        dict.fromkeys(_ZONES, per_zone),
+        _REGIONS,
+        upstreams=40,
+        faults=Faults(frozenset((_FAULTY,))),
+        rate=20,
+        seed=seed,
+        with_look_ups=True,
+    )
+    for _ in range(_CALLERS):
+        world.ask(_FAULTY, faulty=True)
+    world.wait(3)
+    names = sorted(world.states)
+    world.traffic_rng.shuffle(names)
+    _restart_in_turn(world, names, away)
+    print('sends after detection', _sends_after_detection(world))
+    assert _sends_after_detection(world) <= _MAX_SENDS_AFTER
+
+
 # ``lost`` is the share of lost answers.
 @pytest.mark.parametrize('lost', [0, 0.05])
 @pytest.mark.parametrize('seed', [1, 2])
--- a/worksrail/core/steering/_fleet.py
+++ b/worksrail/core/steering/_fleet.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from heapq import nlargest
+from math import ceil
 from typing import Final
 
 from worksrail.core._rendezvous import rendezvous_weight
@@ -33,6 +34,8 @@
 _MAX_SILENT: Final = 3
 # Number of entries of other zones that an uninformed entry asks at once.
 _MAX_REMOTE: Final = 2
+# Seconds of silence for which an entry is likely to restart.
+_LOST_WINDOW: Final = 10.0
 # Seconds for which a new address that has not answered receives every digest,
 # and the maximum number of such addresses at once.
 _NEW_ADDRESS_WINDOW: Final = 3.0
@@ -227,6 +230,20 @@
         remote = sorted(contact.peer for contact in self.remote_entries(now))
         return _sample(remote, _MAX_REMOTE, rng)
 
+    def sample_lost(self, now: float, rng: random.Random) -> list[str]:
+        """Sample entries that became silent recently, and may have restarted.
+
+        One may know no address but those of entries that are away.  Together
+        the live entries try each lost one about once.
+        """
+        lost = sorted(
+            entry.contact.peer
+            for entry in self.entries.values()
+            if not entry.alive(now) and now - entry.last_seen_at < _LOST_WINDOW
+        )
+        live = 1 + sum(entry.alive(now) for entry in self.entries.values())
+        return _sample(lost, min(_MAX_SILENT, ceil(len(lost) / live)), rng)
+
     def sample_for_discovery(self, now: float, rng: random.Random) -> list[str]:
         """Sample silent addresses and one of another zone, for discovery.
 
--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -100,6 +100,7 @@
     zone_peers = fleet.zone_peers(now)
     receivers = {contact.peer for contact in zone_peers}
     receivers.update(fleet.sample_new_addresses(now, state.rng))
+    receivers.update(fleet.sample_lost(now, state.rng))
     if state.digests % _DISCOVERY_PERIOD == 1:
         receivers.update(fleet.sample_for_discovery(now, state.rng))
     if not state.budgets.is_informed(now):
