Expect a stop in each digest that is sent, and name the module of reports

test_stop_is_advertised_at_once_and_affects_look_ups took it for granted that one digest goes out; an entry that has just been met gets a digest of its own since, which tells it everything. The check is stricter now: both receivers by name, and the stop in each digest. core/budgets/_accounts.py holds the report of a peer and is named after it.

--- a/tests/steering/test_fleet.py
+++ b/tests/steering/test_fleet.py
@@ -90,9 +90,12 @@
     world = World()
     _receive(world, 'two')
     effects = world.run(StopRequested(world.now))
-    (sent,) = of_type(effects, SendDigest)
-    assert isinstance(sent.digest, EntryDigest)
-    assert sent.digest.sender.leaving
+    digests = of_type(effects, SendDigest)
+    receivers = [one for sent in digests for one in sent.receivers]
+    assert sorted(receivers) == ['10.9.0.2:4', '10.9.0.2:two']
+    for sent in digests:
+        assert isinstance(sent.digest, EntryDigest)
+        assert sent.digest.sender.leaving
     assert _looked_up(world) == {'10.9.0.3:two'}
 
 
--- a/worksrail/core/budgets/__init__.py
+++ b/worksrail/core/budgets/__init__.py
@@ -4,11 +4,6 @@
 has reserved, and reserves more only out of what the fleet's sum leaves.
 """
 
-from worksrail.core.budgets._accounts import (
-    PROPAGATION_TIME,
-    TRANSIT_TIME,
-    PeerReport,
-)
 from worksrail.core.budgets._advertised import AdvertisedBudgets, BudgetUse
 from worksrail.core.budgets._budget import (
     BudgetBounds,
@@ -16,6 +11,11 @@
     SharedBudget,
 )
 from worksrail.core.budgets._peer_reports import PeerReports
+from worksrail.core.budgets._report import (
+    PROPAGATION_TIME,
+    TRANSIT_TIME,
+    PeerReport,
+)
 from worksrail.core.budgets._shared import FleetUse, SharedBudgets
 
 __all__ = (
--- a/worksrail/core/budgets/_budget.py
+++ b/worksrail/core/budgets/_budget.py
@@ -18,12 +18,12 @@
 from typing import Final
 
 from worksrail.core._meters import RateMeter
-from worksrail.core.budgets._accounts import (
+from worksrail.core.budgets._advertised import REQUEST_PARTS, BudgetUse
+from worksrail.core.budgets._report import (
     PROPAGATION_TIME,
     TRANSIT_TIME,
     ReservationBound,
 )
-from worksrail.core.budgets._advertised import REQUEST_PARTS, BudgetUse
 from worksrail.core.budgets._sliding_count import ADVERTISED_PARTS, SlidingCount
 
 # Shares of the ratio and of the extra number that are used: request counts
--- a/worksrail/core/budgets/_peer_reports.py
+++ b/worksrail/core/budgets/_peer_reports.py
@@ -4,12 +4,6 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from worksrail.core.budgets._accounts import (
-    NO_USE,
-    PROPAGATION_TIME,
-    TRANSIT_TIME,
-    PeerReport,
-)
 from worksrail.core.budgets._advertised import (
     AdvertisedBudgets,
     BudgetUse,
@@ -17,6 +11,12 @@
     UseSum,
     total_use,
 )
+from worksrail.core.budgets._report import (
+    NO_USE,
+    PROPAGATION_TIME,
+    TRANSIT_TIME,
+    PeerReport,
+)
 from worksrail.core.identity import Incarnation, ServiceName, ZoneName
 
 # Seconds of silence after which an instance's use is advertised on its behalf,
--- a/worksrail/core/budgets/_shared.py
+++ b/worksrail/core/budgets/_shared.py
@@ -5,7 +5,6 @@
 from math import floor, inf
 from typing import Final
 
-from worksrail.core.budgets._accounts import PeerReport, ReservationBound
 from worksrail.core.budgets._advertised import (
     AdvertisedBudgets,
     BudgetUse,
@@ -18,6 +17,7 @@
     SharedBudget,
 )
 from worksrail.core.budgets._peer_reports import PeerReports, zone_sender
+from worksrail.core.budgets._report import PeerReport, ReservationBound
 from worksrail.core.identity import Incarnation, ServiceName, ZoneName
 
 # Seconds between two updates of what peers may reserve for services that have
--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -179,7 +179,8 @@
         _apply_keys(state, name, digest.sender.region, digest.keys, now)
     else:
         state.budgets.receive_from_afar(digest.budgets, now)
-    if fresh or digest.budgets.coverage < state.budgets.bounds.window:
+    is_uninformed = digest.budgets.coverage < state.budgets.bounds.window
+    if fresh or is_uninformed:
         state.pending_replies.add(digest.sender.peer)
     if fresh:
         yield _entry_seen(state, digest.sender)
