Build one digest a round, also for entries that are told everything

Cause: the mend of the budgets built a second digest for entries that ask, and none where nobody was to get one. Building one has effects: promises and demand are advertised once a round, and old demand is forgotten then.

Change: one digest a round, as before; for those that ask only its use of the budgets is replaced.

--- a/worksrail/core/steering/_on_digests.py
+++ b/worksrail/core/steering/_on_digests.py
@@ -1,6 +1,6 @@
 """Sends and receives the digests that entries exchange."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from typing import Final
 
 import msgspec
@@ -108,16 +108,17 @@
     replies = frozenset(state.pending_replies)
     state.pending_replies.clear()
     with_held = bool(replies) or not state.digests % _FULL_STATE_PERIOD
-    yield from _send_entry_digest(
-        state, now, replies, with_held=True, with_all_use=True
-    )
-    yield from _send_entry_digest(
+    digest = _entry_digest(
         state,
         now,
-        receivers - replies,
         with_held=with_held,
         with_all_use=not state.digests % _ALL_USE_PERIOD,
     )
+    yield SendDigest(tuple(sorted(receivers - replies)), digest)
+    if replies:
+        yield SendDigest(
+            tuple(sorted(replies)), _with_all_use(state, digest, now)
+        )
     own = own_contact(state, now)
     if now < state.next_zone_digest_at:
         return
@@ -287,19 +288,13 @@
     return f'zone {zone}'
 
 
-def _send_entry_digest(
-    state: SteeringState,
-    now: float,
-    receivers: Iterable[str],
-    *,
-    with_held: bool,
-    with_all_use: bool,
-) -> Iterator[SendDigest]:
-    if receivers:
-        digest = _entry_digest(
-            state, now, with_held=with_held, with_all_use=with_all_use
-        )
-        yield SendDigest(tuple(sorted(receivers)), digest)
+def _with_all_use(
+    state: SteeringState, digest: EntryDigest, now: float
+) -> EntryDigest:
+    """Return the same digest for an entry that is new, with the use of all."""
+    # The other parts are not built again: each is advertised once a round.
+    budgets = state.budgets.advertise(now, with_all=True)
+    return msgspec.structs.replace(digest, budgets=budgets)
 
 
 def _entry_digest(
@@ -308,7 +303,7 @@
     *,
     with_held: bool,
     with_all_use: bool,
-) -> Digest:
+) -> EntryDigest:
     zone_peers = [contact.peer for contact in state.fleet.zone_peers(now)]
     alive = [entry.contact.peer for entry in state.fleet.alive(now)]
     known = state.rng.sample(zone_peers, min(_MAX_ADDRESSES, len(zone_peers)))
