Log each cancelled attempt and account for the requests of a stop

Cause: the log said neither that an attempt was given up nor what was known then, replaced the refusal that became a 502, and had no account of a stop, so the hypotheses of the incident could not be told apart. Change: the line attempt-cancelled at all four places; reason and outcome in request-failed; the line stopped counts what was under way, arrived, and how it ended; the command worksrail stops adds that up; OPERATIONS. Measured: a test lets requests end in each way and finds none unaccounted; no logic changes. Conclusion: a cut, a failed repeat and an exit with open requests are told apart by the logs alone.

--- a/tests/steering/test_passing.py
+++ b/tests/steering/test_passing.py
@@ -54,7 +54,7 @@
 )
 
 
-def _world(**options: Any) -> World:
+def lost_world(**options: Any) -> World:
     """An entry that has lost all links, and hears two others."""
     world = World(
         options.pop('routes', (route(timeout=9),)), _UPSTREAMS, **options
@@ -73,7 +73,7 @@
     world.now += 0.2
 
 
-def _passed(world: World) -> list[PassRequest]:
+def passes(world: World) -> list[PassRequest]:
     return of_type(world.effects, PassRequest)
 
 
@@ -88,7 +88,7 @@
     world.run(ended)
 
 
-def _take(world: World, terms: PassingTerms = _TERMS, **head: Any) -> int:
+def take(world: World, terms: PassingTerms = _TERMS, **head: Any) -> int:
     """Let a request of another entry arrive."""
     world.requests += 1
     fields: dict[str, Any] = {
@@ -105,10 +105,10 @@
 
 
 def test_request_goes_to_an_entry_of_the_own_region() -> None:
-    world = _world()
+    world = lost_world()
     for _ in range(20):
         world.ask(time_left=9)
-    assert {one.peer for one in _passed(world)} == {'10.9.0.2:near'}
+    assert {one.peer for one in passes(world)} == {'10.9.0.2:near'}
     assert not of_type(world.effects, SendUpstream)
 
 
@@ -125,25 +125,25 @@
 def test_entry_that_cannot_send_gets_no_request(
     changes: dict[str, Any],
 ) -> None:
-    world = _world()
+    world = lost_world()
     _hear(world, 'near', 2, **changes)
     world.ask(time_left=9)
-    assert [one.peer for one in _passed(world)] == ['10.9.0.2:far']
+    assert [one.peer for one in passes(world)] == ['10.9.0.2:far']
 
 
 def test_request_goes_only_to_regions_that_may_serve_it() -> None:
-    world = _world(routes=(route(timeout=9, regions=frozenset('b')),))
+    world = lost_world(routes=(route(timeout=9, regions=frozenset('b')),))
     world.ask(time_left=9)
-    (passed,) = _passed(world)
+    (passed,) = passes(world)
     assert passed.peer == '10.9.0.2:far'
     assert passed.terms.regions == ('b',)
 
 
 def test_entry_that_cannot_be_reached_is_replaced() -> None:
-    world = _world()
+    world = lost_world()
     number = world.ask(time_left=9)
     _end_pass(world, number, AttemptOutcome.NOT_CONNECTED)
-    assert [one.peer for one in _passed(world)] == [
+    assert [one.peer for one in passes(world)] == [
         '10.9.0.2:near',
         '10.9.0.2:far',
     ]
@@ -161,7 +161,7 @@
 def test_request_that_no_entry_takes_is_refused_at_once(
     code: ResultCode,
 ) -> None:
-    world = _world()
+    world = lost_world()
     number = world.ask(time_left=9)
     for _ in range(2):
         refusal = PassRefusal(code, 0.2, 0)
@@ -173,17 +173,17 @@
 
 
 def test_request_that_an_upstream_had_is_not_tried_at_a_further_entry() -> None:
-    world = _world()
+    world = lost_world()
     number = world.ask(time_left=9)
     refusal = PassRefusal(ResultCode.UPSTREAM_UNREACHABLE, 0.2, 1)
     _end_pass(world, number, AttemptOutcome.NOT_EXECUTED, refusal)
-    assert len(_passed(world)) == 1
+    assert len(passes(world)) == 1
     (answer,) = of_type(world.effects, AnswerResult)
     assert answer.code is ResultCode.UPSTREAM_UNREACHABLE
 
 
 def test_refusal_for_want_of_slots_is_final_and_keeps_its_delay() -> None:
-    world = _world()
+    world = lost_world()
     number = world.ask(time_left=9)
     refusal = PassRefusal(ResultCode.QUEUE_FULL, 0.7, 0)
     _end_pass(world, number, AttemptOutcome.NOT_EXECUTED, refusal)
@@ -201,24 +201,24 @@
     *,
     repeated: bool,
 ) -> None:
-    world = _world(routes=(route(timeout=9, kind=kind),))
+    world = lost_world(routes=(route(timeout=9, kind=kind),))
     number = world.ask(time_left=9)
     _end_pass(world, number, AttemptOutcome.BROKE_BEFORE_ANSWER)
-    assert len(_passed(world)) == 1 + repeated
+    assert len(passes(world)) == 1 + repeated
     if not repeated:
         (answer,) = of_type(world.effects, AnswerResult)
         assert answer.code.certainty is Certainty.UNKNOWN
 
 
 def test_repeat_after_a_lost_answer_tells_what_was_sent() -> None:
-    world = _world()
+    world = lost_world()
     number = world.ask(time_left=9)
     _end_pass(world, number, AttemptOutcome.BROKE_BEFORE_ANSWER)
-    assert [one.terms.sends for one in _passed(world)] == [0, 1]
+    assert [one.terms.sends for one in passes(world)] == [0, 1]
 
 
 def test_caller_that_leaves_cancels_at_the_other_entry() -> None:
-    world = _world()
+    world = lost_world()
     number = world.ask(time_left=9)
     world.run(CallerGone(world.now, number))
     assert [one.request for one in of_type(world.effects, CancelAttempt)] == [
@@ -229,7 +229,7 @@
 
 
 def test_idempotent_request_leaves_an_entry_that_falls_silent() -> None:
-    world = _world()
+    world = lost_world()
     number = world.ask(time_left=9)
     _hear(world, 'far', 2, zone='b1', region='b')
     world.wait(1.2)
@@ -239,7 +239,7 @@
 
 
 def test_request_may_leave_one_silent_entry_after_another() -> None:
-    world = _world()
+    world = lost_world()
     number = world.ask(time_left=9)
     _hear(world, 'far', 2, zone='b1', region='b')
     world.wait(1.2)
@@ -251,44 +251,44 @@
 
 def test_quota_counts_a_passed_request_once() -> None:
     buyer = customer('buyer', 'key', quota=Quota(5, 5))
-    sender = _world(customers=[buyer])
+    sender = lost_world(customers=[buyer])
     helper = World((route(timeout=9),), _UPSTREAMS, customers=[buyer])
     key = buyer.keys[0]
     sender.ask(time_left=9, key_digest=key)
-    (passed,) = _passed(sender)
+    (passed,) = passes(sender)
     assert passed.terms.customer == 'buyer'
     with mock.patch.object(SharedLimits, 'admit') as admit:
-        number = _take(helper, passed.terms)
+        number = take(helper, passed.terms)
     admit.assert_not_called()
     (sent,) = of_type(helper.effects, SendUpstream)
     assert (sent.request, sent.customer) == (number, 'buyer')
 
 
 def test_budget_counts_a_passed_request_once() -> None:
-    sender = _world()
+    sender = lost_world()
     helper = World((route(timeout=9),), _UPSTREAMS)
     with mock.patch.object(SharedBudgets, 'record_request') as count:
         sender.ask(time_left=9)
         assert count.call_count == 1
-        _take(helper, _passed(sender)[0].terms)
+        take(helper, passes(sender)[0].terms)
         assert count.call_count == 1
 
 
 def test_request_of_another_entry_is_never_passed_on() -> None:
-    world = _world()
+    world = lost_world()
     world.state.paths.lost_since.clear()
-    _take(world)
+    take(world)
     for _ in range(4):
         for number in tuple(world.state.requests):
             world.end(number, AttemptOutcome.NOT_CONNECTED)
-    assert not _passed(world)
+    assert not passes(world)
     (answer,) = of_type(world.effects, AnswerResult)
     assert answer.code is ResultCode.UPSTREAM_UNREACHABLE
 
 
 def test_sender_resolves_the_request_whatever_the_other_configuration() -> None:
     world = World((route('other', timeout=9),), _UPSTREAMS)
-    _take(world)
+    take(world)
     (sent,) = of_type(world.effects, SendUpstream)
     assert sent.upstream in {record.name for record in _UPSTREAMS}
 
@@ -298,7 +298,7 @@
     terms = PassingTerms(
         'two', 'orders', 'read', 'IDEMPOTENT', 0.4, 1, 2, True, (), '', 1, 1
     )
-    number = _take(world, terms)
+    number = take(world, terms)
     world.end(number, AttemptOutcome.NOT_EXECUTED)
     assert len(world.sent(number)) == 1
     (answer,) = of_type(world.effects, AnswerResult)
@@ -309,14 +309,14 @@
     world = World((route(timeout=9),), _UPSTREAMS)
     for _ in range(3 * int(world.state.settings.capacity)):
         world.state.arrivals.note(world.now)
-    _take(world)
+    take(world)
     (answer,) = of_type(world.effects, AnswerResult)
     assert answer.code is ResultCode.ENTRY_FULL
     assert world.sent(world.ask(time_left=9))
 
 
 def test_answer_to_a_health_check_ends_the_passing() -> None:
-    world = _world()
+    world = lost_world()
     world.ask(time_left=9)
     world.wait(0.6)
     probes = of_type(world.effects, ProbeUpstream)
@@ -327,7 +327,7 @@
 
 
 def test_evacuated_zones_get_no_health_checks() -> None:
-    world = _world()
+    world = lost_world()
     world.run(EvacuationsRead(world.now, frozenset(('a2', 'b1')), 2))
     world.effects.clear()
     world.wait(1.2)
@@ -337,7 +337,7 @@
 
 
 def test_failed_health_check_changes_nothing() -> None:
-    world = _world()
+    world = lost_world()
     world.wait(0.6)
     for probe in of_type(world.effects, ProbeUpstream):
         world.run(PathProbed(world.now, probe.upstream, answered=False))
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -244,16 +244,18 @@
         self,
         number: int,
         outcome: AttemptOutcome = AttemptOutcome.ANSWERED,
+        *,
+        attempt: int = 0,
         **report: Any,
     ) -> list[Effect]:
-        """End the current attempt of a request."""
+        """End an attempt of a request, the one that began last by default."""
         request = self.state.requests[number]
         fields: dict[str, Any] = {'status': 200}
         return self.run(
             AttemptEnded(
                 self.now,
                 number,
-                request.attempts,
+                attempt or request.attempts,
                 outcome,
                 **(fields | report),
             )
--- a/worksrail/cli/main.py
+++ b/worksrail/cli/main.py
@@ -16,6 +16,7 @@
 from worksrail.cli._output import Output, invalid_argument
 from worksrail.cli._repeats import show_repeats
 from worksrail.cli._served import show_served
+from worksrail.cli._stops import show_stops
 from worksrail.cli._views import (
     change_drain,
     show_explanation,
@@ -128,6 +129,11 @@
         self._check_files_exist(files)
         show_repeats(self._output, files)
 
+    def stops(self, *files: str) -> None:
+        """Show what became of requests during stops, from log files."""
+        self._check_files_exist(files)
+        show_stops(self._output, files)
+
     def drain(
         self,
         target: str,
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -28,6 +28,7 @@
 from worksrail.core.steering._reports import learn_end
 from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._request_log import (
+    attempt_cancelled,
     rejection_of,
     request_answered,
     version_of,
@@ -119,6 +120,7 @@
     # An execution that must not be repeated is allowed to finish: the caller
     # may rely on its side effects.
     if request.route.idempotent:
+        yield attempt_cancelled(state, request, 'caller gone', event.now)
         yield CancelAttempt(request.number)
 
 
--- a/worksrail/core/steering/_on_store.py
+++ b/worksrail/core/steering/_on_store.py
@@ -8,6 +8,7 @@
 
 from worksrail.core.limits import quota_limits
 from worksrail.core.steering._catalog import UpstreamRecord
+from worksrail.core.steering._request_log import attempt_cancelled
 from worksrail.core.steering._routes import RoutingConfiguration
 from worksrail.core.steering.effects import (
     MAX_LOGGED_EACH,
@@ -128,7 +129,7 @@
     gone = [Decision(DecisionKind.UPSTREAM_GONE, name) for name in removed]
     yield from _summarize(gone, DecisionKind.UPSTREAMS_GONE)
     for name in removed:
-        yield from _abandon_incarnation(state, before[name][0])
+        yield from _abandon_incarnation(state, before[name][0], now)
     known: list[Decision] = []
     cold: list[Decision] = []
     for name, (record, is_cold) in after.items():
@@ -166,6 +167,7 @@
 def _abandon_incarnation(
     state: SteeringState,
     record: UpstreamRecord,
+    now: float,
 ) -> Iterator[Effect]:
     """Abandon an earlier incarnation of an upstream that has restarted.
 
@@ -184,6 +186,7 @@
     for request in state.requests.values():
         if request.upstream == record.name:
             request.rerouting = True
+            yield attempt_cancelled(state, request, 'upstream ended', now)
             yield CancelAttempt(request.number)
 
 
--- a/worksrail/core/steering/_on_time.py
+++ b/worksrail/core/steering/_on_time.py
@@ -63,6 +63,7 @@
     if state.leaving:
         return
     state.leaving_at = event.now
+    state.stop_account.under_way = len(state.requests)
     yield Decision(
         DecisionKind.LEAVING, inputs=(('requests', len(state.requests)),)
     )
@@ -181,7 +182,7 @@
             DecisionKind.STOPPED,
             inputs=(
                 ('after', round(since, 3)),
-                ('requests', len(state.requests)),
+                *state.stop_account.fields(len(state.requests)),
             ),
         )
         yield ExitProcess()
--- a/worksrail/core/steering/_placing.py
+++ b/worksrail/core/steering/_placing.py
@@ -175,6 +175,7 @@
     """
     state.requests.pop(request.number)
     kind = DecisionKind.REQUEST_REFUSED
+    reason = code
     retry_after = (
         delay
         or retry_delay_of(state, request, code, now)
@@ -198,6 +199,8 @@
             ('route', request.route.name),
             ('priority', request.priority),
             ('customer', request.customer_name),
+            ('reason', reason.name),
+            ('outcome', request.last_outcome),
             ('position', round(request.position, 3)),
             ('returned', int(request.caller_retried)),
             ('after', round(now - request.arrived_at, 4)),
--- a/worksrail/core/steering/_reducer.py
+++ b/worksrail/core/steering/_reducer.py
@@ -71,4 +71,6 @@
     effects.extend(_HANDLERS[type(event)](state, event))
     if not state.ready:
         effects.extend(_on_time.become_ready(state, event.now))
+    if state.leaving:
+        state.stop_account.record(event, effects)
     return effects
--- a/worksrail/core/steering/_request_log.py
+++ b/worksrail/core/steering/_request_log.py
@@ -124,6 +124,35 @@
     )
 
 
+def attempt_cancelled(
+    state: SteeringState,
+    request: SteeredRequest,
+    reason: str,
+    now: float,
+) -> Decision:
+    """Return the log line of an attempt that is cancelled, and what was known.
+
+    ``left`` is the retries that the budget still allows all entries.
+    """
+    use = state.budgets.fleet_use(request.service, now)
+    return Decision(
+        DecisionKind.ATTEMPT_CANCELLED,
+        reason,
+        request.number,
+        (
+            ('service', request.service),
+            ('route', request.route.name),
+            ('at_upstream', request.upstream or request.helper),
+            ('after', round(now - request.sent_at, 4)),
+            ('expected', round(request.expected_time, 4)),
+            ('sends', request.sends),
+            ('max_attempts', request.route.max_attempts),
+            ('left', round(use.left, 1)),
+            ('stopping', int(state.leaving)),
+        ),
+    )
+
+
 def version_of(state: SteeringState) -> int:
     """Return the version of the configuration in force; zero if none is."""
     configuration = state.configuration
--- a/worksrail/core/steering/_unresponsive.py
+++ b/worksrail/core/steering/_unresponsive.py
@@ -4,6 +4,7 @@
 
 from worksrail.core.steering._learning import SILENCE_FACTOR
 from worksrail.core.steering._request import SteeredRequest
+from worksrail.core.steering._request_log import attempt_cancelled
 from worksrail.core.steering._routes import RouteKind
 from worksrail.core.steering.effects import (
     CancelAttempt,
@@ -39,6 +40,7 @@
                     ('own', load.own),
                 ),
             )
+        yield attempt_cancelled(state, request, 'upstream silent', now)
         yield CancelAttempt(request.number)
 
 
@@ -49,6 +51,7 @@
     for request in state.requests.values():
         if request.helper and _has_lost_helper(state, request, now):
             request.rerouting = True
+            yield attempt_cancelled(state, request, 'entry silent', now)
             yield CancelAttempt(request.number)
 
 
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -207,6 +207,7 @@
     REQUEST_FAILED = 'request ended without an answer of an upstream'
     REQUEST_DROPPED = 'request ended after its caller had left'
     CALLER_GONE = 'caller left before the end of its answer'
+    ATTEMPT_CANCELLED = 'attempt cancelled before its answer'
     CRASH_SUSPECTED = 'an upstream may have crashed under a request'
     QUARANTINED = 'request quarantined: upstreams crashed under it'
     QUARANTINE_TRIED = 'quarantined request tried again'
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -31,6 +31,7 @@
 from worksrail.core.steering._service_load import ServiceLoad
 from worksrail.core.steering._settings import DISCOVERY_TIME, EntrySettings
 from worksrail.core.steering._splits import Splits
+from worksrail.core.steering._stop_account import StopAccount
 from worksrail.core.steering._store_sync import StoreSync
 from worksrail.core.steering._warm_keys import WarmKeys
 from worksrail.core.steering.kinds import StoreKind
@@ -174,6 +175,9 @@
     exited: bool = False
     """Whether the stop is complete."""
 
+    stop_account: StopAccount = field(default_factory=StopAccount)
+    """What became of requests since the stop was requested."""
+
     demand: DemandTable = field(default_factory=DemandTable)
     """Demand for slots by service, priority and customer."""
 
--- a/worksrail/daemon/steered/_decisions.py
+++ b/worksrail/daemon/steered/_decisions.py
@@ -27,6 +27,7 @@
         DecisionKind.REPEAT_DENIED,
         DecisionKind.TOKEN_AWAITED,
         DecisionKind.CALLER_GONE,
+        DecisionKind.ATTEMPT_CANCELLED,
     )
 )
 _SUCCESS: Final = DecisionKind.REQUEST_ANSWERED
