Let attempts at silent upstreams go on beside a second one

Cause: an attempt whose upstream was silent was cancelled first; only then did the entry look whether the budget, a slot, the attempts and the time allow another one. If not, or if the other one failed, the first answer was thrown away. Requests at an entry that counts as dead were taken back in the same way, and an answer that had begun could be cut. Change: the attempt goes on, and a second one begins beside it if it may be repeated, has attempts and budget left, and some upstream or entry can take it and answer in time; the first answer that begins cancels the other. That the upstream is silent is learned as early as before. One place decides (_second_attempts). Conclusion: nothing is given up before an answer of another has begun.

--- a/worksrail/core/steering/_availability.py
+++ b/worksrail/core/steering/_availability.py
@@ -8,6 +8,7 @@
     AvailabilityNotice,
 )
 from worksrail.core.steering._backing_off import usual_rate_at
+from worksrail.core.steering._ending import abandon_other
 from worksrail.core.steering._named_limits import learn_limit
 from worksrail.core.steering._reports import learn_load
 from worksrail.core.steering.effects import (
@@ -29,9 +30,12 @@
 ) -> Iterator[Effect]:
     """Learn from the head of an answer, before its body has arrived."""
     request = state.requests.get(event.request)
-    if request is None or event.attempt != request.attempts:
+    if request is None or not request.select(event.attempt):
         return
-    if not request.upstream:
+    if event.begins:
+        request.answering = True
+        yield from abandon_other(state, request, event.now)
+    if not request.current.upstream:
         return
     if event.limit:
         yield from learn_limit(state, request, event.limit)
@@ -42,11 +46,11 @@
     if event.notice.backoff:
         # An upstream that rejects again as soon as it gets requests is taken
         # for overloaded like any other that rejects.
-        request.backed_off = not state.rates.backoffs.has_lately_ended(
-            request.upstream, event.now
+        request.current.backed_off = not state.rates.backoffs.has_lately_ended(
+            request.current.upstream, event.now
         )
     yield from learn_notice(
-        state, request.upstream, event.notice, event.now, request.number
+        state, request.current.upstream, event.notice, event.now, request.number
     )
 
 
--- a/worksrail/core/steering/_learning.py
+++ b/worksrail/core/steering/_learning.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from worksrail.core.steering._catalog import Upstream
 from worksrail.core.steering._choosing import region_rtt
 from worksrail.core.steering._load import UpstreamLoad
 from worksrail.core.steering._reports import unexplained_time_ratio
@@ -35,6 +36,8 @@
 _NO_FAULT: Final = frozenset(
     (AttemptOutcome.NOT_EXECUTED, AttemptOutcome.WITHDRAWN)
 )
+# Outcomes of attempts at upstreams that may have been silent all the time.
+_SILENT: Final = frozenset((AttemptOutcome.CANCELLED, AttemptOutcome.TIMED_OUT))
 _SERVER_ERROR: Final = 500
 # Minimum expected time that an execution is compared with; seconds.
 _MIN_EXPECTED: Final = 0.02
@@ -52,17 +55,20 @@
     event: AttemptEnded,
 ) -> Iterator[Effect]:
     """Update all estimates from an attempt that has ended."""
-    name = request.upstream
+    name = request.current.upstream
     load = state.loads.of(name)
     load.record_end(event.now)
     yield from _record_reachability(state, request, event)
     outcome = event.outcome
-    if request.backed_off:
+    if request.current.backed_off:
         # A backoff is no fault, and its end is known exactly.
         return
     _record_rates(load, event)
     if outcome is AttemptOutcome.CANCELLED and not is_overdue(request, event):
         return
+    if outcome in _SILENT and request.current.overdue:
+        # Its silence has been recorded.
+        return
     if outcome is AttemptOutcome.OTHER_UPSTREAM:
         state.catalog.mark_misdirected(name)
         yield Decision(DecisionKind.UPSTREAM_MISDIRECTED, name, event.request)
@@ -73,21 +79,52 @@
             return
     elif outcome in _NO_FAULT:
         return
-    if load.record_failure(event.now, silent=request.rerouting):
-        yield Decision(
-            DecisionKind.UPSTREAM_EJECTED,
-            name,
-            event.request,
-            (
-                ('failures', load.failures),
-                ('seconds', round(load.ejected_until - event.now, 3)),
-            ),
-        )
+    if load.record_failure(event.now):
+        yield _ejected(load, request, event.now)
+
+
+def record_silence(
+    state: SteeringState,
+    request: SteeredRequest,
+    now: float,
+) -> Iterator[Decision]:
+    """Record that an upstream has been silent for too long.
+
+    Its attempt goes on, but other requests avoid the upstream.
+    """
+    name = request.current.upstream
+    load = state.loads.of(name)
+    if load.record_failure(now, silent=True):
+        yield _ejected(load, request, now)
+    upstream = state.catalog.upstreams.get(name)
+    if upstream is None:
+        return
+    state.paths.record_miss(upstream, connecting=False)
+    yield from _record_unreachable(state, request, upstream, now)
+
+
+def _ejected(
+    load: UpstreamLoad,
+    request: SteeredRequest,
+    now: float,
+) -> Decision:
+    return Decision(
+        DecisionKind.UPSTREAM_EJECTED,
+        request.current.upstream,
+        request.number,
+        (
+            ('failures', load.failures),
+            ('seconds', round(load.ejected_until - now, 3)),
+        ),
+    )
 
 
 def is_overdue(request: SteeredRequest, event: AttemptEnded) -> bool:
     """Return whether an attempt took much longer than expected."""
-    return event.now - request.sent_at > SILENCE_FACTOR * request.expected_time
+    return (
+        event.now - request.current.sent_at
+        > SILENCE_FACTOR * request.current.expected_time
+    )
 
 
 def _record_rates(load: UpstreamLoad, event: AttemptEnded) -> None:
@@ -107,7 +144,7 @@
     request: SteeredRequest,
     event: AttemptEnded,
 ) -> Iterator[Effect]:
-    upstream = state.catalog.upstreams.get(request.upstream)
+    upstream = state.catalog.upstreams.get(request.current.upstream)
     if upstream is None:
         return
     if event.connect_time:
@@ -116,16 +153,25 @@
     if event.outcome in _REACHED or event.connect_time:
         state.paths.zones.record_reachable(zone)
         return
-    hung = event.now - request.sent_at > _CONNECT_TIMEOUT
-    unanswered = event.outcome is AttemptOutcome.NOT_CONNECTED and hung
-    if unanswered or request.rerouting:
-        if state.paths.zones.record_unreachable(zone, upstream.name, event.now):
-            yield Decision(
-                DecisionKind.ZONE_UNREACHED,
-                zone,
-                event.request,
-                (('upstream', upstream.name),),
-            )
+    hung = event.now - request.current.sent_at > _CONNECT_TIMEOUT
+    if event.outcome is AttemptOutcome.NOT_CONNECTED and hung:
+        yield from _record_unreachable(state, request, upstream, event.now)
+
+
+def _record_unreachable(
+    state: SteeringState,
+    request: SteeredRequest,
+    upstream: Upstream,
+    now: float,
+) -> Iterator[Decision]:
+    zone = upstream.record.zone
+    if state.paths.zones.record_unreachable(zone, upstream.name, now):
+        yield Decision(
+            DecisionKind.ZONE_UNREACHED,
+            zone,
+            request.number,
+            (('upstream', upstream.name),),
+        )
 
 
 def _record_times(
@@ -135,20 +181,20 @@
 ) -> None:
     if event.status >= _SERVER_ERROR:
         return
-    name = request.upstream
-    elapsed = event.now - request.sent_at
+    name = request.current.upstream
+    elapsed = event.now - request.current.sent_at
     key = request.affinity_key
     recently_served = not key or name in state.warm_keys.warm_upstreams(
         request.service, key, event.now
     )
     times = state.warm_keys.times_of(request.route, request.service)
-    ratio = elapsed / max(request.expected_time, _MIN_EXPECTED)
+    ratio = elapsed / max(request.current.expected_time, _MIN_EXPECTED)
     ratio = unexplained_time_ratio(state, request, ratio)
     # If the key was expected to be warm but this entry has not sent it there
     # recently, or the other way round, it is unknown whether the key was warm:
     # other entries may have sent it as well.
-    conclusive = recently_served == request.warm
-    if key and request.warm and _may_be_cold(ratio, times):
+    conclusive = recently_served == request.current.warm
+    if key and request.current.warm and _may_be_cold(ratio, times):
         conclusive = False
     if conclusive:
         # A cold execution where a warm one was expected does not mean that the
@@ -160,17 +206,17 @@
         return
     execution = max(0, elapsed - region_rtt(state, upstream.region).typical)
     state.typical_time(request.service, execution).add(
-        execution / (1 + request.queue)
+        execution / (1 + request.current.queue)
     )
     if (
         key
-        and not request.queue
+        and not request.current.queue
         and _record_warmth(
             request, times, execution, recently_served=recently_served
         )
     ):
         conclusive = False
-    if conclusive and not request.queue:
+    if conclusive and not request.current.queue:
         average = times.warm if recently_served else times.cold
         average.add(execution)
     if key:
@@ -189,12 +235,12 @@
     Returns whether the key was unexpectedly warm, so that its time is not that
     of a cold execution.
     """
-    if request.home == 1:
+    if request.current.home == 1:
         times.record_primary(execution)
         return False
-    if not request.home or recently_served:
+    if not request.current.home or recently_served:
         return False
-    return times.record_spill(request.home, execution)
+    return times.record_spill(request.current.home, execution)
 
 
 def _may_be_cold(ratio: float, times: RouteTimes) -> bool:
--- a/worksrail/core/steering/_named_limits.py
+++ b/worksrail/core/steering/_named_limits.py
@@ -17,11 +17,11 @@
     if named.rate is NoRate.UNREADABLE:
         yield Decision(
             DecisionKind.UPSTREAM_LIMIT_UNREADABLE,
-            request.upstream,
+            request.current.upstream,
             request.number,
         )
     limits = state.rates.named.limits
-    change = limits.note(request.upstream, named)
+    change = limits.note(request.current.upstream, named)
     if change:
         yield limit_decision(change, request.number)
 
--- a/worksrail/core/steering/_on_passing.py
+++ b/worksrail/core/steering/_on_passing.py
@@ -4,11 +4,10 @@
 from typing import Final
 
 from worksrail.core.results import Certainty, ResultCode
-from worksrail.core.steering._on_requests import conclude
+from worksrail.core.steering._on_requests import conclude, conclude_answered
 from worksrail.core.steering._placing import place, refuse, retry_delay
 from worksrail.core.steering._quarantining import fingerprint_of
 from worksrail.core.steering._request import SteeredRequest
-from worksrail.core.steering._request_log import request_answered
 from worksrail.core.steering._routes import RoutingConfiguration
 from worksrail.core.steering._scarcity import position_of
 from worksrail.core.steering.effects import (
@@ -80,11 +79,10 @@
 ) -> Iterator[Effect]:
     """Finish a request that another entry had, or try a further one."""
     request = state.requests.get(event.request)
-    if request is None or event.attempt != request.attempts:
+    if request is None or not request.select(event.attempt):
+        return
+    if not request.current.helper:
         return
-    request.last_upstream = request.helper
-    request.last_outcome = event.outcome.name
-    request.helper = ''
     if event.outcome is AttemptOutcome.NOT_CONNECTED:
         yield from _after_refusal(
             state, request, ResultCode.PEER_UNREACHABLE, event
@@ -92,10 +90,10 @@
     elif event.refusal:
         yield from _after_refusal(state, request, event.refusal.code, event)
     elif event.outcome is AttemptOutcome.ANSWERED:
-        state.requests.pop(request.number)
-        yield request_answered(request, event.now, event.status)
+        yield from conclude_answered(state, request, event)
     else:
-        request.sends += 1
+        # For a silent entry that has been counted already.
+        request.sends += not request.current.overdue
         yield from conclude(state, request, _as_attempt(event))
 
 
@@ -135,6 +133,7 @@
         passed_by=terms.sender,
     )
     request.fingerprint = fingerprint_of(state, request, event.body_digest)
+    request.replayable = event.replayable
     return request
 
 
@@ -144,13 +143,19 @@
     code: ResultCode,
     event: PassEnded,
 ) -> Iterator[Effect]:
+    request.end_current(event.outcome.name)
+    if request.under_way:
+        if code.certainty is Certainty.NOT_RUN:
+            state.budgets.give_back(request.service, event.now)
+        else:
+            request.maybe_executed = True
+        return
     if request.caller_gone:
         state.requests.pop(request.number)
         yield Decision(
             DecisionKind.REQUEST_DROPPED, event.outcome.name, request.number
         )
         return
-    request.rerouting = False
     if _may_try_another(request, code, event):
         yield from place(state, request, event.now)
         return
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -7,6 +7,7 @@
 from worksrail.core.identity import RegionName
 from worksrail.core.results import ResultCode
 from worksrail.core.steering._admitting import admit
+from worksrail.core.steering._ending import abandon_other
 from worksrail.core.steering._identifying import (
     allowed_regions,
     resolve_customer,
@@ -23,6 +24,7 @@
 from worksrail.core.steering._repeating import (
     NEVER_SENT,
     NOT_EXECUTED,
+    record_end,
     repeat_denial,
 )
 from worksrail.core.steering._reports import learn_end
@@ -31,6 +33,7 @@
     attempt_cancelled,
     rejection_of,
     request_answered,
+    request_failed,
     version_of,
 )
 from worksrail.core.steering._returning import record_caller
@@ -43,6 +46,7 @@
     record_demand,
     record_slot_time,
 )
+from worksrail.core.steering._stop_times import takes_requests
 from worksrail.core.steering.effects import (
     AnswerResult,
     CancelAttempt,
@@ -54,13 +58,11 @@
     AttemptEnded,
     AttemptOutcome,
     CallerGone,
+    PassEnded,
     RequestArrived,
 )
 from worksrail.core.steering.state import SteeringState
 
-# Share of the grace period after the stop request from which new requests are
-# refused.
-_LAST_ARRIVAL_SHARE: Final = 0.58
 _FINAL_CODES: Final = {
     AttemptOutcome.NOT_CONNECTED: ResultCode.UPSTREAM_UNREACHABLE,
     AttemptOutcome.WITHDRAWN: ResultCode.NO_SLOT,
@@ -113,15 +115,19 @@
     request.caller_gone = True
     yield Decision(
         DecisionKind.CALLER_GONE,
-        request.upstream,
+        request.current.upstream,
         request.number,
         (('after', round(event.now - request.arrived_at, 4)),),
     )
     # An execution that must not be repeated is allowed to finish: the caller
     # may rely on its side effects.
-    if request.route.idempotent:
-        yield attempt_cancelled(state, request, 'caller gone', event.now)
-        yield CancelAttempt(request.number)
+    if not request.route.idempotent:
+        return
+    for attempt in request.in_progress:
+        yield attempt_cancelled(
+            state, request, attempt, 'caller gone', event.now
+        )
+        yield CancelAttempt(request.number, attempt.number)
 
 
 def on_attempt_ended(
@@ -130,17 +136,27 @@
 ) -> Iterator[Effect]:
     """Learn from an attempt, then finish the request or retry it."""
     request = state.requests.get(event.request)
-    if request is None or event.attempt != request.attempts:
+    if request is None or not request.select(event.attempt):
+        return
+    if not request.current.upstream:
         return
     yield from _learn(state, request, event)
-    request.last_upstream = request.upstream
-    request.last_outcome = event.outcome.name
-    request.upstream = ''
     if event.outcome is AttemptOutcome.ANSWERED:
-        state.requests.pop(request.number)
-        yield request_answered(request, event.now, event.status)
-        return
-    yield from conclude(state, request, event)
+        yield from conclude_answered(state, request, event)
+    else:
+        yield from conclude(state, request, event)
+
+
+def conclude_answered(
+    state: SteeringState,
+    request: SteeredRequest,
+    event: AttemptEnded | PassEnded,
+) -> Iterator[Effect]:
+    """Finish a request with the answer of the current attempt."""
+    yield from abandon_other(state, request, event.now)
+    ended = request.end_current(event.outcome.name)
+    state.requests.pop(request.number)
+    yield request_answered(request, ended, event.now, event.status)
 
 
 def conclude(
@@ -148,17 +164,25 @@
     request: SteeredRequest,
     event: AttemptEnded,
 ) -> Iterator[Effect]:
-    """Finish or retry a request after an attempt without an answer."""
+    """Finish or retry a request after its current attempt without an answer.
+
+    While another attempt is in progress, the request waits for that one.
+    """
+    ended = request.end_current(event.outcome.name)
+    record_end(request, event.outcome)
     if event.outcome not in NOT_EXECUTED:
         request.maybe_executed = True
+    if request.under_way:
+        if event.outcome in NEVER_SENT:
+            state.budgets.give_back(request.service, event.now)
+        return
     cancelled = event.outcome is AttemptOutcome.CANCELLED
-    if request.caller_gone or (cancelled and not request.rerouting):
+    if request.caller_gone or (cancelled and not ended.lost):
         state.requests.pop(request.number)
         yield Decision(
             DecisionKind.REQUEST_DROPPED, event.outcome.name, request.number
         )
         return
-    request.rerouting = False
     is_repeat = event.outcome not in NEVER_SENT
     denial = repeat_denial(state, request, event)
     if denial:
@@ -227,6 +251,7 @@
         regions,
     )
     request.fingerprint = fingerprint_of(state, request, event.body_digest)
+    request.replayable = event.replayable
     return request
 
 
@@ -239,10 +264,8 @@
         # Connections are closing, so a request that still arrives was never
         # started and is safe to refuse.
         return ResultCode.ENTRY_LEAVING
-    if state.leaving:
-        since = event.now - state.leaving_at
-        if since > state.settings.bounds.grace_period * _LAST_ARRIVAL_SHARE:
-            return ResultCode.ENTRY_LEAVING
+    if not takes_requests(state, event.now):
+        return ResultCode.ENTRY_LEAVING
     route = configuration.match(event.head.host, event.head.target)
     if isinstance(route, NoRoute):
         return ResultCode.UNKNOWN_ROUTE
@@ -263,21 +286,7 @@
             return
         code = ResultCode.UPSTREAM_BROKE
     state.requests.pop(request.number)
-    yield Decision(
-        DecisionKind.REQUEST_FAILED,
-        code.name,
-        request.number,
-        (
-            ('service', request.service),
-            ('route', request.route.name),
-            ('priority', request.priority),
-            ('customer', request.customer_name),
-            ('outcome', event.outcome.name),
-            ('upstream', request.last_upstream),
-            ('denial', denial),
-            ('after', round(event.now - request.arrived_at, 4)),
-        ),
-    )
+    yield request_failed(request, code, event.now, denial)
     yield AnswerResult(request.number, code, sends=request.sends)
 
 
--- a/worksrail/core/steering/_on_store.py
+++ b/worksrail/core/steering/_on_store.py
@@ -184,10 +184,13 @@
     )
     yield DropConnections(record.address)
     for request in state.requests.values():
-        if request.upstream == record.name:
-            request.rerouting = True
-            yield attempt_cancelled(state, request, 'upstream ended', now)
-            yield CancelAttempt(request.number)
+        for attempt in request.in_progress:
+            if attempt.upstream == record.name:
+                attempt.lost = True
+                yield attempt_cancelled(
+                    state, request, attempt, 'upstream ended', now
+                )
+                yield CancelAttempt(request.number, attempt.number)
 
 
 def _summarize(
--- a/worksrail/core/steering/_on_time.py
+++ b/worksrail/core/steering/_on_time.py
@@ -1,4 +1,4 @@
-"""Timer-driven work: digests, readiness, stopping, pause detection."""
+"""Timer-driven work: digests, readiness, pause detection."""
 
 from collections.abc import Iterator
 from typing import Final
@@ -17,29 +17,21 @@
 from worksrail.core.steering._path_evidence import watch_paths
 from worksrail.core.steering._probing import probe_paths
 from worksrail.core.steering._routes import RoutingConfiguration
+from worksrail.core.steering._second_attempts import begin_second_attempts
+from worksrail.core.steering._stopping import exit_when_done
 from worksrail.core.steering._store_watch import sync_with_store
-from worksrail.core.steering._unresponsive import reroute_unresponsive
 from worksrail.core.steering.effects import (
     Decision,
     DecisionKind,
     Effect,
-    ExitProcess,
-)
-from worksrail.core.steering.events import (
-    StopRequested,
-    Ticked,
 )
+from worksrail.core.steering.events import Ticked
 from worksrail.core.steering.kinds import StoreKind
 from worksrail.core.steering.state import SteeringState
 
 # Seconds between two checks of which entries are alive and whether another one
 # has a newer view of the store.
 _UPKEEP_INTERVAL: Final = 0.1
-# Share of the grace period after the stop request during which callers may
-# still come with a look-up answer that lists this entry.
-_LINGER_SHARE: Final = 0.5
-# Share of the grace period after which the process exits in any case.
-_FORCED_EXIT_SHARE: Final = 0.95
 # Seconds without any event after which the process is taken to have been
 # suspended.
 _MIN_PAUSE: Final = 1.0
@@ -48,27 +40,14 @@
 def on_tick(state: SteeringState, event: Ticked) -> Iterator[Effect]:
     """Run all work that is due."""
     yield from expire_upstreams(state, event.now)
-    yield from reroute_unresponsive(state, event.now)
+    yield from begin_second_attempts(state, event.now)
     if event.now >= state.next_upkeep_at:
         yield from _run_upkeep(state, event.now)
     yield from check_store(state, event.now)
     yield from maintain_pacing(state, event.now)
     if event.now >= state.next_digest_at:
         yield from send_digests(state, event.now)
-    yield from _exit_when_done(state, event.now)
-
-
-def on_stop(state: SteeringState, event: StopRequested) -> Iterator[Effect]:
-    """Start to leave: notify the other entries, then drain requests."""
-    if state.leaving:
-        return
-    state.leaving_at = event.now
-    state.stop_account.under_way = len(state.requests)
-    yield Decision(
-        DecisionKind.LEAVING, inputs=(('requests', len(state.requests)),)
-    )
-    schedule_digests(state, event.now)
-    yield from send_digests(state, event.now)
+    yield from exit_when_done(state, event.now)
 
 
 def on_pause(
@@ -165,24 +144,3 @@
         )
         schedule_digests(state, now)
         yield from send_digests(state, now)
-
-
-def _exit_when_done(state: SteeringState, now: float) -> Iterator[Effect]:
-    if not state.leaving or state.exited:
-        return
-    grace = state.settings.bounds.grace_period
-    since = now - state.leaving_at
-    # Callers with an older look-up answer may still come, but no answer listed
-    # this entry before it was ready.
-    lingers = state.ready and since <= grace * _LINGER_SHARE
-    idle = not state.requests and not lingers
-    if idle or since > grace * _FORCED_EXIT_SHARE:
-        state.exited = True
-        yield Decision(
-            DecisionKind.STOPPED,
-            inputs=(
-                ('after', round(since, 3)),
-                *state.stop_account.fields(len(state.requests)),
-            ),
-        )
-        yield ExitProcess()
--- a/worksrail/core/steering/_passing.py
+++ b/worksrail/core/steering/_passing.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from worksrail.core.steering._attempt import Attempt
 from worksrail.core.steering._digests import Contact
 from worksrail.core.steering._passing_terms import PassingTerms
 from worksrail.core.steering._paths import in_regions
@@ -81,9 +82,15 @@
 ) -> Iterator[Effect]:
     """Pass a request to another entry."""
     request.attempts += 1
-    request.sent_at = now
+    request.begin(
+        Attempt(
+            request.attempts,
+            helper=target.name,
+            sent_at=now,
+            crash_number=request.current.crash_number,
+        )
+    )
     request.passed_to.append(target.name)
-    request.helper = target.name
     state.probing_until = now + _PROBE_AFTER_PASS
     yield PassRequest(
         request.number,
--- a/worksrail/core/steering/_path_evidence.py
+++ b/worksrail/core/steering/_path_evidence.py
@@ -38,7 +38,7 @@
     event: AttemptEnded,
 ) -> Iterator[Decision]:
     """Update the evidence about a path from the end of an attempt."""
-    upstream = state.catalog.upstreams.get(request.upstream)
+    upstream = state.catalog.upstreams.get(request.current.upstream)
     if upstream is None:
         return
     if event.outcome in _ANSWERED:
--- a/worksrail/core/steering/_placing.py
+++ b/worksrail/core/steering/_placing.py
@@ -7,6 +7,7 @@
 from worksrail.core.pacing import Permission
 from worksrail.core.quarantine import label
 from worksrail.core.results import ResultCode
+from worksrail.core.steering._attempt import Attempt
 from worksrail.core.steering._backing_off import (
     delay_after_backoffs,
     record_return,
@@ -21,6 +22,7 @@
 from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._request_log import request_sent, version_of
 from worksrail.core.steering._returning import retry_delay_of
+from worksrail.core.steering._stop_times import exits_at
 from worksrail.core.steering._tokens import (
     await_token,
     delay_until_token,
@@ -81,6 +83,28 @@
         yield from _send(state, request, choice, now)
 
 
+def place_second(
+    state: SteeringState,
+    request: SteeredRequest,
+    now: float,
+) -> Iterator[Effect]:
+    """Begin an attempt beside the current one if its answer can be in time.
+
+    Otherwise nothing happens.
+    """
+    if cannot_send(state, request):
+        target = choose_entry(state, request, now)
+        if target:
+            yield from pass_on(state, request, target, now)
+        return
+    choice, permission = _choose_permitted(state, request, now)
+    if isinstance(choice, ResultCode) or permission is Permission.TOKEN_NEEDED:
+        return
+    due = min(request.deadline, exits_at(state))
+    if now + choice.wait + choice.latency <= due:
+        yield from _send(state, request, choice, now)
+
+
 def _delay_of(
     state: SteeringState,
     request: SteeredRequest,
@@ -133,15 +157,18 @@
     load.record_sent(now)
     request.attempts += 1
     request.sends += 1
-    request.upstream = upstream.name
-    request.sent_at = now
-    request.expected_time = choice.wait + choice.latency
-    request.warm = choice.warm
-    request.home = rank_of_home(state, request, upstream.name)
-    request.queue = choice.queue
-    request.pace = choice.pace
-    request.load_known = False
-    request.backed_off = False
+    request.begin(
+        Attempt(
+            request.attempts,
+            upstream.name,
+            sent_at=now,
+            expected_time=choice.wait + choice.latency,
+            queue=choice.queue,
+            warm=choice.warm,
+            home=rank_of_home(state, request, upstream.name),
+            pace=choice.pace,
+        )
+    )
     if upstream.cold_until > now:
         state.rates.cold.record_sent(upstream.name, now)
     state.rates.named.record_sent(upstream.name, now)
--- a/worksrail/core/steering/_quarantining.py
+++ b/worksrail/core/steering/_quarantining.py
@@ -48,7 +48,7 @@
 ) -> float:
     """Return the seconds for which a request is held; zero if it is not."""
     return state.quarantine.hold_time(
-        request.fingerprint, now, request.crash_number
+        request.fingerprint, now, request.current.crash_number
     )
 
 
@@ -62,7 +62,7 @@
     The crashes known at this moment decide how a crash of the attempt counts.
     """
     number = state.quarantine.begin(request.fingerprint, now)
-    request.crash_number = number
+    request.current.crash_number = number
     if number > CRASHES_UNTIL_HELD:
         yield _decision(DecisionKind.QUARANTINE_TRIED, request, number - 1)
 
@@ -80,19 +80,19 @@
             yield _decision(DecisionKind.QUARANTINE_CLEARED, request, cleared)
     elif event.outcome in _BROKEN:
         crash = Crash(
-            request.upstream,
-            request.crash_number,
-            state.loads.of(request.upstream).last_success_at,
-            request.sent_at,
+            request.current.upstream,
+            request.current.crash_number,
+            state.loads.of(request.current.upstream).last_success_at,
+            request.current.sent_at,
         )
         crashes = quarantine.record_crash(request.fingerprint, crash, event.now)
-        request.crash_number = 0
+        request.current.crash_number = 0
         yield _decision(
             DecisionKind.CRASH_SUSPECTED,
             request,
             crashes,
-            ('after', round(event.now - request.sent_at, 4)),
-            ('beside', state.loads.of(request.upstream).own),
+            ('after', round(event.now - request.current.sent_at, 4)),
+            ('beside', state.loads.of(request.current.upstream).own),
         )
         if crashes >= CRASHES_UNTIL_HELD:
             yield _decision(DecisionKind.QUARANTINED, request, crashes)
@@ -125,7 +125,7 @@
         request.number,
         (
             ('crashes', crashes),
-            ('upstream', request.upstream),
+            ('upstream', request.current.upstream),
             ('route', request.route.name),
             *inputs,
         ),
--- a/worksrail/core/steering/_reducer.py
+++ b/worksrail/core/steering/_reducer.py
@@ -19,6 +19,7 @@
     _on_time,
     _pacing,
     _probing,
+    _stopping,
     _store_watch,
 )
 from worksrail.core.steering.effects import Effect
@@ -50,7 +51,7 @@
     DigestReceived: _on_digests.on_digest,
     LimitMessageReceived: _admitting.on_limit_message,
     PacingMessageReceived: _pacing.on_pacing_message,
-    StopRequested: _on_time.on_stop,
+    StopRequested: _stopping.on_stop,
     **_on_store_answers.HANDLERS,
     **_on_store.HANDLERS,
     RequestArrived: _on_requests.on_arrival,
--- a/worksrail/core/steering/_repeating.py
+++ b/worksrail/core/steering/_repeating.py
@@ -36,13 +36,21 @@
 )
 
 
+def record_end(request: SteeredRequest, outcome: AttemptOutcome) -> None:
+    """Record where a request was, and whether it was sent there."""
+    request.tried.add(request.last_upstream)
+    if outcome in _MISSED:
+        request.sends -= 1
+    if outcome is AttemptOutcome.NOT_CONNECTED:
+        request.unconnected += 1
+
+
 def repeat_denial(
     state: SteeringState,
     request: SteeredRequest,
     event: AttemptEnded,
 ) -> str:
     """Return why a request must not be sent again; empty if it may be."""
-    request.tried.add(request.last_upstream)
     denial = _denial_of_execution(request, event)
     if denial:
         return denial
@@ -50,18 +58,14 @@
         return 'held'
     if not event.replayable:
         return 'body not kept'
-    if event.outcome in _MISSED:
-        request.sends -= 1
-        if request.attempts >= _max_missed(request):
-            return 'connections'
-    if event.outcome is AttemptOutcome.NOT_CONNECTED:
-        request.unconnected += 1
+    if event.outcome in _MISSED and request.attempts >= _max_missed(request):
+        return 'connections'
     if event.outcome in NEVER_SENT:
         # No upstream got a repeat that the budget counts.
         return ''
     if request.sends >= request.route.max_attempts:
         return 'attempts'
-    return '' if _is_within_budget(state, request, event.now) else 'budget'
+    return '' if is_within_budget(state, request, event.now) else 'budget'
 
 
 def _max_missed(request: SteeredRequest) -> int:
@@ -77,11 +81,12 @@
     return '' if request.route.idempotent else 'at most once'
 
 
-def _is_within_budget(
+def is_within_budget(
     state: SteeringState,
     request: SteeredRequest,
     now: float,
 ) -> bool:
+    """Take a retry from the budget; return false if there is none."""
     if not state.settled(now):
         # The use of the budget by other entries is not known yet.
         return False
@@ -96,6 +101,8 @@
     now: float,
 ) -> bool:
     """Whether another attempt may still be answered within the target."""
-    execution_time = state.typical_time(request.service, request.expected_time)
+    execution_time = state.typical_time(
+        request.service, request.current.expected_time
+    )
     time_left = request.arrived_at + request.route.target_latency - now
     return time_left >= execution_time.typical
--- a/worksrail/core/steering/_reports.py
+++ b/worksrail/core/steering/_reports.py
@@ -27,10 +27,10 @@
 
     The end of a long answer comes much later, when the load is another one.
     """
-    request.load_known = True
+    request.current.load_known = True
     # The request counts as in flight until the answer ends.
-    own = state.loads.of(request.upstream).own - 1
-    _record(state, request.upstream, report, own, now)
+    own = state.loads.of(request.current.upstream).own - 1
+    _record(state, request.current.upstream, report, own, now)
 
 
 def learn_end(
@@ -41,9 +41,12 @@
     """Learn the load from the end of an attempt, and from a rejection."""
     if event.load is None or event.outcome is AttemptOutcome.OTHER_UPSTREAM:
         return
-    if not request.load_known:
+    if not request.current.load_known:
         learn_load(state, request, event.load, event.now)
-    if event.outcome is AttemptOutcome.NOT_EXECUTED and not request.backed_off:
+    if (
+        event.outcome is AttemptOutcome.NOT_EXECUTED
+        and not request.current.backed_off
+    ):
         _learn_places(state, request, event.load, event.now)
 
 
@@ -64,10 +67,10 @@
     ratio: float,
 ) -> float:
     """Return the part of a time ratio that stated paces do not explain."""
-    stated = state.loads.of(request.upstream).stated
+    stated = state.loads.of(request.current.upstream).stated
     if stated is None or stated.pace is None:
         return ratio
-    return unexplained_ratio(ratio, request.pace, stated.pace)
+    return unexplained_ratio(ratio, request.current.pace, stated.pace)
 
 
 def _learn_places(
@@ -76,7 +79,7 @@
     report: ReportedLoad,
     now: float,
 ) -> None:
-    upstream = state.catalog.upstreams.get(request.upstream)
+    upstream = state.catalog.upstreams.get(request.current.upstream)
     common = state.loads.services.get(request.service)
     if upstream is None or common is None:
         return
--- a/worksrail/core/steering/_request.py
+++ b/worksrail/core/steering/_request.py
@@ -1,11 +1,13 @@
 """An active request and its progress."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from math import inf
 from typing import TypeAlias
 
 from worksrail.core.customers import Customer, NoCustomer
 from worksrail.core.identity import RegionName, ServiceName
 from worksrail.core.quarantine import Fingerprint
+from worksrail.core.steering._attempt import Attempt
 from worksrail.core.steering._routes import Route
 from worksrail.core.steering.events import RequestNumber, SteeredHead
 
@@ -63,30 +65,26 @@
     sends: int = 0
     """Number of upstreams that it was sent to."""
 
-    upstream: str = ''
-    """Upstream of the current attempt; empty between attempts."""
+    current: Attempt = field(default_factory=Attempt)
+    """The attempt that began or ended last."""
 
-    last_upstream: str = ''
-    """Upstream of the attempt that ended last."""
-
-    last_outcome: str = ''
-    """Outcome of the attempt that ended last."""
+    other: Attempt | None = None
+    """An attempt in progress beside the current one."""
 
-    sent_at: float = 0
-    """When the last attempt started."""
+    answering: bool = False
+    """Whether an answer has begun."""
 
-    expected_time: float = 0
-    """Expected duration of that attempt in seconds."""
+    replayable: bool = True
+    """Whether all of its body is kept, so that it can be sent once more."""
 
-    queue: float = 0
-    """Requests ahead of it at that upstream, per slot."""
+    reviewed_at: float = -inf
+    """When a second attempt beside a silent one was last considered."""
 
-    warm: bool = False
-    """Whether its key was expected to be warm at that upstream."""
+    last_upstream: str = ''
+    """Upstream of the attempt that ended last."""
 
-    home: int = 0
-    """Position of that upstream among the homes of its key: 1 for the primary
-    one, 0 for none."""
+    last_outcome: str = ''
+    """Outcome of the attempt that ended last."""
 
     tokens_requested: int = 0
     """Number of tokens requested for it."""
@@ -94,9 +92,6 @@
     unconnected: int = 0
     """Number of upstreams to which no connection could be opened."""
 
-    helper: str = ''
-    """Entry that has the request now; empty if none has."""
-
     passed_to: list[str] = field(default_factory=list)
     """Entries that it was passed to, in order."""
 
@@ -106,30 +101,52 @@
     tried: set[str] = field(default_factory=set)
     """Upstreams that it must not be sent to again."""
 
-    rerouting: bool = False
-    """Whether its attempt was cancelled here to try another upstream."""
-
-    pace: float = 1
-    """Pace of the upstream that was assumed when it was sent."""
-
-    load_known: bool = False
-    """Whether the load that its answer reports was learned from the head."""
-
-    backed_off: bool = False
-    """Whether its upstream asked for a backoff, the first one in a row."""
-
     fingerprint: Fingerprint = 0
     """Value that it shares with its retries by the caller."""
 
-    crash_number: int = 0
-    """Position in a series of crashes if the current attempt crashed."""
-
     maybe_executed: bool = False
     """Whether an upstream may have executed it."""
 
     caller_gone: bool = False
     """Whether the caller has disconnected."""
 
+    @property
+    def under_way(self) -> bool:
+        """Return whether an attempt is in progress."""
+        return bool(self.current.place)
+
+    @property
+    def in_progress(self) -> tuple[Attempt, ...]:
+        """Return the attempts in progress."""
+        attempts = (self.current, self.other)
+        return tuple(one for one in attempts if one and one.place)
+
+    def begin(self, attempt: Attempt) -> None:
+        """Make an attempt the current one, beside one still in progress."""
+        if self.under_way:
+            self.other = self.current
+        self.current = attempt
+
+    def select(self, number: int) -> bool:
+        """Make an attempt in progress the current one; false if it is none."""
+        other = self.other
+        if other and other.number == number:
+            self.other = self.current
+            self.current = other
+        return self.current.number == number
+
+    def end_current(self, outcome: str) -> Attempt:
+        """End the current attempt; the other one takes its place, if any."""
+        ended = self.current
+        self.last_upstream = ended.place
+        self.last_outcome = outcome
+        if self.other:
+            self.current = self.other
+            self.other = None
+        else:
+            self.current = replace(ended, upstream='', helper='')
+        return ended
+
     @property
     def affinity_key(self) -> str:
         """Return the affinity key within its route; empty if there is none.
--- a/worksrail/core/steering/_request_log.py
+++ b/worksrail/core/steering/_request_log.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterator
 
+from worksrail.core.results import ResultCode
+from worksrail.core.steering._attempt import Attempt
 from worksrail.core.steering._catalog import Upstream
 from worksrail.core.steering._choosing import Choice, region_rtt
 from worksrail.core.steering._request import SteeredRequest
@@ -51,7 +53,7 @@
             ('others', load.others),
             ('slots', upstream.record.slots),
             ('warm', int(choice.warm)),
-            ('home', request.home),
+            ('home', request.current.home),
             ('from_region', state.settings.region),
             ('region', upstream.region),
             ('from_zone', state.settings.zone),
@@ -64,6 +66,7 @@
 
 def request_answered(
     request: SteeredRequest,
+    answered: Attempt,
     now: float,
     status: int,
 ) -> Decision:
@@ -84,8 +87,8 @@
             ('target', round(target, 4)),
             ('returned', int(request.caller_retried)),
             ('after', round(after, 4)),
-            ('execution', round(now - request.sent_at, 4)),
-            ('expected', round(request.expected_time, 4)),
+            ('execution', round(now - answered.sent_at, 4)),
+            ('expected', round(answered.expected_time, 4)),
             ('sends', request.sends),
         ),
     )
@@ -103,7 +106,7 @@
     """
     if event.outcome is not AttemptOutcome.NOT_EXECUTED:
         return
-    name = request.upstream
+    name = request.current.upstream
     load = state.loads.of(name)
     yield Decision(
         DecisionKind.UPSTREAM_REJECTED,
@@ -116,9 +119,9 @@
             ('own', load.own),
             ('others', load.others),
             ('slots', _slots_of(state.catalog.upstreams.get(name))),
-            ('backed_off', int(request.backed_off)),
-            ('warm', int(request.warm)),
-            ('after', round(event.now - request.sent_at, 4)),
+            ('backed_off', int(request.current.backed_off)),
+            ('warm', int(request.current.warm)),
+            ('after', round(event.now - request.current.sent_at, 4)),
             *_reported_fields(event.load),
         ),
     )
@@ -127,6 +130,7 @@
 def attempt_cancelled(
     state: SteeringState,
     request: SteeredRequest,
+    attempt: Attempt,
     reason: str,
     now: float,
 ) -> Decision:
@@ -134,17 +138,66 @@
 
     ``left`` is the retries that the budget still allows all entries.
     """
+    return _about_attempt(
+        DecisionKind.ATTEMPT_CANCELLED, reason, state, request, attempt, now
+    )
+
+
+def attempt_kept(
+    state: SteeringState,
+    request: SteeredRequest,
+    denial: str,
+    now: float,
+) -> Decision:
+    """Return the log line of a silent attempt without another beside it."""
+    kind = DecisionKind.ATTEMPT_KEPT
+    current = request.current
+    return _about_attempt(kind, denial, state, request, current, now)
+
+
+def request_failed(
+    request: SteeredRequest,
+    code: ResultCode,
+    now: float,
+    denial: str,
+) -> Decision:
+    """Return the log line of a request that an upstream may have executed."""
+    return Decision(
+        DecisionKind.REQUEST_FAILED,
+        code.name,
+        request.number,
+        (
+            ('service', request.service),
+            ('route', request.route.name),
+            ('priority', request.priority),
+            ('customer', request.customer_name),
+            ('outcome', request.last_outcome),
+            ('upstream', request.current.place or request.last_upstream),
+            ('denial', denial),
+            ('after', round(now - request.arrived_at, 4)),
+        ),
+    )
+
+
+def _about_attempt(
+    kind: DecisionKind,
+    reason: str,
+    state: SteeringState,
+    request: SteeredRequest,
+    attempt: Attempt,
+    now: float,
+) -> Decision:
     use = state.budgets.fleet_use(request.service, now)
     return Decision(
-        DecisionKind.ATTEMPT_CANCELLED,
+        kind,
         reason,
         request.number,
         (
             ('service', request.service),
             ('route', request.route.name),
-            ('at_upstream', request.upstream or request.helper),
-            ('after', round(now - request.sent_at, 4)),
-            ('expected', round(request.expected_time, 4)),
+            ('place', attempt.place),
+            ('after', round(now - attempt.sent_at, 4)),
+            ('expected', round(attempt.expected_time, 4)),
             ('sends', request.sends),
             ('max_attempts', request.route.max_attempts),
             ('left', round(use.left, 1)),
--- a/worksrail/core/steering/_scarcity.py
+++ b/worksrail/core/steering/_scarcity.py
@@ -173,7 +173,7 @@
     if not is_contended(state, request.service):
         return
     share = contended_load(state, request, event.now).share_in_slots
-    elapsed = event.now - request.sent_at
+    elapsed = event.now - request.current.sent_at
     _service_time(state, request).add(elapsed, share)
     slot_time(state, request).add(elapsed, share)
 
--- /dev/null
+++ b/worksrail/core/steering/_stopping.py
@@ -0,0 +1,46 @@
+"""The graceful stop of an entry."""
+
+from collections.abc import Iterator
+
+from worksrail.core.steering._on_digests import schedule_digests, send_digests
+from worksrail.core.steering._stop_times import exits_at, lingers
+from worksrail.core.steering.effects import (
+    Decision,
+    DecisionKind,
+    Effect,
+    ExitProcess,
+)
+from worksrail.core.steering.events import StopRequested
+from worksrail.core.steering.state import SteeringState
+
+
+def on_stop(state: SteeringState, event: StopRequested) -> Iterator[Effect]:
+    """Start to leave: notify the other entries, then drain requests."""
+    if state.leaving:
+        return
+    state.leaving_at = event.now
+    state.stop_account.under_way = len(state.requests)
+    yield Decision(
+        DecisionKind.LEAVING, inputs=(('requests', len(state.requests)),)
+    )
+    schedule_digests(state, event.now)
+    yield from send_digests(state, event.now)
+
+
+def exit_when_done(state: SteeringState, now: float) -> Iterator[Effect]:
+    """Exit when all requests have ended, or when the grace period does."""
+    if not state.leaving or state.exited:
+        return
+    forced = now > exits_at(state)
+    if not forced and (state.requests or lingers(state, now)):
+        return
+    still_open = len(state.requests)
+    state.exited = True
+    yield Decision(
+        DecisionKind.STOPPED,
+        inputs=(
+            ('after', round(now - state.leaving_at, 3)),
+            *state.stop_account.fields(still_open),
+        ),
+    )
+    yield ExitProcess()
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -99,11 +99,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Cancel the attempt in progress."""
+    """Cancel an attempt in progress."""
 
     request: RequestNumber
     """Number of the request."""
 
+    attempt: int
+    """Number of the attempt."""
+
 
 @dataclass(frozen=True, slots=True)
 class SendDigest:
@@ -208,6 +211,7 @@
     REQUEST_DROPPED = 'request ended after its caller had left'
     CALLER_GONE = 'caller left before the end of its answer'
     ATTEMPT_CANCELLED = 'attempt cancelled before its answer'
+    ATTEMPT_KEPT = 'silent attempt goes on without another beside it'
     CRASH_SUSPECTED = 'an upstream may have crashed under a request'
     QUARANTINED = 'request quarantined: upstreams crashed under it'
     QUARANTINE_TRIED = 'quarantined request tried again'
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -271,6 +271,9 @@
     body_digest: bytes = b''
     """Hash of its body, or of the part that is known of a long one."""
 
+    replayable: bool = True
+    """Whether all of its body is kept, so that it can be sent once more."""
+
 
 @dataclass(frozen=True, slots=True)
 class CallerGone:
@@ -317,7 +320,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NoticeReceived:
-    """The head of an answer states something about its upstream."""
+    """The head of an answer was read."""
 
     now: float
     """Monotonic time in seconds."""
@@ -337,6 +340,9 @@
     load: ReportedLoad | None = None
     """Load that it reports, if any."""
 
+    begins: bool = False
+    """Whether the answer is passed on to the caller from here on."""
+
 
 @dataclass(frozen=True, slots=True)
 class PassRefusal:
@@ -397,6 +403,9 @@
     body_digest: bytes = b''
     """Hash of its body, or of the part that is known of a long one."""
 
+    replayable: bool = True
+    """Whether all of its body is kept, so that it can be sent once more."""
+
 
 @dataclass(frozen=True, slots=True)
 class PathProbed:
--- a/worksrail/daemon/http/_body.py
+++ b/worksrail/daemon/http/_body.py
@@ -115,6 +115,15 @@
         self.changed.set()
         self.drained.set()
 
+    def replay(self) -> 'BodyStream':
+        """Return this body from its beginning, to be read beside it.
+
+        A body that is not kept in full is returned itself.
+        """
+        if not self.ended or not self.replayable:
+            return self
+        return BodyStream(self.kept, pending=deque(self.kept), ended=True)
+
     def rewind(self) -> None:
         """Restart reading from the beginning; only valid if replayable."""
         self.pending = deque(self.kept)
--- a/worksrail/daemon/http/_exchange.py
+++ b/worksrail/daemon/http/_exchange.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from functools import partial
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -74,8 +75,8 @@
     gone: bool = False
     """Whether the caller disconnected."""
 
-    task: asyncio.Task[None] | None = None
-    """The attempt in progress."""
+    tasks: dict[int, asyncio.Task[None]] = field(default_factory=dict)
+    """The attempts in progress, by number."""
 
     held: HeldBytes = field(default_factory=HeldBytes)
     """Bound on the bytes that the process holds."""
@@ -212,14 +213,21 @@
         if stream is not None:
             stream.close()
 
-    def run(self, attempt: Coroutine[Any, Any, None]) -> None:
+    def run(self, attempt: Coroutine[Any, Any, None], number: int = 0) -> None:
         """Start an attempt as a task."""
-        self.task = asyncio.ensure_future(attempt)
-
-    def cancel(self) -> None:
-        """Cancel the attempt in progress."""
-        if self.task and not self.task.done():
-            self.task.cancel()
+        task = asyncio.ensure_future(attempt)
+        self.tasks[number] = task
+        task.add_done_callback(partial(self._forget, number))
+
+    def cancel(self, number: int = 0) -> None:
+        """Cancel an attempt if it is in progress."""
+        task = self.tasks.get(number)
+        if task:
+            task.cancel()
+
+    def _forget(self, number: int, task: asyncio.Task[None]) -> None:
+        if self.tasks.get(number) is task:
+            self.tasks.pop(number)
 
     def _mark_ended(self) -> None:
         self.ended = True
--- a/worksrail/daemon/steered/_decisions.py
+++ b/worksrail/daemon/steered/_decisions.py
@@ -28,6 +28,7 @@
         DecisionKind.TOKEN_AWAITED,
         DecisionKind.CALLER_GONE,
         DecisionKind.ATTEMPT_CANCELLED,
+        DecisionKind.ATTEMPT_KEPT,
     )
 )
 _SUCCESS: Final = DecisionKind.REQUEST_ANSWERED
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -7,6 +7,7 @@
 
 from tornado import httputil
 
+from worksrail.core.availability import AvailabilityNotice
 from worksrail.core.customers import CustomerName
 from worksrail.core.pacing import NoRate
 from worksrail.core.results import ResultCode
@@ -99,6 +100,7 @@
                 exchange.number,
                 head,
                 exchange.body_digest(),
+                exchange.body.ended and exchange.body.replayable,
             )
         )
 
@@ -120,6 +122,7 @@
                 head,
                 terms,
                 exchange.body_digest(),
+                exchange.body.ended and exchange.body.replayable,
             )
         )
 
@@ -133,12 +136,12 @@
     def send_upstream(self, effect: SendUpstream) -> None:
         """Send a request to an upstream."""
         exchange = self.exchanges[effect.request]
-        exchange.run(self._attempt(exchange, effect))
+        exchange.run(self._attempt(exchange, effect), effect.attempt)
 
     def pass_request(self, effect: PassRequest) -> None:
         """Pass a request to another entry."""
         exchange = self.exchanges[effect.request]
-        exchange.run(self._attempt_passing(exchange, effect))
+        exchange.run(self._attempt_passing(exchange, effect), effect.attempt)
 
     def answer_result(self, effect: AnswerResult) -> None:
         """Answer a request with a result code."""
@@ -150,10 +153,10 @@
             exchange.answer_result(effect.code, effect.retry_after)
 
     def cancel(self, effect: CancelAttempt) -> None:
-        """Cancel the attempt in progress."""
+        """Cancel an attempt in progress."""
         exchange = self.exchanges.get(effect.request)
         if exchange:
-            exchange.cancel()
+            exchange.cancel(effect.attempt)
 
     def drop_connections(self, effect: DropConnections) -> None:
         """Close idle connections to an address."""
@@ -176,7 +179,7 @@
             self.upstreams,
             self.engine.now,
             self._build_request(exchange, effect),
-            exchange.body,
+            exchange.body.replay(),
             sink,
             partial(self._learn_notice, effect, sink),
             partial(self._is_wanted, self._upstream_of(effect)),
@@ -202,7 +205,10 @@
 
     def _upstream_of(self, effect: SendUpstream) -> str:
         request = self.engine.state.requests.get(effect.request)
-        return request.upstream if request else ''
+        attempts = request.in_progress if request else ()
+        found = (one for one in attempts if one.number == effect.attempt)
+        attempt = next(found, None)
+        return attempt.upstream if attempt else ''
 
     def _is_wanted(self, upstream: str) -> bool:
         return wants_requests(self.engine.state, upstream, self.engine.now())
@@ -220,7 +226,8 @@
             # An answer ends a limit when it is complete.
             limit = None
         load = sink.reported_load()
-        if limit or load or not notice.is_empty:
+        begins = sink.begins()
+        if limit or load or begins or not notice.is_empty:
             event = NoticeReceived(
                 self.engine.now(),
                 effect.request,
@@ -228,6 +235,24 @@
                 notice,
                 limit,
                 load,
+                begins,
+            )
+            self.engine.dispatch(event)
+
+    def _begin_passed_answer(
+        self,
+        effect: PassRequest,
+        sink: PassingSink,
+        _status: int,
+        _headers: httputil.HTTPHeaders,
+    ) -> None:
+        if sink.begins():
+            event = NoticeReceived(
+                self.engine.now(),
+                effect.request,
+                effect.attempt,
+                AvailabilityNotice(),
+                begins=True,
             )
             self.engine.dispatch(event)
 
@@ -247,7 +272,12 @@
         )
         add_terms(outgoing.headers, effect.terms)
         attempt = HttpAttempt(
-            self.peers, self.engine.now, outgoing, exchange.body, sink
+            self.peers,
+            self.engine.now,
+            outgoing,
+            exchange.body.replay(),
+            sink,
+            partial(self._begin_passed_answer, effect, sink),
         )
         report = await attempt.run()
         outcome = sink.outcome(_outcome(report, sink.answer))
--- a/worksrail/daemon/steered/_sink.py
+++ b/worksrail/daemon/steered/_sink.py
@@ -46,6 +46,11 @@
             return AnswerUse.HOLD_BACK
         return AnswerUse.REJECT if answer.altered else AnswerUse.PASS_ON
 
+    def begins(self) -> bool:
+        """Return whether the answer is passed on to the caller."""
+        answer = self.answer
+        return answer is not None and answer.executed and not answer.misdirected
+
     def named_limit(self) -> NamedLimit | None:
         """Return the limit that the answer names for its upstream.
 
