Answer every open request before a stopping entry exits

What callers saw: an entry that was asked to stop took requests until 0.58 of the grace period and exited at 0.95 of it whatever was under way; their connections closed without a word. Cause: the exit looked at the clock only, and requests were taken and sent again without a look at the time left until it. Change: requests are taken until 0.48 of the grace period; one that cannot be answered before the exit by the estimate of its upstream is refused unsent; at the exit each open request is refused if it is at no upstream, or told that its end is unknown (ENTRY_STOPPED, 4008), before the process ends. Conclusion: a stop leaves nobody without an answer in the model; processes are checked by tests of their own.

--- a/worksrail/core/results.py
+++ b/worksrail/core/results.py
@@ -276,6 +276,9 @@
         'What the upstream sent is no answer to this request.',
         _READ_BACK,
     )
+    ENTRY_STOPPED = _unknown(
+        4008, 504, 'This entry had to exit before the answer came.', _READ_BACK
+    )
     INVALID_BUNDLE = _operator(
         5001, 422, _EXIT_INVALID, 'The bundle has faults.', 'Correct them.'
     )
--- a/worksrail/core/steering/_placing.py
+++ b/worksrail/core/steering/_placing.py
@@ -77,6 +77,8 @@
     if isinstance(choice, ResultCode):
         delay = _delay_of(state, request, choice, now)
         yield from refuse(state, request, choice, now, delay=delay)
+    elif now + choice.wait + choice.latency > exits_at(state):
+        yield from refuse(state, request, ResultCode.ENTRY_LEAVING, now)
     elif permission is Permission.TOKEN_NEEDED:
         yield from await_token(state, request, choice.upstream.name, now)
     else:
--- a/worksrail/core/steering/_stop_times.py
+++ b/worksrail/core/steering/_stop_times.py
@@ -5,10 +5,10 @@
 from worksrail.core.steering.state import SteeringState
 
 # Shares of the grace period after the stop request.  Callers may come with a
-# look-up answer that lists this entry until the first one, and
-# requests are taken a little longer.
+# look-up answer that lists this entry until the first one.  Requests are taken
+# a little less long, as a busy process handles the signal late.
 _LINGER_SHARE: Final = 0.5
-_LAST_ARRIVAL_SHARE: Final = 0.58
+_LAST_ARRIVAL_SHARE: Final = 0.48
 # The process exits at the last one, whatever is still under way.
 _FORCED_EXIT_SHARE: Final = 0.95
 
--- a/worksrail/core/steering/_stopping.py
+++ b/worksrail/core/steering/_stopping.py
@@ -2,9 +2,15 @@
 
 from collections.abc import Iterator
 
+from worksrail.core.results import ResultCode
+from worksrail.core.steering._ending import abandon
 from worksrail.core.steering._on_digests import schedule_digests, send_digests
+from worksrail.core.steering._placing import refuse
+from worksrail.core.steering._request import SteeredRequest
+from worksrail.core.steering._request_log import request_failed
 from worksrail.core.steering._stop_times import exits_at, lingers
 from worksrail.core.steering.effects import (
+    AnswerResult,
     Decision,
     DecisionKind,
     Effect,
@@ -35,6 +41,8 @@
     if not forced and (state.requests or lingers(state, now)):
         return
     still_open = len(state.requests)
+    for request in tuple(state.requests.values()):
+        yield from _end_at_exit(state, request, now)
     state.exited = True
     yield Decision(
         DecisionKind.STOPPED,
@@ -44,3 +52,22 @@
         ),
     )
     yield ExitProcess()
+
+
+def _end_at_exit(
+    state: SteeringState,
+    request: SteeredRequest,
+    now: float,
+) -> Iterator[Effect]:
+    """Answer a request that is still open when the process must exit."""
+    attempts = request.in_progress
+    if not attempts:
+        # It waits for a token or for the verdict on a quota.
+        yield from refuse(state, request, ResultCode.ENTRY_LEAVING, now)
+        return
+    code = ResultCode.ENTRY_STOPPED
+    state.requests.pop(request.number)
+    yield request_failed(request, code, now, denial='exit')
+    yield AnswerResult(request.number, code, sends=request.sends)
+    for attempt in attempts:
+        yield from abandon(state, request, attempt, 'exit', now)
