Send the ends of answers and refuse half-read requests before the exit

Cause: the process closed its connections 0.1 s after the last request had ended by its account. What a slow reader had not taken yet (the last chunk of an answer) was dropped, and a request whose body was half in got no answer. Change: the exit waits for answers that are still being sent, up to the end of the grace period, and refuses requests that are not read whole, unsent.

--- a/worksrail/core/steering/__init__.py
+++ b/worksrail/core/steering/__init__.py
@@ -38,6 +38,7 @@
     EntrySettings,
     SteeringBounds,
 )
+from worksrail.core.steering._stop_times import exits_at
 from worksrail.core.steering._store_sync import StoreUpdate
 from worksrail.core.steering._store_watch import store_update_since
 from worksrail.core.steering.state import SteeringState
@@ -70,6 +71,7 @@
     'current_shares',
     'decode_terms',
     'encode_terms',
+    'exits_at',
     'incarnation_name',
     'is_contended',
     'look_up',
--- a/worksrail/daemon/http/_server.py
+++ b/worksrail/daemon/http/_server.py
@@ -1,8 +1,9 @@
 """HTTP server: connections, limits and malformed messages."""
 
+import asyncio
 import uuid
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Final, Protocol
 
 from tornado import httputil
@@ -22,6 +23,8 @@
 
 _EMPTY_BAD_REQUEST: Final = b'HTTP/1.1 400 Bad Request\r\n\r\n'
 _MAX_PARSED_HEADER_BYTES: Final = 1_048_576
+# Seconds between two checks whether answers have been sent.
+_FLUSH_INTERVAL: Final = 0.02
 _MAX_TRACE_LENGTH: Final = 128
 _MAX_BODY_BYTES: Final = 67_108_864
 # Seconds after which a caller may retry that was refused for want of memory:
@@ -102,6 +105,7 @@
         closing = getattr(self.connection, 'set_close_callback', None)
         if closing:
             closing(self.on_connection_close)
+        self.server.open.receiving[exchange.number] = exchange
         # After an answer before the end of the body the connection must be
         # closed, so a small body is read first and only a large one streamed.
         self.streamed = int(headers.get('Content-Length', '0')) > REPLAY_LIMIT
@@ -130,6 +134,7 @@
         if exchange is None or exchange.gone:
             return
         exchange.gone = True
+        self.server.open.receiving.pop(exchange.number, None)
         exchange.body.break_off()
         if not self.dispatched:
             exchange.give_back_body()
@@ -140,6 +145,7 @@
         exchange = self.exchange
         if exchange and not self.dispatched and not exchange.ended:
             self.dispatched = True
+            self.server.open.receiving.pop(exchange.number, None)
             self.server.handler.arrived(exchange)
 
     def _validate(
@@ -164,6 +170,17 @@
         return None
 
 
+@dataclass(slots=True)
+class OpenConnections:
+    """What is open at a server."""
+
+    connections: set[HTTP1ServerConnection] = field(default_factory=set)
+    """All connections."""
+
+    receiving: dict[int, Exchange] = field(default_factory=dict)
+    """Requests whose bodies have not arrived completely, by number."""
+
+
 class ExchangeServer(TCPServer, httputil.HTTPServerConnectionDelegate):
     """Accepts connections and creates an exchange for each request."""
 
@@ -189,11 +206,11 @@
         self.numbers = numbers
         self.dialect = dialect
         self.held = held or HeldBytes()
-        self.connections: set[HTTP1ServerConnection] = set()
+        self.open = OpenConnections()
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve a connection, or close it if there are too many."""
-        if len(self.connections) >= self.limits.connections:
+        if len(self.open.connections) >= self.limits.connections:
             stream.close()
             return
         add_result_to_bad_requests(stream)
@@ -207,7 +224,7 @@
         server_connection = HTTP1ServerConnection(
             stream, parameters, address[0]
         )
-        self.connections.add(server_connection)
+        self.open.connections.add(server_connection)
         server_connection.start_serving(self)
 
     def start_request(
@@ -221,11 +238,24 @@
 
     def on_close(self, server_conn: object) -> None:
         """Remove a closed connection."""
-        self.connections.discard(server_conn)  # type: ignore[arg-type]
+        self.open.connections.discard(server_conn)  # type: ignore[arg-type]
+
+    def refuse_unread(self, code: ResultCode) -> None:
+        """Refuse the requests whose bodies have not arrived completely."""
+        unread = tuple(self.open.receiving.values())
+        self.open.receiving.clear()
+        for exchange in unread:
+            exchange.closing = True
+            exchange.answer_result(code)
+
+    async def flush(self) -> None:
+        """Wait until all answers that were written have been sent."""
+        while any(one.stream.writing() for one in self.open.connections):
+            await asyncio.sleep(_FLUSH_INTERVAL)
 
     async def close_connections(self) -> None:
         """Close all connections."""
-        for connection in tuple(self.connections):
+        for connection in tuple(self.open.connections):
             await connection.close()
 
 
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -19,6 +19,7 @@
     RoutingConfiguration,
     SteeringState,
     effects,
+    exits_at,
 )
 from worksrail.core.steering.events import StopRequested
 from worksrail.core.steering.kinds import StoreKind
@@ -63,6 +64,8 @@
 _TICK_INTERVAL: Final = 0.1
 # Timeout in seconds for closing connections at exit.
 _CLOSE_TIMEOUT: Final = 0.1
+# Maximum seconds for which the exit waits for callers that read slowly.
+_MAX_FLUSH_TIME: Final = 5.0
 # Interval in seconds of reloading the settings and summarising the log.
 _HOUSEKEEPING_INTERVAL: Final = 1.0
 # Port of the metrics, at the host of the readiness checks.
@@ -357,12 +360,23 @@
             task.cancel()
         for server in self.servers:
             server.stop()
+            server.refuse_unread(ResultCode.ENTRY_LEAVING)
+        await self._flush()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_CLOSE_TIMEOUT):
                 for listening in self.servers:
                     await listening.close_connections()
         self.digests.close()
 
+    async def _flush(self) -> None:
+        """Let callers that read slowly have the ends of their answers."""
+        left = exits_at(self.engine.state) - self.engine.now()
+        seconds = max(_CLOSE_TIMEOUT, min(left, _MAX_FLUSH_TIME))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                for server in self.servers:
+                    await server.flush()
+
 
 def serve(adapter: Adapter) -> None:
     """Run an entry with the settings of the adapter until it is stopped."""
