End kept connections of the own mode with an answer during a stop

Cause: an entry of the own mode kept its callers' connections open until the exit and closed them all then. A request that arrives on one of them in that moment gets no answer, and its caller cannot tell whether it ran.

Change: from SIGTERM on each answer says `Connection: close` and ends its connection, also those of requests that were open before. An answer that has begun is left as it is. The steered mode does so already.

Conclusion: only a connection without any request since SIGTERM is still open at the exit. Look-ups are answered elsewhere and keep theirs.

--- a/tests/processes/test_signals.py
+++ b/tests/processes/test_signals.py
@@ -310,3 +310,29 @@
     with _started(command, tmp_path, NOTIFY_SOCKET=gone) as running:
         running.wait_serving()
         running.wait_written('"message":"service manager not notified"')
+
+
+def _answer_on(caller: socket.socket) -> bytes:
+    """Send a request on an open connection and read its answer."""
+    caller.sendall(b'GET / HTTP/1.1\r\nHost: orders.example\r\n\r\n')
+    received = b''
+    while b'\r\n\r\n' not in received:
+        part = caller.recv(65536)
+        assert part, received
+        received += part
+    return received
+
+
+def test_kept_connection_ends_with_an_answer_and_not_at_the_exit(
+    program: Program,
+) -> None:
+    """A request that arrives as the process exits would get no answer."""
+    with socket.create_connection(program.front, _PATIENCE) as caller:
+        assert b'connection: close' not in _answer_on(caller).lower()
+        program.process.send_signal(signal.SIGTERM)
+        program.wait_written('"message":"leaving"')
+        assert b'connection: close' in _answer_on(caller).lower()
+        caller.settimeout(_PATIENCE)
+        while caller.recv(65536):
+            pass
+    assert program.process.wait(_PATIENCE) == 0
--- a/worksrail/daemon/http/_requests.py
+++ b/worksrail/daemon/http/_requests.py
@@ -88,6 +88,7 @@
 
     def arrived(self, exchange: Exchange, *, trusted: bool = False) -> None:
         """Dispatch the arrival of a request; invalid headers are refused."""
+        exchange.closing = self._is_stopping()
         head = self._request_head(exchange, trusted=trusted)
         if isinstance(head, ResultCode):
             exchange.answer_result(head)
@@ -108,6 +109,15 @@
         if exchange.number in self.exchanges:
             self.engine.dispatch(CallerGone(self.engine.now(), exchange.number))
 
+    def announce_stop(self) -> None:
+        """Close the connections of open requests after their answers.
+
+        A request that arrives on one of them at the exit would not be read.
+        """
+        for exchange in self.exchanges.values():
+            # The caller must learn it from the head of the answer.
+            exchange.closing = exchange.closing or not exchange.begun
+
     # -- effects
 
     def send_upstream(self, effect: SendUpstream) -> None:
@@ -179,6 +189,10 @@
 
     # -- helpers
 
+    def _is_stopping(self) -> bool:
+        leaving = self.engine.instance.leaving
+        return leaving is not None and leaving.exits
+
     def _request_head(
         self,
         exchange: Exchange,
--- a/worksrail/daemon/main.py
+++ b/worksrail/daemon/main.py
@@ -156,6 +156,7 @@
     def stop(self) -> None:
         """Start a graceful stop."""
         self.engine.dispatch(StopRequested(self.engine.now()))
+        self.requests.announce_stop()
 
     def reload(self) -> None:
         """Reload the certificates.
