Answer requests whose service or quota a new bundle has no more

Cause: a request that waited for a slot, or was sent or passed and had to be placed again, was looked up in a topology without its service: KeyError in the reducer, out of `Engine.dispatch`, at a tick out of the task of the ticks. A request that waited for a quota was never resumed once the bundle had no quotas, since its report was not timed out any more. Neither got an answer, and a stop waits for open requests, so it had no end.

Change: requests that wait are refused as an unknown service when the bundle comes into force, and others when they are placed again. Limits are maintained while a request still waits for one.

Conclusion: a change of the bundle ends no request without a word. That a fault in the reducer ends the task of the ticks is not changed.

--- a/worksrail/core/_arriving.py
+++ b/worksrail/core/_arriving.py
@@ -58,7 +58,9 @@
 
 def maintain_limits(instance: Instance, now: float) -> Iterator[Effect]:
     """Update the members that share the limits, and report admissions."""
-    if not instance.limits.limits:
+    limits = instance.limits
+    # Requests may still wait for limits that a new bundle does not have.
+    if not (limits.limits or limits.reports.pending or limits.unanswered):
         return
     if instance.status(now) is not MemberStatus.JOINING:
         members = members_by_region(instance, now)[ALL_REGIONS]
--- a/worksrail/core/_dispatching.py
+++ b/worksrail/core/_dispatching.py
@@ -52,6 +52,9 @@
     now: float,
 ) -> Iterator[Effect]:
     """Send a request, queue it, pass it on, or refuse it at once."""
+    if _is_removed(instance, active.service):
+        yield from finish(instance, active, ResultCode.UNKNOWN_SERVICE, now)
+        return
     neighbour = _neighbour_for_lost_service(instance, active, now)
     if neighbour:
         active.tried_instances.add(neighbour.who.name)
@@ -143,6 +146,21 @@
             yield from pass_on(instance, active, target)
         else:
             yield from finish(instance, active, ResultCode.NO_SLOT, now)
+    instance.lending.note_shortage(slot_group(service), len(queue))
+
+
+def refuse_removed(instance: Instance, now: float) -> Iterator[Effect]:
+    """Refuse requests that wait for a service that the bundle has no more."""
+    for service, state in instance.services.items():
+        if not _is_removed(instance, service):
+            continue
+        for queue in (state.queue, state.retries):
+            while queued := queue.pop():
+                active = instance.requests[queued.request]
+                yield from finish(
+                    instance, active, ResultCode.UNKNOWN_SERVICE, now
+                )
+        instance.lending.note_shortage(slot_group(service), 0)
 
 
 def pass_on(
@@ -246,6 +264,11 @@
     yield from send(instance, active, placement, now)
 
 
+def _is_removed(instance: Instance, service: str) -> bool:
+    topology = instance.configuration.topology
+    return topology is None or service not in topology.services
+
+
 def _refuse(
     instance: Instance,
     active: ActiveRequest,
--- a/worksrail/core/_on_configuration.py
+++ b/worksrail/core/_on_configuration.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from worksrail.core._dispatching import refuse_removed
 from worksrail.core.configuration import HeadVerdict
 from worksrail.core.effects import (
     Effect,
@@ -74,6 +75,7 @@
     old = set(before.upstreams) if before else set(topology.upstreams)
     _monitor(instance, set(topology.upstreams), set(topology.upstreams) - old)
     enforce_drains(instance, event.now)
+    yield from refuse_removed(instance, event.now)
     yield Note(
         NoteKind.GENERATION_APPLIED,
         event.digest,
