Give free slots and retries before waits end, and let queued retries wait

Cause: on a tick, requests whose wait was over were refused before the slots that the same tick released were given out, so a request was refused in the moment in which a slot was free. A request in the queue whose retry the budget did not allow when its slot came was refused at once, though the same request is let wait for the budget when it is placed.

Change: waiting requests are dispatched first, then those whose wait is over are refused; one whose deadline has passed is not sent. A queued retry waits for the budget if it is expected to allow it, no longer than the request would have been queued.

Conclusion: a queue is left only for a slot, another instance, or a refusal once nothing is free.

--- a/tests/test_own_stops.py
+++ b/tests/test_own_stops.py
@@ -245,6 +245,65 @@
     assert number not in entry.instance.requests
 
 
+@pytest.mark.parametrize(
+    'outcome', [AttemptOutcome.TIMED_OUT, AttemptOutcome.BROKE_BEFORE_ANSWER]
+)
+def test_request_whose_slot_is_released_is_not_refused_instead(
+    outcome: AttemptOutcome,
+) -> None:
+    """A slot that is released at the end of the wait is taken."""
+    entry = _Entry.start_settled()
+    number = _waits(entry)
+    for running in range(1, 1 + _SLOTS):
+        entry.instance.requests[running].idempotent = False
+        entry.end(running, outcome)
+    assert entry.instance.releases
+    entry.tick(_QUEUE_WAIT_S + _TICK_S)
+    assert not entry.codes(number)
+    assert entry.instance.requests[number].state is RequestState.SENT
+
+
+def test_request_is_not_sent_after_its_deadline() -> None:
+    """The process stood still, so nothing ended its wait in time."""
+    entry = _Entry.start_settled()
+    number = _waits(entry)
+    entry.instance.requests[number].deadline = entry.now + 1
+    for running in range(1, 1 + _SLOTS):
+        entry.end(running, AttemptOutcome.TIMED_OUT)
+    entry.tick(1)
+    assert entry.codes(number) == [ResultCode.NO_SLOT]
+
+
+def test_queued_retry_waits_for_the_budget_that_was_spent_meanwhile() -> None:
+    entry = _Entry.start_settled()
+    number = _waits(entry)
+    active = entry.instance.requests[number]
+    active.failed_with, active.attempts = ResultCode.UPSTREAM_SHED, 1
+    budget = entry.instance.retry_budget(_SERVICE)
+    budget.tokens, budget.success_rate = 0.3, 20.0
+    budget.updated_at = entry.now
+    entry.end(1)
+    assert not entry.codes(number)
+    assert active.state is RequestState.WAITING_FOR_BUDGET
+    budget.tokens = 1
+    entry.end(2)
+    assert entry.instance.requests[number].state is RequestState.SENT
+
+
+def test_queued_retry_waits_no_longer_than_it_would_have_queued() -> None:
+    entry = _Entry.start_settled()
+    number = _waits(entry)
+    active = entry.instance.requests[number]
+    active.failed_with, active.attempts = ResultCode.UPSTREAM_SHED, 1
+    budget = entry.instance.retry_budget(_SERVICE)
+    budget.tokens, budget.success_rate = 0.3, 20.0
+    budget.updated_at = entry.now + _QUEUE_WAIT_S / 2
+    entry.run(_QUEUE_WAIT_S / 2)
+    entry.end(1)
+    entry.run(_QUEUE_WAIT_S / 2 + _TICK_S)
+    assert entry.codes(number) == [ResultCode.UPSTREAM_SHED]
+
+
 @pytest.mark.parametrize('seconds', [0.1, 1, 2.9, 3.5, 6])
 def test_second_stop_changes_nothing(seconds: float) -> None:
     entry = _Entry.start_settled()
--- a/worksrail/core/_dispatching.py
+++ b/worksrail/core/_dispatching.py
@@ -1,6 +1,6 @@
 """Dispatching requests: to an upstream, a queue or another region."""
 
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 from math import inf
 from typing import Final
 
@@ -106,13 +106,8 @@
         queued = queue.pop()
         if queued is None:
             break
-        active = instance.requests[queued.request]
-        placement = _acquire_unless_blocked(instance, active, now)
-        if isinstance(placement, Placement):
-            yield from _send(instance, active, placement, now)
-        elif placement in _BLOCKED_CODES:
-            yield from _refuse(instance, active, placement, now)
-        else:
+        is_dispatched = yield from _dispatch_queued(instance, queued, now)
+        if not is_dispatched:
             queue.put_first(queued)
             break
     instance.lending.note_shortage(slot_group(service), len(queue))
@@ -224,6 +219,27 @@
         yield from finish(instance, active, code, now, wait)
 
 
+def _dispatch_queued(
+    instance: Instance,
+    queued: QueuedRequest,
+    now: float,
+) -> Generator[Effect, None, bool]:
+    """Send a request of the queue; return whether it has left the queue."""
+    active = instance.requests[queued.request]
+    if now >= active.deadline:
+        yield from finish(instance, active, ResultCode.NO_SLOT, now)
+        return True
+    placement = _acquire_unless_blocked(instance, active, now)
+    if isinstance(placement, Placement):
+        yield from _send(instance, active, placement, now)
+        return True
+    if placement in _BLOCKED_CODES:
+        max_wait = queued.give_up_at - now
+        yield from _wait_for_retry(instance, active, placement, now, max_wait)
+        return True
+    return False
+
+
 def _dispatch_retry(
     instance: Instance,
     service: str,
@@ -328,9 +344,10 @@
     active: ActiveRequest,
     code: ResultCode,
     now: float,
+    upper_bound: float = inf,
 ) -> Iterator[Effect]:
     """Queue a request if a retry is expected in time; else refuse it."""
-    max_wait = _max_wait(instance, active, now)
+    max_wait = min(upper_bound, _max_wait(instance, active, now))
     quarantined = code is ResultCode.REQUEST_HELD
     if quarantined or not is_earned_within(instance, active, max_wait, now):
         yield from _refuse(instance, active, code, now)
--- a/worksrail/core/_on_time.py
+++ b/worksrail/core/_on_time.py
@@ -176,11 +176,12 @@
 
 def _process_queues(instance: Instance, now: float) -> Iterator[Effect]:
     for service, state in instance.services.items():
-        if state.retries.entries:
-            yield from expire_retries(instance, service, now)
-        if state.queue.entries:
-            yield from expire_queued(instance, service, now)
-            yield from dispatch_waiting(instance, service, now)
+        if not state.retries.entries and not state.queue.entries:
+            continue
+        # A slot or retry that is free now goes to a request whose wait ends.
+        yield from dispatch_waiting(instance, service, now)
+        yield from expire_retries(instance, service, now)
+        yield from expire_queued(instance, service, now)
 
 
 # -- heartbeats, seats and their shares
