Keep a drained entry closed when it is asked to stop

Cause: a stop of an entry that an operator had drained began a new time in which it took requests. A drained entry may have handed on its seats, so these requests could only be passed on or refused, and the exit came later.

Change: the stop of a drained entry keeps the end of taking requests that its drain has set.

Conclusion: once set, the end of taking requests is not moved later.

--- a/tests/test_own_stops.py
+++ b/tests/test_own_stops.py
@@ -319,6 +319,19 @@
     assert entry.has_exited
 
 
+@pytest.mark.parametrize('seconds', [0.5, 4, 20])
+def test_stop_of_a_drained_entry_does_not_open_it_again(seconds: float) -> None:
+    entry = _Entry.start_settled()
+    entry.drain(_ENTRY)
+    assert entry.instance.leaving
+    until = entry.instance.leaving.accepts_until
+    entry.run(seconds)
+    entry.stop()
+    assert entry.instance.leaving.accepts_until == until
+    entry.run(until - entry.now + 20)
+    assert entry.has_exited
+
+
 def test_end_of_a_drain_does_not_end_a_stop() -> None:
     entry = _Entry.start_settled()
     entry.drain(_ENTRY)
--- a/worksrail/core/_on_time.py
+++ b/worksrail/core/_on_time.py
@@ -144,12 +144,14 @@
 
 def on_stop(instance: Instance, event: StopRequested) -> Iterator[Effect]:
     """Start a graceful stop."""
-    if instance.leaving and instance.leaving.exits:
-        return
+    accepts_until = event.now + cached_answer_lifetime(instance)
+    if instance.leaving:
+        if instance.leaving.exits:
+            return
+        # A drained entry may have handed on its seats.
+        accepts_until = min(accepts_until, instance.leaving.accepts_until)
     instance.leaving = LeaveState(
-        event.now,
-        exits=True,
-        accepts_until=event.now + cached_answer_lifetime(instance),
+        event.now, exits=True, accepts_until=accepts_until
     )
     yield Note(NoteKind.LEAVING, instance.who.label)
     yield from _broadcast_record(instance, event.now)
