--- a/tests/test_own_stops.py
+++ b/tests/test_own_stops.py
@@ -23,6 +23,7 @@
     AttemptEnded,
     AttemptOutcome,
     BundleFetched,
+    CallerGone,
     DrainsSeen,
     Event,
     PassEnded,
@@ -356,3 +357,19 @@
         entry.end(1)
     else:
         assert entry.codes(1) == [ResultCode.ENTRY_LEAVING]
+
+
+@pytest.mark.parametrize('idempotent', [True, False])
+@pytest.mark.parametrize('begin', [_runs, _is_passed])
+def test_only_a_caller_that_leaves_cancels_its_request(
+    begin: Callable[[_Entry], int], idempotent: bool
+) -> None:
+    entry = _Entry.start_settled()
+    number = begin(entry)
+    entry.instance.requests[number].idempotent = idempotent
+    entry.stop()
+    entry.run(_DEADLINE_S - _TICK_S)
+    assert CancelRequest(number) not in entry.effects
+    entry.give(CallerGone(entry.now, number))
+    assert (CancelRequest(number) in entry.effects) is idempotent
+    assert number in entry.instance.requests
