--- a/worksrail/core/_on_time.py
+++ b/worksrail/core/_on_time.py
@@ -144,12 +144,14 @@
 
 def on_stop(instance: Instance, event: StopRequested) -> Iterator[Effect]:
     """Start a graceful stop."""
-    if instance.leaving and instance.leaving.exits:
-        return
+    accepts_until = event.now + cached_answer_lifetime(instance)
+    if instance.leaving:
+        if instance.leaving.exits:
+            return
+        # A drained entry may have handed on its seats.
+        accepts_until = min(accepts_until, instance.leaving.accepts_until)
     instance.leaving = LeaveState(
-        event.now,
-        exits=True,
-        accepts_until=event.now + cached_answer_lifetime(instance),
+        event.now, exits=True, accepts_until=accepts_until
     )
     yield Note(NoteKind.LEAVING, instance.who.label)
     yield from _broadcast_record(instance, event.now)
@@ -176,11 +178,12 @@
 
 def _process_queues(instance: Instance, now: float) -> Iterator[Effect]:
     for service, state in instance.services.items():
-        if state.retries.entries:
-            yield from expire_retries(instance, service, now)
-        if state.queue.entries:
-            yield from expire_queued(instance, service, now)
-            yield from dispatch_waiting(instance, service, now)
+        if not state.retries.entries and not state.queue.entries:
+            continue
+        # A slot or retry that is free now goes to a request whose wait ends.
+        yield from dispatch_waiting(instance, service, now)
+        yield from expire_retries(instance, service, now)
+        yield from expire_queued(instance, service, now)
 
 
 # -- heartbeats, seats and their shares
