Give requests that cannot be repeated no connection that has rested

Cause: the pool gave the last idle connection to any request and learned only from a loss that an upstream forgets connections.

Change: Outgoing.repeatable. A request without it takes an idle connection only within 0.1 s of an answer (the floor below which the pool reuses connections anyway), and none for 10 s after a stale one was seen at any address. Otherwise a new connection replaces the one that rested longest, so that the number of connections does not grow. All others take rested connections as before. What broke on one still counts as perhaps executed. Own mode: idempotent requests whose body is kept are repeatable.

Conclusion: learning from losses comes too late for what cannot be repeated, since each entry learns alone.

--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -3,14 +3,21 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
+from tornado.httputil import HTTPHeaders, RequestStartLine
 from tornado.iostream import IOStream
 from tornado.tcpserver import TCPServer
 from tornado.testing import bind_unused_port
 
+from worksrail.core.effects import SendUpstream
+from worksrail.core.requests import TicketSigner
+from worksrail.daemon.http._body import REPLAY_LIMIT
 from worksrail.daemon.http._connections import Acquired, ConnectionPool
+from worksrail.daemon.http._exchange import Exchange
+from worksrail.daemon.http._requests import HttpRequests
 
 
 class Accepting(TCPServer):
@@ -33,9 +40,9 @@
         self.server = server
         self.pool = ConnectionPool(lambda: self.now)
 
-    async def acquire_one(self) -> Acquired:
+    async def acquire_one(self, *, repeatable: bool = True) -> Acquired:
         """Acquire a connection."""
-        return await self.pool.acquire(self.address, 5)
+        return await self.pool.acquire(self.address, 5, repeatable=repeatable)
 
     def release(
         self, acquired: Acquired, keep_alive_timeout: float | None = None
@@ -125,6 +132,91 @@
     assert _run_with_pool(use)
 
 
+@pytest.mark.parametrize(
+    ('idle', 'reused'),
+    [
+        # Nobody has seen a stale connection yet, and somebody must be first.
+        (0.05, True),
+        (0.15, False),
+        (2, False),
+    ],
+)
+def test_first_stale_connection_is_not_met_by_a_request_that_must_run_once(
+    idle: float, reused: bool
+) -> None:
+    async def use(pool: Pool) -> bool:
+        first = await pool.acquire_one()
+        pool.release(first)
+        pool.now += idle
+        found = await pool.acquire_one(repeatable=False)
+        return found.stream is first.stream
+
+    assert _run_with_pool(use) is reused
+
+
+@pytest.mark.parametrize(
+    ('stale_idle', 'later', 'idle', 'repeatable', 'reused'),
+    [
+        # Half of the idle time of the stale connection may still be too long,
+        # and so may any other: upstreams differ.
+        (2, 0, 0.05, False, False),
+        (2, 9.8, 0.05, False, False),
+        (2, 10, 0.05, False, True),
+        (0.02, 0, 0.01, False, False),
+        (2, 0, 0.05, True, True),
+        (2, 0, 0.9, True, True),
+    ],
+)
+def test_after_a_stale_connection_requests_that_must_run_once_get_new_ones(
+    stale_idle: float,
+    later: float,
+    idle: float,
+    repeatable: bool,
+    reused: bool,
+) -> None:
+    async def use(pool: Pool) -> bool:
+        stale, other = await pool.acquire_one(), await pool.acquire_one()
+        pool.release(stale)
+        pool.now += stale_idle
+        pool.pool.record_failure(await pool.acquire_one(), 0.01)
+        pool.now += later
+        pool.release(other)
+        pool.now += idle
+        found = await pool.acquire_one(repeatable=repeatable)
+        return found.stream is other.stream
+
+    assert _run_with_pool(use) is reused
+
+
+def test_requests_that_must_run_once_do_not_accumulate_connections() -> None:
+    async def use(pool: Pool) -> tuple[int, int]:
+        for _ in range(2):
+            # Two connections rest; each replaced one is the eldest.
+            first, second = await pool.acquire_one(), await pool.acquire_one()
+            pool.release(first)
+            pool.release(second)
+        for _ in range(20):
+            pool.now += 1
+            pool.release(await pool.acquire_one(repeatable=False))
+        idle = pool.pool.idle[pool.address]
+        return len(idle), len({id(one.stream) for one in idle})
+
+    assert _run_with_pool(use) == (2, 2)
+
+
+def test_rested_connection_is_kept_for_requests_that_may_be_repeated() -> None:
+    async def use(pool: Pool) -> bool:
+        eldest, rested = await pool.acquire_one(), await pool.acquire_one()
+        pool.release(eldest)
+        pool.release(rested)
+        pool.now += 1
+        await pool.acquire_one(repeatable=False)
+        assert eldest.stream.closed()
+        return (await pool.acquire_one()).stream is rested.stream
+
+    assert _run_with_pool(use)
+
+
 class ClosedStreamClient:
     """Returns connections that were reset right after connecting."""
 
@@ -158,3 +250,61 @@
         return (await pool.acquire_one()).stream is first.stream
 
     assert not _run_with_pool(use)
+
+
+class RecordingPool:
+    """Has no connections and records for what they were asked."""
+
+    def __init__(self) -> None:
+        """Begin with no requests."""
+        self.repeatable: list[bool] = []
+
+    async def acquire(self, *_: Any, repeatable: bool) -> Acquired:
+        """Record whether the request may be repeated."""
+        self.repeatable.append(repeatable)
+        raise OSError('no connection')
+
+
+@pytest.mark.parametrize(
+    ('idempotent', 'size', 'repeatable'),
+    [
+        (True, 0, True),
+        (True, REPLAY_LIMIT + 1, False),
+        (False, 0, False),
+    ],
+)
+def test_own_mode_tells_the_pool_which_requests_may_be_repeated(
+    idempotent: bool, size: int, repeatable: bool
+) -> None:
+    async def send() -> None:
+        exchange = Exchange(
+            connection,
+            RequestStartLine('GET', '/', 'HTTP/1.1'),
+            HTTPHeaders({'Host': 'orders.example'}),
+            '10.0.0.1',
+            't',
+            1,
+        )
+        exchange.body.size = size
+        requests.exchanges[1] = exchange
+        requests.send_upstream(
+            SendUpstream(1, 'u', '127.0.0.1:1', 9.0, 9.0, idempotent)
+        )
+        async with asyncio.timeout(30):
+            while not ended:
+                await asyncio.sleep(0)
+
+    ended: list[Any] = []
+    connection: Any = None
+    pool: Any = RecordingPool()
+    active = SimpleNamespace(home='a', customer='')
+    engine: Any = SimpleNamespace(
+        now=lambda: 0.0,
+        dispatch=ended.append,
+        instance=SimpleNamespace(
+            requests={1: active}, place=SimpleNamespace(region='a')
+        ),
+    )
+    requests = HttpRequests(engine, pool, pool, lambda: TicketSigner((b's',)))
+    asyncio.run(send())
+    assert pool.repeatable == [repeatable]
--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -97,6 +97,9 @@
     takes_unframed: bool = False
     """Whether an answer without a length may end when its connection closes."""
 
+    repeatable: bool = True
+    """Whether it may be sent again if the connection fails before an answer."""
+
 
 @dataclass(slots=True)
 class AttemptReport:
@@ -274,7 +277,11 @@
     async def _acquire(self, report: AttemptReport) -> Acquired | None:
         timeout = min(_CONNECT_TIMEOUT, self.outgoing.deadline - self.clock())
         try:
-            acquired = await self.pool.acquire(self.outgoing.address, timeout)
+            acquired = await self.pool.acquire(
+                self.outgoing.address,
+                timeout,
+                repeatable=self.outgoing.repeatable,
+            )
         except (OSError, TimeoutError, asyncio.CancelledError) as error:
             _LOG.debug(
                 'connecting to {} failed: {}', self.outgoing.address, error
--- a/worksrail/daemon/http/_connections.py
+++ b/worksrail/daemon/http/_connections.py
@@ -23,6 +23,9 @@
 _REUSABLE_IDLE_SHARE: Final = 0.5
 _MIN_REUSABLE_IDLE: Final = 0.1
 _STALE_WINDOW: Final = 10.0
+# A remote side may begin to forget idle connections at any moment, so only one
+# that has just carried an answer serves a request that cannot be repeated.
+_TRUSTED_IDLE: Final = 0.1
 # A connection is dead when the remote host has acknowledged nothing for
 # 2000 ms, neither sent bytes nor the keepalive probes that follow 1 s of
 # silence.  Linux ignores the number of probes beside TCP_USER_TIMEOUT.
@@ -82,17 +85,20 @@
     stale_at: float = -inf
     """Time at which a reused connection last proved to be stale."""
 
-    async def acquire(self, address: str, timeout: float) -> Acquired:
-        """Return an idle connection or open a new one; raises ``OSError``."""
-        idle_connections = self.idle[address]
-        while idle_connections:
-            idle = idle_connections.pop()
-            idle_for = self.clock() - idle.since
-            if not self._is_usable(idle, idle_for):
-                idle.stream.close()
-                continue
-            idle.stream.set_close_callback(None)
-            return Acquired(idle.stream, idle_for, 0)
+    async def acquire(
+        self,
+        address: str,
+        timeout: float,
+        *,
+        repeatable: bool = True,
+    ) -> Acquired:
+        """Return an idle connection or open a new one; raises ``OSError``.
+
+        A request that cannot be repeated gets none that has rested.
+        """
+        acquired = self._take_idle(address, repeatable=repeatable)
+        if acquired:
+            return acquired
         began = self.clock()
         stream = await self._connect(address, timeout)
         return Acquired(stream, 0, self.clock() - began)
@@ -146,6 +152,33 @@
                 idle.stream.close()
             idle_connections.clear()
 
+    def _take_idle(
+        self,
+        address: str,
+        *,
+        repeatable: bool,
+    ) -> Acquired | None:
+        idle_connections = self.idle[address]
+        while idle_connections:
+            idle = idle_connections.pop()
+            idle_for = self.clock() - idle.since
+            if not self._is_usable(idle, idle_for):
+                idle.stream.close()
+                continue
+            if not repeatable and not self._is_trusted(idle_for):
+                # The new connection replaces the one that rested longest;
+                # otherwise the number of connections would grow.
+                idle_connections.append(idle)
+                idle_connections.pop(0).stream.close()
+                return None
+            idle.stream.set_close_callback(None)
+            return Acquired(idle.stream, idle_for, 0)
+        return None
+
+    def _is_trusted(self, idle_for: float) -> bool:
+        recently_stale = self.clock() - self.stale_at < _STALE_WINDOW
+        return idle_for <= _TRUSTED_IDLE and not recently_stale
+
     def _is_usable(self, idle: _Idle, idle_for: float) -> bool:
         recently_stale = self.clock() - self.stale_at < _STALE_WINDOW
         if recently_stale and idle_for > self.max_reusable_idle:
--- a/worksrail/daemon/http/_requests.py
+++ b/worksrail/daemon/http/_requests.py
@@ -129,6 +129,7 @@
             headers,
             effect.not_after,
             effect.deadline,
+            repeatable=effect.may_cancel and exchange.body.replayable,
         )
         exchange.from_instance = False
         exchange.run(self._attempt_upstream(exchange, outgoing))
