Tell the pool which steered requests cannot be sent again

Change: a request is repeatable if its route allows that, sends are left and its body is kept. The test's upstream has one more method, which says how a request is answered on its connection; nothing else of it changes.

--- a/tests/platform/upstream.py
+++ b/tests/platform/upstream.py
@@ -92,7 +92,7 @@
         self.bodies.append(body)
         found = _REQUEST_ID.search(head)
         trace = found[1].decode() if found else ''
-        reply = self.script(len(self.heads), trace)
+        reply = self._reply(writer, trace)
         writer.write(reply.payload)
         await writer.drain()
         if reply.reset:
@@ -103,3 +103,6 @@
             )
             writer.transport.abort()
         return not (reply.close or reply.reset)
+
+    def _reply(self, writer: asyncio.StreamWriter, trace: str) -> Reply:
+        return self.script(len(self.heads), trace)
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -279,8 +279,16 @@
             effect.deadline,
             effect.give_up_at,
             effect.customer,
+            repeatable=self._is_repeatable(exchange, effect),
         )
 
+    def _is_repeatable(self, exchange: Exchange, effect: SendUpstream) -> bool:
+        request = self.engine.state.requests.get(effect.request)
+        if request is None or not request.route.idempotent:
+            return False
+        sends_left = request.route.max_attempts - request.sends
+        return sends_left > 0 and exchange.body.replayable
+
     def _build_outgoing(
         self,
         exchange: Exchange,
@@ -289,6 +297,8 @@
         deadline: float,
         give_up_at: float,
         customer: CustomerName,
+        *,
+        repeatable: bool = True,
     ) -> Outgoing:
         headers = names.end_to_end(exchange.headers)
         body = exchange.body
@@ -312,6 +322,7 @@
             inf,
             give_up_at,
             takes_unframed=True,
+            repeatable=repeatable,
         )
 
 
