Keep the hash points of upstreams when rings are rebuilt

Cause: whenever an upstream comes, goes or changes its slots, the rings of its service are built anew, and each slot of each upstream was hashed again: with 386 upstreams of six slots the largest single function of an entry's decisions in a profile (0.121 of 0.820 s for 33 rings).

Change: the points of an identifier and its slots are kept, for 4,096 upstreams at most; a ring is assembled from them.

Tests: test_choice.py passes whole.

--- a/worksrail/core/steering/_ring.py
+++ b/worksrail/core/steering/_ring.py
@@ -11,6 +11,7 @@
 from bisect import bisect_left
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Final
 
 import xxhash
@@ -22,6 +23,9 @@
 _PROBES: Final = 21
 # Number of different hashes, which have 64 bits.
 HASH_SPACE: Final = 2 ** (8 * 8)
+# Upstreams whose points are kept: rings are built anew whenever an upstream
+# comes or goes, and the points of all others stay the same.
+_MAX_CACHED_UPSTREAMS: Final = 4096
 
 Probes = tuple[int, ...]
 
@@ -34,6 +38,15 @@
     )
 
 
+@lru_cache(_MAX_CACHED_UPSTREAMS)
+def _points_of(identifier: str, slots: int) -> tuple[int, ...]:
+    """Return the positions of an upstream's points, one for each slot."""
+    return tuple(
+        xxhash.xxh64_intdigest(f'{identifier}|{slot}'.encode())
+        for slot in range(slots)
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Ring:
     """A hash ring of some upstreams."""
@@ -50,11 +63,10 @@
         owners: dict[int, str] = {}
         for upstream in upstreams:
             record = upstream.record
-            for slot in range(record.slots):
-                # The identifier, not the name of the incarnation: an upstream
-                # keeps its points when it restarts.
-                place = f'{record.discovery_id}|{slot}'.encode()
-                owners[xxhash.xxh64_intdigest(place)] = upstream.name
+            # The identifier, not the name of the incarnation: an upstream
+            # keeps its points when it restarts.
+            points = _points_of(record.discovery_id, record.slots)
+            owners.update(dict.fromkeys(points, record.name))
         return cls(sorted(owners), owners)
 
     def nearest(self, probes: Probes) -> Iterator[str]:
