End an attempt with its answer also after late answers

Cause: after a late answer to another request the next answer was read by a new HTTP1Connection. Having written no request, it waited after its answer until the stream closed, so the attempt lasted until its deadline. After one late answer its caller was served, but the attempt kept its connection; after two, the answer behind them was never read.

Change: the connection that wrote the request reads all answers.

Conclusion: late answers cost neither the caller's answer nor the connection.

--- a/tests/platform/test_upstream_faults.py
+++ b/tests/platform/test_upstream_faults.py
@@ -279,6 +279,21 @@
     assert [found and found[2] for found in answers] == [b'done'] * 3
 
 
+@pytest.mark.parametrize('late', [1, 2, 3])
+def test_attempt_after_late_answers_does_not_wait_for_its_deadline(
+    late: int,
+) -> None:
+    # After one late answer its connection waited, after two its caller.
+    answers, raw = _run(
+        lambda number, trace: Reply(
+            answer('t0', 'late') * late + answer(trace, trace)
+        ),
+        ('write', 'write', 'write'),
+    )
+    assert [found and found[2] for found in answers] == [b't1', b't2', b't3']
+    assert raw.connections == 1
+
+
 _LIMIT = 'Server-Limit: 5.1\r\n'
 _LIMIT_ANSWERS = {
     'its answer': (lambda trace: answer(trace, extra=_LIMIT), 5.1),
--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -326,7 +326,7 @@
             if reader.use is not AnswerUse.PASS_OVER or stream.closed():
                 return
             # This was a late answer to an earlier request; read the next one.
-            connection = HTTP1Connection(stream, True, _PARAMETERS)
+            # A new reader would wait until it had written a request, too.
 
     async def _write(self, connection: HTTP1Connection) -> None:
         with contextlib.suppress(
