Bound what is read of answers that are not passed on

Cause: the body of an answer that is held back (a refusal) or passed over (a late answer to another request) was read to its end, up to 1 TB or until the deadline, at the sender's speed. A refusal counted only with its whole body, so an endless or trickling one cost its caller the other upstream.

Change: such a body is read for 64 KiB, a held-back one also for 0.25 s at most; then the connection is closed and logged. A refusal then counts by its head; an answer to another request makes the attempt a spoiled one. Answers to the caller are streamed as before. RawUpstream can repeat bytes until its peer closes, and counts those that left.

Conclusion: an upstream that writes for ever gets rid of at most the bound and the kernel's buffers, and its caller is served by another one or told.

--- a/tests/platform/upstream.py
+++ b/tests/platform/upstream.py
@@ -10,6 +10,9 @@
 _REQUEST_ID = re.compile(rb'\r\nRequest-Id: (\S+)', re.IGNORECASE)
 _LENGTH = re.compile(rb'\r\nContent-Length: (\d+)', re.IGNORECASE)
 
+# Bytes of endless replies that the kernel holds for the sender.
+_SEND_BUFFER = 65_536
+
 
 def answer(trace: str, body: str = 'done', extra: str = '') -> bytes:
     """Return a complete answer to a request."""
@@ -33,6 +36,15 @@
     reset: bool = False
     """Whether to reset the connection afterwards."""
 
+    endless: bytes = b''
+    """Bytes to repeat afterwards until the peer closes the connection."""
+
+    pause: float = 0
+    """Seconds between two repetitions."""
+
+    last: bytes = b''
+    """Bytes to write once the endless ones have reached their maximum."""
+
 
 @dataclass
 class RawUpstream:
@@ -53,6 +65,13 @@
     dropped: int = 0
     """Number of connections that the peer closed."""
 
+    most_endless: int = 64 * 1024 * 1024
+    """Maximum of endless bytes of one reply, which ends long answers and tests
+    that fail."""
+
+    endless_taken: int = 0
+    """Endless bytes that left for the peers, of all replies."""
+
     address: str = ''
     """IP address and port."""
 
@@ -102,4 +121,24 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
             )
             writer.transport.abort()
+        if reply.endless:
+            await self._repeat(reply, writer)
         return not (reply.close or reply.reset)
+
+    async def _repeat(
+        self,
+        reply: Reply,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Write the endless bytes until they have reached their maximum."""
+        connection = writer.get_extra_info('socket')
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER)
+        writer.transport.set_write_buffer_limits(high=0)
+        begun = self.endless_taken
+        while self.endless_taken - begun < self.most_endless:
+            writer.write(reply.endless)
+            await writer.drain()
+            self.endless_taken += len(reply.endless)
+            await asyncio.sleep(reply.pause)
+        writer.write(reply.last)
+        await writer.drain()
--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -33,6 +33,10 @@
 _MAX_ANSWERS_READ: Final = 4
 _MAX_HEADER_BYTES: Final = 65_536
 _MAX_ANSWER_BYTES: Final = 1_099_511_627_776
+# Bytes and seconds for which the body of an answer that is not passed on is
+# read, so that its connection can be used again.
+_MAX_UNUSED_BYTES: Final = 65_536
+_MAX_UNUSED_TIME: Final = 0.25
 _PARAMETERS: Final = HTTP1ConnectionParameters(
     max_header_size=_MAX_HEADER_BYTES, max_body_size=_MAX_ANSWER_BYTES
 )
@@ -46,7 +50,7 @@
     WITHDRAWN = (
         'no byte was sent, since the upstream wants no requests any more'
     )
-    WHOLE = 'the complete answer was read'
+    WHOLE = 'the complete answer was read, or what counts of it'
     NO_ANSWER = 'the connection failed before the answer'
     CUT_ANSWER = 'the connection failed within the answer'
     UNVERIFIABLE = 'the length of the answer cannot be determined'
@@ -118,6 +122,14 @@
     """Whether the remote side closed or reset the connection, as opposed to
     not responding."""
 
+    held_back: bool = False
+    """Whether the answer is not passed on, so that only its head counts."""
+
+    def leave_rest(self) -> None:
+        """Mark the answer as read, without the rest of its body."""
+        self.end = AttemptEnd.WHOLE
+        self.headers['Connection'] = 'close'
+
 
 HeadObserver = Callable[[int, httputil.HTTPHeaders], None]
 """Is called with status and headers as soon as the head of an answer to the
@@ -137,11 +149,12 @@
 class _AnswerReader(httputil.HTTPMessageDelegate):
     """Reads one answer and passes it to the sink."""
 
-    method: str
+    outgoing: Outgoing
     sink: AnswerSink
     report: AttemptReport
-    takes_unframed: bool
     on_head: HeadObserver
+    limit: asyncio.Timeout
+    unused_bytes: int = 0
     use: AnswerUse = AnswerUse.HOLD_BACK
     until_close: bool = False
     read_to_close: bool = False
@@ -171,11 +184,17 @@
         if self.use is AnswerUse.PASS_ON:
             self.report.end = AttemptEnd.CUT_ANSWER
             await self.sink.start_answer(start_line, headers)
+        else:
+            self._limit_time()
 
     async def data_received(self, chunk: bytes) -> None:  # type: ignore
-        """Pass on a part of the body."""
+        """Pass on a part of the body, or drop it up to a bound."""
         if self.use is AnswerUse.PASS_ON:
             await self.sink.write(chunk)
+            return
+        self.unused_bytes += len(chunk)
+        if self.unused_bytes > _MAX_UNUSED_BYTES:
+            self._leave_rest()
 
     def finish(self) -> None:
         """Complete the answer, unless it ends when the connection closes.
@@ -195,14 +214,34 @@
         if self.use is AnswerUse.PASS_ON:
             self.sink.end()
 
+    def _limit_time(self) -> None:
+        self.report.held_back = True
+        when = asyncio.get_running_loop().time() + _MAX_UNUSED_TIME
+        self.limit.reschedule(min(when, self.limit.when() or when))
+
+    def _leave_rest(self) -> None:
+        _LOG.info(
+            'answer of {} is not passed on and too long; closing its '
+            'connection',
+            self.outgoing.address,
+        )
+        if self.report.held_back:
+            self.report.leave_rest()
+        else:
+            # The answer to the request would come only after this one.
+            self.report.end = AttemptEnd.REJECTED
+        raise httputil.HTTPInputError(
+            'the body of an answer that is not passed on is too long'
+        )
+
     def _check_length(
         self,
         status: int,
         headers: httputil.HTTPHeaders,
     ) -> None:
-        length = answer_length(self.method, status, headers)
+        length = answer_length(self.outgoing.start.method, status, headers)
         self.until_close = length is BodyLength.UNTIL_CLOSE
-        refused = self.until_close and not self.takes_unframed
+        refused = self.until_close and not self.outgoing.takes_unframed
         if refused or length is BodyLength.AMBIGUOUS:
             self.report.end = AttemptEnd.UNVERIFIABLE
             raise ConnectionAbortedError(
@@ -292,10 +331,12 @@
         connection = HTTP1Connection(stream, True, _PARAMETERS)
         writer = asyncio.ensure_future(self._write(connection))
         try:
-            async with asyncio.timeout(remaining):
-                await self._read(connection, stream, report)
+            async with asyncio.timeout(remaining) as limit:
+                await self._read(connection, stream, report, limit)
         except TimeoutError:
-            if report.end is not AttemptEnd.WHOLE:
+            if report.held_back:
+                report.leave_rest()
+            elif report.end is not AttemptEnd.WHOLE:
                 report.end = AttemptEnd.TIMED_OUT
         except (StreamClosedError, httputil.HTTPInputError, OSError) as error:
             # The report's end already says how much of the answer was received.
@@ -311,14 +352,15 @@
         connection: HTTP1Connection,
         stream: IOStream,
         report: AttemptReport,
+        limit: asyncio.Timeout,
     ) -> None:
         for _ in range(_MAX_ANSWERS_READ):
             reader = _AnswerReader(
-                self.outgoing.start.method,
+                self.outgoing,
                 self.sink,
                 report,
-                self.outgoing.takes_unframed,
                 self.on_head,
+                limit,
             )
             await connection.read_response(reader)
             if reader.read_to_close and stream.error is None:
