Bound collected answers of the store, of entries and of health checks

Cause: an answer collected in memory had no maximum. A store, an entry or an upstream that is checked could fill the memory until the call's deadline, and a list of the store whose pages never end was read for ever.

Change: a collected answer has a maximum, beyond which it is dropped, its connection closed and, for the store and news, a warning logged: 1 MiB by default, 16 MiB for an answer of the store and 128 MiB for all pages of a list, 20 MB for news. A page that ends with the name where it began is malformed too. The client library keeps answers of any length for its callers.

Measured: 44 tests are new, each place for the store (lists and watches), news and health checks.

Conclusion: what these senders can make an entry hold is bounded by bytes, not by the deadline.

--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -6,7 +6,10 @@
 """
 
 import asyncio
+import tracemalloc
 from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
@@ -16,6 +19,20 @@
     _request,
 )
 from tests.platform.upstream import RawUpstream, Reply, answer
+from worksrail.core.steering import StoreUpdate
+from worksrail.core.steering.effects import FetchStoreUpdate, ProbeUpstream
+from worksrail.core.steering.events import (
+    PathProbed,
+    StoreUpdateFailed,
+)
+from worksrail.core.steering.kinds import StoreKind
+from worksrail.daemon.http._connections import ConnectionPool
+from worksrail.daemon.steered import StoreFault
+from worksrail.daemon.steered._digests import unpack_message
+from worksrail.daemon.steered._packing import pack
+from worksrail.daemon.steered._peers import NewsClient
+from worksrail.daemon.steered._probing import PathProber
+from worksrail.platform import PlatformStore, PlatformUpstreams
 
 _KIB = 1024
 _MIB = 1024 * _KIB
@@ -241,3 +258,155 @@
         size += length
         if not length:
             return size
+
+
+# -- the platform's store and other entries
+
+_HEADS = {
+    'header line': ('HTTP/1.1 200 OK\r\nX-Own: ', _FILL),
+    'header lines': ('HTTP/1.1 200 OK\r\n', b'X-Own: 1\r\n' * 2000),
+    'interim answers': ('', b'HTTP/1.1 102 Wait\r\n\r\n' * 800),
+    'no http': ('', _FILL),
+}
+_BODIES = {
+    f'{status} {form}': (f'HTTP/1.1 {status} Any\r\n{head}', block)
+    for status in (200, 503)
+    for form, (head, block) in {
+        'chunked': (_CHUNKED, _CHUNK),
+        'counted': (_COUNTED, _FILL),
+        'until close': ('\r\n', _FILL),
+    }.items()
+}
+_COLLECTED = _HEADS | _BODIES
+_SURPLUS = 'HTTP/1.1 200 OK\r\nObject-Version: 1\r\nContent-Length: 2\r\n\r\n{}'
+
+
+async def _sender(place: str) -> RawUpstream:
+    begin, endless = _COLLECTED[place]
+    return await RawUpstream(
+        lambda number, trace: Reply(begin.encode(), endless=endless)
+    ).open()
+
+
+_PAGE = (
+    '{{"items":[{{"Metadata":{{"Name":"{}"}},"Spec":"{}"}}],'
+    '"HasMore":true,"AsOf":1}}'
+)
+
+
+@pytest.mark.parametrize('watching', [False, True])
+@pytest.mark.parametrize('place', _COLLECTED)
+def test_endless_bytes_of_the_store_are_a_fault(
+    place: str, watching: bool
+) -> None:
+    async def run() -> tuple[Any, int]:
+        raw = await _sender(place)
+        store = PlatformStore(raw.address, str)
+        async with asyncio.timeout(30):
+            if watching:
+                found = await store.watch(StoreKind.UPSTREAMS, 1, 5)
+            else:
+                found = await store.read_all(StoreKind.UPSTREAMS)
+        await asyncio.sleep(0.1)
+        store.pool.close()
+        return found, raw.endless_taken
+
+    found, taken = asyncio.run(run())
+    assert isinstance(found, StoreFault)
+    assert taken <= 16 * _MIB + _BUFFERS
+
+
+@pytest.mark.parametrize('names', ['same', 'new'])
+def test_list_of_the_store_without_end_is_a_fault(names: str) -> None:
+    async def run() -> tuple[Any, int]:
+        def script(number: int, trace: str) -> Reply:
+            name = 'i' if names == 'same' else f'{number}'
+            page = _PAGE.format(name, 'x' * _MIB)
+            head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(page)}\r\n\r\n'
+            # A list that is read for longer than this has no bound.
+            return Reply((head + page).encode() if number < 300 else b'')
+
+        raw = await RawUpstream(script).open()
+        store = PlatformStore(raw.address, str)
+        found = await store.read_all(StoreKind.EVACUATIONS)
+        store.pool.close()
+        return found, len(raw.heads)
+
+    found, pages = asyncio.run(run())
+    assert found is StoreFault.MALFORMED
+    assert pages <= 130
+
+
+def test_endless_surplus_of_the_store_reaches_no_call() -> None:
+    async def run() -> tuple[list[Any], int]:
+        page = '{"items":[],"HasMore":false,"AsOf":1}'
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(page)}\r\n\r\n'
+        raw = await RawUpstream(
+            lambda number, trace: Reply((head + page).encode(), endless=_FILL)
+        ).open()
+        store = PlatformStore(raw.address, str)
+        found = []
+        for _ in range(3):
+            found.append(await store.read_all(StoreKind.UPSTREAMS))
+            await asyncio.sleep(0.05)
+        store.pool.close()
+        return found, raw.endless_taken
+
+    found, taken = asyncio.run(run())
+    assert found == [StoreUpdate(1)] * 3
+    assert taken <= 3 * _BUFFERS
+
+
+def _engine(events: list[Any]) -> Any:
+    loop = asyncio.get_running_loop()
+    return SimpleNamespace(now=loop.time, dispatch=events.append)
+
+
+@pytest.mark.parametrize('place', _COLLECTED)
+def test_endless_news_of_a_peer_fail(place: str) -> None:
+    async def run() -> tuple[list[Any], int]:
+        raw = await _sender(place)
+        events: list[Any] = []
+        engine = _engine(events)
+        client = NewsClient(engine, ConnectionPool(engine.now))
+        client.fetch(FetchStoreUpdate(StoreKind.UPSTREAMS, raw.address, 1))
+        async with asyncio.timeout(30):
+            await asyncio.gather(*client.tasks)
+        await asyncio.sleep(0.1)
+        client.pool.close()
+        return events, raw.endless_taken
+
+    events, taken = asyncio.run(run())
+    assert [type(event) for event in events] == [StoreUpdateFailed]
+    assert taken <= 20_000_000 + _BUFFERS
+
+
+@pytest.mark.parametrize('place', _COLLECTED)
+def test_endless_answer_to_a_health_check_is_none(place: str) -> None:
+    async def run() -> tuple[list[Any], int]:
+        raw = await _sender(place)
+        events: list[Any] = []
+        prober = PathProber(_engine(events), PlatformUpstreams())
+        prober.probe(ProbeUpstream('a', raw.address, '/health', 'a'))
+        async with asyncio.timeout(30):
+            await asyncio.gather(*prober.tasks)
+        await asyncio.sleep(0.1)
+        return events, raw.endless_taken
+
+    events, taken = asyncio.run(run())
+    assert [type(event) for event in events] == [PathProbed]
+    assert not events[0].answered
+    assert taken <= _MIB + _BUFFERS
+
+
+def test_datagram_that_unpacks_to_many_bytes_is_malformed() -> None:
+    bomb = pack(b'\x93' + bytes(12_000_000))
+    assert len(bomb) < 65_536
+    tracemalloc.start()
+    try:
+        with pytest.raises(ValueError, match=r'.'):
+            unpack_message(bomb)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < 4_000_000
--- a/worksrail/client/_client.py
+++ b/worksrail/client/_client.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, unique
+from math import inf
 from typing import Any, Final
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -188,7 +189,8 @@
         if body or start.method in {'POST', 'PUT', 'PATCH'}:
             headers['Content-Length'] = str(len(body))
         stream = BodyStream.from_bytes(body)
-        collector = CollectedAnswer()
+        # What was asked for may have any length.
+        collector = CollectedAnswer(maximum=inf)
         outgoing = Outgoing(entry, start, headers, deadline, deadline)
         report = await HttpAttempt(
             self.pool, self.clock, outgoing, stream, collector
--- a/worksrail/daemon/steered/_peers.py
+++ b/worksrail/daemon/steered/_peers.py
@@ -128,7 +128,7 @@
             )
 
     async def _call(self, effect: FetchStoreUpdate) -> StoreUpdate | None:
-        collector = CollectedAnswer()
+        collector = CollectedAnswer(maximum=_MAX_UPDATE_BYTES)
         attempt = HttpAttempt(
             self.pool,
             self.engine.now,
@@ -137,6 +137,10 @@
             collector,
         )
         report = await attempt.run()
+        if collector.too_long:
+            _LOG.warning(
+                'store update is too long', extra={'peer': effect.peer}
+            )
         if report.end is not AttemptEnd.WHOLE or collector.status != _OK:
             return None
         try:
--- a/worksrail/platform/_store.py
+++ b/worksrail/platform/_store.py
@@ -7,6 +7,7 @@
 from typing import Any, Final
 from urllib.parse import quote, urlencode
 
+from logbook import Logger
 from tornado import httputil
 
 from worksrail.core.steering import (
@@ -25,11 +26,18 @@
 from worksrail.platform._fields import Fields, MalformedDocumentError
 from worksrail.platform._objects import decode_configuration, decode_upstream
 
+_LOG: Final = Logger('worksrail.store')
 _MILLISECONDS: Final = 1000
 _OK_STATUS: Final = 200
 _GONE_STATUS: Final = 410
 _REFUSED_STATUSES: Final = frozenset((429, 503))
 
+# Maximum sizes in bytes of an answer and of all pages of a list.  A page of the
+# store has about 1 MB, and an object 1 MiB at most; a watch may return the
+# changes of its whole history.
+_MAX_ANSWER_BYTES: Final = 16_777_216
+_MAX_LIST_BYTES: Final = 134_217_728
+
 _KINDS: Final = {
     StoreKind.CONFIGURATION: names.CONFIGURATION_KIND,
     StoreKind.UPSTREAMS: names.UPSTREAM_KIND,
@@ -48,6 +56,7 @@
     zones: dict[str, None] = field(default_factory=dict)
     removed: dict[str, None] = field(default_factory=dict)
     faults: list[str] = field(default_factory=list)
+    bytes_left: int = _MAX_LIST_BYTES
 
     def add(self, document: Any, *, deleted: bool = False) -> None:
         """Add an object; record one that cannot be decoded as a fault.
@@ -161,15 +170,18 @@
         query = {'Serializable': '1'} if stale else {}
         after = ''
         while True:
-            page = await self._call(kind, query | {'after': after}, seconds)
+            page = await self._call(builder, query | {'after': after}, seconds)
             if isinstance(page, StoreFault):
                 return page
             try:
-                after = builder.add_page(page)
+                last = builder.add_page(page)
             except (LookupError, TypeError, MalformedDocumentError):
                 return StoreFault.MALFORMED
-            if not after:
+            if not last:
                 return builder.build()
+            if last == after:
+                return StoreFault.MALFORMED
+            after = last
 
     async def watch(
         self,
@@ -182,10 +194,10 @@
             'Watch': str(since),
             'WaitMs': str(int(seconds * _MILLISECONDS)),
         }
-        answer = await self._call(kind, query, seconds + ANSWER_TIMEOUT)
+        builder = _UpdateBuilder(kind)
+        answer = await self._call(builder, query, seconds + ANSWER_TIMEOUT)
         if isinstance(answer, StoreFault):
             return answer
-        builder = _UpdateBuilder(kind)
         try:
             builder.add_events(answer)
         except (TypeError, MalformedDocumentError):
@@ -194,12 +206,15 @@
 
     async def _call(
         self,
-        kind: StoreKind,
+        builder: _UpdateBuilder,
         query: dict[str, str],
         timeout: float,
     ) -> Fields | StoreFault:
+        kind = builder.kind
         self.count_call(kind.value)
-        collector = CollectedAnswer()
+        collector = CollectedAnswer(
+            maximum=min(_MAX_ANSWER_BYTES, builder.bytes_left)
+        )
         attempt = HttpAttempt(
             self.pool,
             _clock.monotonic,
@@ -208,6 +223,13 @@
             collector,
         )
         report = await attempt.run()
+        builder.bytes_left -= collector.size
+        if collector.too_long:
+            _LOG.warning(
+                'answer of the store is too long',
+                extra={'kind': kind.value, 'bytes': collector.size},
+            )
+            return StoreFault.MALFORMED
         if report.end is not AttemptEnd.WHOLE:
             return StoreFault.CUT if report.closed else StoreFault.UNREACHABLE
         if collector.status == _GONE_STATUS:
