Report unreadable answers of worksraild's store as a fault

Cause: Tornado raises its own error for a head without end, and the JSON decoder one for deep nesting. Both left the client of the store, which promises to return a fault instead of raising.

Change: both are faults. The bound on bodies was there.

Conclusion: no bytes of the store that were tried end the caller's task.

--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -27,6 +27,7 @@
 )
 from worksrail.core.steering.kinds import StoreKind
 from worksrail.daemon.http._connections import ConnectionPool
+from worksrail.daemon.platform import _store as own_store
 from worksrail.daemon.steered import StoreFault
 from worksrail.daemon.steered._digests import unpack_message
 from worksrail.daemon.steered._packing import pack
@@ -357,6 +358,52 @@
     assert taken <= 3 * _BUFFERS
 
 
+@pytest.mark.parametrize('call', ['read', 'keys', 'watch', 'instances'])
+@pytest.mark.parametrize('place', _COLLECTED)
+def test_endless_bytes_of_the_own_store_are_a_fault(
+    place: str, call: str
+) -> None:
+    async def run() -> tuple[Any, int]:
+        raw = await _sender(place)
+        store = own_store.StoreClient(raw.address)
+        calls = {
+            'read': lambda: store.read('head'),
+            'keys': lambda: store.keys('a'),
+            'watch': lambda: store.watch(1, 1),
+            'instances': store.instances,
+        }
+        async with asyncio.timeout(30):
+            found = await calls[call]()
+        await asyncio.sleep(0.1)
+        store.close()
+        return found, raw.endless_taken
+
+    found, taken = asyncio.run(run())
+    assert found is own_store.StoreFault.UNREACHABLE
+    assert taken <= 4 * _MIB + _BUFFERS
+
+
+@pytest.mark.parametrize('call', ['keys', 'watch', 'instances'])
+def test_deeply_nested_answer_of_the_own_store_is_a_fault(call: str) -> None:
+    async def run() -> Any:
+        body = '[' * 200_000
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+        raw = await RawUpstream(
+            lambda number, trace: Reply((head + body).encode())
+        ).open()
+        store = own_store.StoreClient(raw.address)
+        calls = {
+            'keys': lambda: store.keys('a'),
+            'watch': lambda: store.watch(1, 1),
+            'instances': store.instances,
+        }
+        found = await calls[call]()
+        store.close()
+        return found
+
+    assert asyncio.run(run()) is own_store.StoreFault.UNREACHABLE
+
+
 def _engine(events: list[Any]) -> Any:
     loop = asyncio.get_running_loop()
     return SimpleNamespace(now=loop.time, dispatch=events.append)
--- a/worksrail/daemon/platform/_store.py
+++ b/worksrail/daemon/platform/_store.py
@@ -8,6 +8,7 @@
 from urllib.parse import quote
 
 from tornado.httpclient import HTTPError
+from tornado.iostream import UnsatisfiableReadError
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from worksrail.core.events import WriteOutcome
@@ -16,6 +17,9 @@
 _TIMEOUT: Final = 2.0
 _MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 _MAX_CONNECTIONS: Final = 32
+# Tornado passes on that a head is longer than its maximum.
+_CALL_ERRORS: Final = (OSError, ValueError, KeyError, UnsatisfiableReadError)
+_JSON_ERRORS: Final = (*_CALL_ERRORS, HTTPError, RecursionError)
 _NOT_FOUND: Final = 404
 _CONFLICT: Final = 409
 
@@ -99,7 +103,7 @@
         except HTTPError as error:
             missing = error.code == _NOT_FOUND
             return StoreFault.NOT_FOUND if missing else StoreFault.UNREACHABLE
-        except (OSError, ValueError, KeyError):
+        except _CALL_ERRORS:
             return StoreFault.UNREACHABLE
         return StoredObject(version, answer.body)
 
@@ -123,7 +127,7 @@
             if error.code == _CONFLICT:
                 return WriteReport(WriteOutcome.CONFLICT)
             return WriteReport(WriteOutcome.UNKNOWN)
-        except (OSError, ValueError, KeyError):
+        except _CALL_ERRORS:
             return WriteReport(WriteOutcome.UNKNOWN)
         return WriteReport(WriteOutcome.DONE, version)
 
@@ -184,5 +188,5 @@
         try:
             answer = await self.http.fetch(url, request_timeout=timeout)
             return json.loads(answer.body)
-        except (HTTPError, OSError, ValueError):
+        except _JSON_ERRORS:
             return StoreFault.UNREACHABLE
