Tell requests of a stop without a look at the instance

Cause: each arrival asked the instance whether it is stopping, which the fake engine of tests/test_customers.py does not have: two cases failed with AttributeError since kept connections end during a stop.

Change: the requests are told of the stop and remember it.

Conclusion: the tests are unchanged.

--- a/worksrail/daemon/http/_requests.py
+++ b/worksrail/daemon/http/_requests.py
@@ -84,11 +84,14 @@
     exchanges: dict[int, Exchange] = field(default_factory=dict)
     """Exchanges in progress, by the sequence number of their request."""
 
+    stopping: bool = False
+    """Whether the process was asked to stop."""
+
     # -- events
 
     def arrived(self, exchange: Exchange, *, trusted: bool = False) -> None:
         """Dispatch the arrival of a request; invalid headers are refused."""
-        exchange.closing = self._is_stopping()
+        exchange.closing = self.stopping
         head = self._request_head(exchange, trusted=trusted)
         if isinstance(head, ResultCode):
             exchange.answer_result(head)
@@ -110,10 +113,11 @@
             self.engine.dispatch(CallerGone(self.engine.now(), exchange.number))
 
     def announce_stop(self) -> None:
-        """Close the connections of open requests after their answers.
+        """Close connections after their next answers from now on.
 
         A request that arrives on one of them at the exit would not be read.
         """
+        self.stopping = True
         for exchange in self.exchanges.values():
             # The caller must learn it from the head of the answer.
             exchange.closing = exchange.closing or not exchange.begun
@@ -189,10 +193,6 @@
 
     # -- helpers
 
-    def _is_stopping(self) -> bool:
-        leaving = self.engine.instance.leaving
-        return leaving is not None and leaving.exits
-
     def _request_head(
         self,
         exchange: Exchange,
