Test stops from the callers' side with real processes

Cause: that a stop cuts answers and exits without a word was shown in the reducer only. The upstream of the tests may be silent for some seconds; the platform of the tests takes bounds and a configuration.

--- a/tests/platform/upstream.py
+++ b/tests/platform/upstream.py
@@ -33,6 +33,9 @@
     reset: bool = False
     """Whether to reset the connection afterwards."""
 
+    after: float = 0
+    """Seconds for which nothing is written."""
+
 
 @dataclass
 class RawUpstream:
@@ -93,6 +96,7 @@
         found = _REQUEST_ID.search(head)
         trace = found[1].decode() if found else ''
         reply = self._reply(writer, trace)
+        await asyncio.sleep(reply.after)
         writer.write(reply.payload)
         await writer.drain()
         if reply.reset:
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -47,15 +47,16 @@
         numbers = _ports()
         self.ports = [next(numbers) for _ in range(4)]
         self.inner = next(numbers)
+        self.configuration = json.loads(json.dumps(CONFIGURATION))
+        self.configuration['Routes']['Rows'][1][10] = []
+        self.bounds: list[str] = []
 
     async def open(self) -> None:
         """Start the stand-ins and write the first configuration."""
         sock, self.port = bind_unused_port()
         self.server.add_socket(sock)
         await self.upstream.open()
-        routes = json.loads(json.dumps(CONFIGURATION))
-        routes['Routes']['Rows'][1][10] = []
-        self.store.put('config', 'main', routes)
+        self.store.put('config', 'main', self.configuration)
         for service in ('a', 'b'):
             info = {
                 'Service': service,
@@ -74,6 +75,7 @@
         """Start an entry at an address of the loopback range."""
         settings = json.loads(json.dumps(SETTINGS))
         names = ('Front', 'Ready', 'Control', 'Directory')
+        settings['Bounds'] += self.bounds
         settings.update(
             {
                 'NodeName': f'front-{host}',
