Let the soak see answers that are lost to stops

Cause: no promise said what becomes of requests whose upstreams are at work while an entry stops, and no soak had calls that last as long as a stop.

--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -149,6 +149,15 @@
 _ORDER = {Promise.URGENT_FIRST, Promise.FAIR_SHARE}
 
 
+# Stops in series and overlapping, with signals while they last, under calls of up
+# to 6 s where the grace period is 4 s.
+def test_stops_leave_nobody_without_an_answer(tmp_path: Path) -> None:
+    played = play_seed(2, 10, 3, tmp_path, crashing=False, stopping=True)
+    result = asyncio.run(played)
+    assert result.in_stops
+    assert not result.violations
+
+
 # Customers ask for more than the slots, beside a kill, stops and a silent store.
 def test_other_promises_hold_where_slots_are_short(tmp_path: Path) -> None:
     played = play_seed(33, 14, 3, tmp_path, crashing=False, overloading=True)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -24,6 +24,7 @@
     cutting: bool = False,
     stating: bool = False,
     overloading: bool = False,
+    stopping: bool = False,
 ) -> None:
     """Play seeds, and end with 1 if a promise was broken.
 
@@ -50,12 +51,14 @@
                     cutting=cutting,
                     stating=stating,
                     overloading=overloading,
+                    stopping=stopping,
                 )
             )
         faults = ' '.join(step.fault.name for step in result.steps)
         print(
             f'seed {number}: {result.requests} requests, '
             f'{result.served} served, {result.statements} statements, '
+            f'{result.in_stops} executed in stops, '
             f'{len(result.violations)} broken; '
             f'{faults}',
             flush=True,
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from tests.soak._promises import Ended, Sent, Witness
+from tests.soak._promises import DEADLINE, Ended, Sent, Witness
 
 _LENGTH = re.compile(rb'\r\nContent-Length: (\d+)', re.IGNORECASE)
 _RETRY_AFTER = re.compile(rb'\r\nRetry-After: ([\d.]+)', re.IGNORECASE)
+_RESULT = re.compile(rb'"result": ?(\d+)')
 # Seconds between two requests.
 _PAUSE = (0.0, 0.05)
 
@@ -42,6 +43,9 @@
     customer: str = ''
     """Customer whose key its requests carry; empty if they carry none."""
 
+    patience: tuple[float, ...] = (DEADLINE,)
+    """Seconds that it waits for answers; by turns if there are several."""
+
     def __post_init__(self) -> None:
         """Begin with the first one."""
         self.entry = self.entries[0]
@@ -92,7 +96,12 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         self.witness.ended[sent.trace] = Ended(
-            sent.trace, status, body, self.clock(), retry_after
+            sent.trace,
+            status,
+            body,
+            self.clock(),
+            retry_after,
+            _result_in(status, body),
         )
         return kept
 
@@ -115,9 +124,15 @@
             self.entry,
             self.clock(),
             self.customer,
+            self.patience[number % len(self.patience)],
         )
 
 
+def _result_in(status: int, body: bytes) -> int:
+    found = _RESULT.search(body)
+    return int(found[1]) if found and status != 200 else 0
+
+
 def _request(sent: Sent) -> bytes:
     method = 'POST' if sent.unsafe else 'GET'
     key = sent.path.rpartition('/')[2]
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -11,6 +11,8 @@
 # start and read settings meanwhile.
 _CUT_GAPS = (2.0, 7.0)
 _CUT_LASTS = (2.0, 9.0)
+# Seconds from a stop until the entry gets one more signal.
+_SIGNAL_AFTER = (0.1, 3.0)
 # Seconds without faults at the end.
 _QUIET = 3.0
 
@@ -31,6 +33,7 @@
     UPSTREAM_LINK = 'the way to one upstream is disturbed'
     UPSTREAM_HABIT = 'an upstream answers badly'
     REUSE = 'the address of an upstream goes to another service'
+    SIGNAL_STOPPING = 'an entry that stops gets SIGTERM again or SIGHUP'
     ENTRY_CUT = 'an entry loses its links to all upstreams'
 
     @property
@@ -39,7 +42,15 @@
         return self in _PLANNED
 
 
-_PLANNED = frozenset((Fault.STOP, Fault.HUP, Fault.CONFIGURE, Fault.DRAIN))
+_PLANNED = frozenset(
+    (
+        Fault.STOP,
+        Fault.HUP,
+        Fault.CONFIGURE,
+        Fault.DRAIN,
+        Fault.SIGNAL_STOPPING,
+    )
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +70,29 @@
     """Seconds until it ends."""
 
 
-_DRAWN = [fault for fault in Fault if fault is not Fault.ENTRY_CUT]
+_DRAWN = [
+    fault
+    for fault in Fault
+    if fault not in {Fault.ENTRY_CUT, Fault.SIGNAL_STOPPING}
+]
+# What is drawn where entries stop all the while.
+_STOPPING = (Fault.STOP, Fault.STOP, Fault.STOP, Fault.HUP, Fault.CONFIGURE)
+
+
+def stops_of(seed: int, seconds: float) -> list[Step]:
+    """Stops in series and overlapping, with signals while they last."""
+    rng = random.Random(f'stops of {seed}')
+    steps = []
+    at = rng.uniform(*_GAPS)
+    while at < seconds - _QUIET:
+        fault = rng.choice(_STOPPING)
+        steps.append(Step(at, fault, rng.randrange(1000), 0))
+        signal_at = at + rng.uniform(*_SIGNAL_AFTER)
+        if rng.random() < 0.5 and signal_at < seconds:
+            number = rng.randrange(1000)
+            steps.append(Step(signal_at, Fault.SIGNAL_STOPPING, number, 0))
+        at += rng.uniform(*_GAPS)
+    return sorted(steps, key=lambda step: step.at)
 
 
 def cuts_of(seed: int, seconds: float) -> list[Step]:
--- a/tests/soak/_promises.py
+++ b/tests/soak/_promises.py
@@ -20,6 +20,7 @@
     broken_backoffs,
     late_requests,
 )
+from tests.soak._stops import StopsSeen
 
 # Seconds that a caller waits for an answer.
 DEADLINE = 3.0
@@ -65,6 +66,10 @@
     URGENT_FIRST = 'urgent requests are not refused for less urgent ones'
     FAIR_SHARE = 'who asks for no more than its share is not refused for others'
     RETURN_IN_TIME = 'who is told to come back can do so within its time'
+    STOP_ANSWERS = (
+        'an entry that was asked to stop leaves nobody without the answer '
+        'that his upstream was making'
+    )
     FEW_CRASHES = 'a request that crashed three upstreams reaches few more'
 
 
@@ -136,6 +141,9 @@
     retry_after: float = 0
     """Seconds after which the caller was told to come back."""
 
+    result: int = 0
+    """Result code of an answer of the entry's own; zero in others."""
+
 
 @dataclass(frozen=True, slots=True)
 class Crash:
@@ -271,6 +279,9 @@
     met: list[Met] = field(default_factory=list)
     """Requests that reached the upstream that they were meant for, in order."""
 
+    stops: StopsSeen = field(default_factory=StopsSeen)
+    """Stops of entries, and what upstreams executed when."""
+
     def end_cuts(self, host: str, now: float) -> None:
         """Note that an entry has its links to upstreams back."""
         for cut in self.cuts:
@@ -348,6 +359,12 @@
         found += self._of_order()
         found += self._of_statements()
         found += self._of_crashes()
+        found += [
+            Violation(Promise.STOP_ANSWERS, trace, details)
+            for trace, details in self.stops.broken(
+                self.sent, self.ended, self._was_calm
+            )
+        ]
         for limited in self.limited:
             found += self._of_limit(limited)
         for trace, executions in self.executed.items():
--- a/tests/soak/_slot_queue.py
+++ b/tests/soak/_slot_queue.py
@@ -1,6 +1,7 @@
 """Slots of an upstream, and the places in which requests wait for one."""
 
 import asyncio
+import random
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -20,6 +21,12 @@
     execution: tuple[float, float] = (0.005, 0.08)
     """Least and greatest time of an execution, in seconds."""
 
+    long_share: float = 0
+    """Share of executions that take a long time."""
+
+    long_execution: tuple[float, float] = (0, 0)
+    """Least and greatest time of a long execution, in seconds."""
+
     pace: float = 1
     """Multiple of the usual time that an execution takes now."""
 
@@ -41,6 +48,13 @@
             0 < self.slots <= self.running and len(self.waiting) >= self.places
         )
 
+    def duration(self, rng: random.Random) -> float:
+        """Draw the time of an execution."""
+        usual = rng.uniform(*self.execution) * self.pace
+        if self.long_share and rng.random() < self.long_share:
+            return rng.uniform(*self.long_execution)
+        return usual
+
     async def enter(self) -> None:
         """Wait for a slot, and take it."""
         if not self.slots or self.running < self.slots:
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -11,7 +11,7 @@
 
 from tests.soak._callers import Caller
 from tests.soak._cuts import CutShare
-from tests.soak._faults import Fault, Step, cuts_of, steps_of
+from tests.soak._faults import Fault, Step, cuts_of, steps_of, stops_of
 from tests.soak._open_loop import OpenLoop
 from tests.soak._order import Passed
 from tests.soak._overload import (
@@ -21,10 +21,11 @@
     OverloadedWorld,
     streams_of,
 )
-from tests.soak._promises import Promise, Sent, Violation
+from tests.soak._promises import DEADLINE, Promise, Sent, Violation
 from tests.soak._proxy import Link
 from tests.soak._repeats import Budget, Excess
 from tests.soak._stating import end_statements, state_availability
+from tests.soak._stopping import CALLERS, PATIENCE, StoppingWorld
 from tests.soak._turns import Turns
 from tests.soak._upstreams import CRASHING_PATH, Habit
 from tests.soak._world import SoakWorld
@@ -82,6 +83,9 @@
     statements: int
     """Statements of upstreams in answers."""
 
+    in_stops: int
+    """Requests that upstreams executed while one of their entries stopped."""
+
     order: dict[Promise, Passed]
     """Requests that were refused for others, where slots are short."""
 
@@ -164,6 +168,13 @@
         """Let an entry read its settings again, also while it stops."""
         self.world.signal(_pick(self.world.hosts, step), signal.SIGHUP)
 
+    async def signal_stopping(self, step: Step) -> None:
+        """Send one more signal to an entry that stops, if there is one."""
+        hosts = sorted(self.world.stopping)
+        if hosts:
+            number = _pick([signal.SIGTERM, signal.SIGHUP], step)
+            self.world.signal(_pick(hosts, step), number)
+
     # -- the store
 
     async def configure(self, step: Step) -> None:
@@ -258,6 +269,7 @@
     Fault.UPSTREAM_HABIT: Soak.upstream_habit,
     Fault.REUSE: Soak.reuse,
     Fault.ENTRY_CUT: Soak.entry_cut,
+    Fault.SIGNAL_STOPPING: Soak.signal_stopping,
 }
 
 
@@ -274,6 +286,7 @@
     cutting: bool = False,
     stating: bool = False,
     overloading: bool = False,
+    stopping: bool = False,
 ) -> Result:
     """Play one seed from start to end.
 
@@ -281,16 +294,21 @@
     upstreams name limits if they are to, say that they leave or want no requests,
     and entries lose their links to upstreams.  With the window of a budget of
     repeats, in seconds, callers move from entry to entry and upstreams reject at
-    times.  Or customers ask for more than the slots of a service at times.
+    times.  Or customers ask for more than the slots of a service at times, or
+    entries stop all the while under long calls.
     """
     steps = steps_of(seed, seconds) if faulty else []
     if cutting:
         steps = sorted(
             [*steps, *cuts_of(seed, seconds)], key=lambda step: step.at
         )
+    if stopping:
+        steps = stops_of(seed, seconds)
     callers: list[asyncio.Task[None]] = []
     budget = Budget(_RATIO, rejecting, _EXTRA) if rejecting else Budget()
-    make_world = OverloadedWorld if overloading else SoakWorld
+    make_world: type[SoakWorld] = SoakWorld
+    if overloading or stopping:
+        make_world = StoppingWorld if stopping else OverloadedWorld
     world = make_world(folder, entries, seed, budget)
     customer = CUSTOMERS[0] if overloading else ''
     upstreams = _MANY_UPSTREAMS if rejecting else _FEW_UPSTREAMS
@@ -300,7 +318,10 @@
         if rejecting:
             world.turns = Turns(world.clock(), rejecting)
         number = 1 if overloading else _CALLERS_PER_ENTRY
-        callers = start_callers(world, number, customer)
+        patience: tuple[float, ...] = (DEADLINE,)
+        if stopping:
+            number, patience = CALLERS, PATIENCE
+        callers = start_callers(world, number, customer, patience)
         if overloading:
             world.witness.priorities = PRIORITIES
             overload = _overload(world, seed, seconds)
@@ -315,6 +336,8 @@
             callers.append(asyncio.ensure_future(statements))
         await Soak(world).play(steps, seconds)
         _end_limits(world)
+        if isinstance(world, StoppingWorld):
+            world.end_long_calls()
         world.turns = None
         if stating:
             callers.pop().cancel()
@@ -334,6 +357,7 @@
         world.witness.cut_shares(),
         world.witness.repeats(),
         len(world.witness.stated),
+        len(tuple(world.witness.stops.concerned(world.witness.sent))),
         world.witness.order(),
         world.witness.violations(),
     )
@@ -354,7 +378,10 @@
 
 
 def start_callers(
-    world: SoakWorld, count: int = _CALLERS_PER_ENTRY, customer: str = ''
+    world: SoakWorld,
+    count: int = _CALLERS_PER_ENTRY,
+    customer: str = '',
+    patience: tuple[float, ...] = (DEADLINE,),
 ) -> list[asyncio.Task[None]]:
     """Start some callers for each entry."""
     callers = [
@@ -364,6 +391,7 @@
     ]
     for caller in callers:
         caller.customer = customer
+        caller.patience = patience
     if world.turns:
         fronts = tuple(world.front(host) for host in world.hosts)
         for caller in callers:
--- a/tests/soak/_upstreams.py
+++ b/tests/soak/_upstreams.py
@@ -10,6 +10,7 @@
 from tests.soak._listening import LoopbackServer
 from tests.soak._promises import Executed, Limited, answer_of
 from tests.soak._slot_queue import SlotQueue
+from tests.soak._stops import Work
 from tests.soak._turns import REJECTED
 
 _LENGTH = re.compile(rb'\r\nContent-Length: (\d+)', re.IGNORECASE)
@@ -77,6 +78,15 @@
     limited_since: tuple[str, float] = ('', 0)
     """Its name when it began to, and when that was."""
 
+    work: Callable[['Upstream', str, int], Work] = lambda _, trace, __: Work(
+        trace, '', 0
+    )
+    """Is told which request it begins to execute, and the port that it came
+    from."""
+
+    crashes: int = 0
+    """Times that it crashed."""
+
     slot_queue: SlotQueue = field(default_factory=SlotQueue)
     """Its slots and the places in its queue."""
 
@@ -151,15 +161,19 @@
                 return False
             self.note(Executed(trace, path, body, service))
             if path == CRASHING_PATH:
+                self.crashes += 1
                 self.crash(self, trace)
                 return False
-            duration = self.rng.uniform(*self.slot_queue.execution)
-            await asyncio.sleep(duration * self.slot_queue.pace)
+            work, crashes = self.work(self, trace, port), self.crashes
+            await asyncio.sleep(self.slot_queue.duration(self.rng))
+            work.end = asyncio.get_running_loop().time()
         finally:
             self.slot_queue.leave()
         if self.leaving:
             self.state(self, trace, port)
-        return self._write(writer, trace, answer_of(trace, path, body))
+        kept, whole = self._write(writer, trace, answer_of(trace, path, body))
+        work.is_whole = whole and self.crashes == crashes
+        return kept
 
     def _rejects(self) -> bool:
         if self.backoff:
@@ -183,21 +197,23 @@
         writer: asyncio.StreamWriter,
         trace: str,
         body: bytes,
-    ) -> bool:
+    ) -> tuple[bool, bool]:
+        """Answer; return whether the connection stays, and the answer is right."""
         named = self._named() + self._reported()
         right = _answer(trace, 200, body, f'Response-Signature: s\r\n{named}')
         if self.habit is Habit.WELL or self.rng.random() < 0.5:
             writer.write(right)
         elif self.habit is Habit.FAILS:
             writer.write(_answer(trace, 500, b'no', named))
+            return True, False
         elif self.habit is Habit.REPEATS:
             writer.write(right + right)
         elif self.habit is Habit.SPOILS:
             writer.write(self.rng.choice((right[:-9], b'garbage\r\n\r\n')))
-            return False
+            return False, False
         else:
-            return False
-        return True
+            return False, False
+        return True, True
 
 
 def _first(pattern: re.Pattern[bytes], head: bytes) -> str:
--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -22,8 +22,10 @@
 from tests.soak._repeats import Budget
 from tests.soak._slot_queue import SlotQueue
 from tests.soak._statements import Met, Stated
+from tests.soak._stops import Stop, Work
 from tests.soak._turns import Turns
 from tests.soak._upstreams import Upstream
+from worksrail.core.steering import SteeringBounds
 from worksrail.standins.objects import ObjectStore, application
 
 _ROOT = Path(__file__).resolve().parents[2]
@@ -35,6 +37,8 @@
     'u': frozenset('a'),
     'l': frozenset('a'),
 }
+# Seconds of the grace period of an entry where no bound is set.
+_GRACE = SteeringBounds().grace_period
 # Seconds for which an upstream that crashed refuses connections.
 _AWAY = 1.5
 # Seconds that a process may take to end once it was told to.
@@ -69,6 +73,8 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.watches: dict[str, asyncio.Task[None]] = {}
         self.restarting: set[str] = set()
+        self.stopping: set[str] = set()
+        self.grace = _GRACE
         self.store_links: dict[str, Proxy] = {}
         self.upstreams: list[Upstream] = []
         self.upstream_links: list[Proxy] = []
@@ -134,8 +140,14 @@
         had_ended = process.returncode is not None
         begin = self.clock()
         self.signal(host, number)
+        self.stopping.add(host)
         async with asyncio.timeout(_LAST_END):
             code = await process.wait()
+        self.stopping.discard(host)
+        if number is signal.SIGTERM:
+            self.witness.stops.stops.append(
+                Stop(host, begin, self.clock(), self.grace)
+            )
         if had_ended or (number is signal.SIGKILL and code != -number):
             self.witness.ends.append((host, code))
         await self.start(host)
@@ -174,7 +186,11 @@
         seeds = [f'{other}:1' for other in self.hosts[:3]]
         store = {'Address': self.store_links[host].address}
         # The last value of a name counts.
-        bounds = [*settings['Bounds'], *self.witness.budget.settings]
+        bounds = [
+            *settings['Bounds'],
+            *self.witness.budget.settings,
+            f'GracePeriodS={self.grace}',
+        ]
         return settings | {
             'NodeName': f'front-{host}',
             'Ip': host,
@@ -280,6 +296,12 @@
             entry = self._link_to(upstream).of_ports.get(port, '')
             self.witness.met.append(Met(upstream.name, entry, trace, now))
 
+    def _work(self, upstream: Upstream, trace: str, port: int) -> Work:
+        entry = self._link_to(upstream).of_ports.get(port, '')
+        work = Work(trace, entry, self.clock())
+        self.witness.stops.works.append(work)
+        return work
+
     def _state(self, upstream: Upstream, trace: str, port: int) -> None:
         link = self._link_to(upstream)
         entry = link.of_ports.get(port, '')
@@ -315,6 +337,7 @@
             self._meet,
             self._rejecting,
             self._state,
+            work=self._work,
             slot_queue=self.slot_queue(),
         )
         self.upstreams.append(await upstream.open())
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,11 +5,12 @@
 
 import asyncio
 from dataclasses import replace
+from math import inf
 
 import pytest
 
 from tests.soak._cuts import Cut, CutShare
-from tests.soak._faults import Fault, cuts_of, steps_of
+from tests.soak._faults import Fault, cuts_of, steps_of, stops_of
 from tests.soak._promises import (
     Arrival,
     Crash,
@@ -25,6 +26,7 @@
 from tests.soak._repeats import Budget
 from tests.soak._soak import _PLAYERS
 from tests.soak._statements import Met, Stated
+from tests.soak._stops import Stop, Work
 
 _WRITE = Sent('t', '/w/1', b'x', True, 'one', 10.0)
 _READ = Sent('t', '/r/1', b'', False, 'one', 10.0)
@@ -247,6 +249,116 @@
     assert violation.about == 'one'
 
 
+# An entry with a grace period of 6 s is asked to stop at 20 and is gone at 25.7;
+# it takes requests until 22.88, and what ends by 25 must reach its caller.
+_STOP = Stop('one', 20, 25.7, 6)
+
+
+def _stopped(
+    end: Ended | None, *works: Work, sent_at: float = 19, time_left: float = 9
+) -> Witness:
+    witness = Witness(_SERVICES)
+    witness.sent['t'] = replace(
+        _READ, entry='one:80', at=sent_at, time_left=time_left
+    )
+    if end:
+        witness.ended['t'] = end
+    witness.stops.stops.append(_STOP)
+    witness.stops.works.extend(works)
+    return witness
+
+
+def _end(status: int, at: float, result: int = 0) -> Ended:
+    return Ended('t', status, answer_of('t', '/r/1', b''), at, 0, result)
+
+
+def _work(end: float, begin: float = 19, *, whole: bool = True) -> Work:
+    return Work('t', 'one', begin, end, whole)
+
+
+@pytest.mark.parametrize(
+    ('end', 'works', 'options'),
+    [
+        # Given up while the upstream was at work, and answered at once.
+        (_end(502, 22, 4001), [_work(24)], {}),
+        (_end(502, 22, 4001), [_work(27, whole=False)], {}),
+        (_end(504, 22, 4002), [_work(24)], {}),
+        (_end(503, 22, 2105), [_work(24)], {}),
+        # The answer came in time and did not reach the caller.
+        (_end(504, 25.6, 4008), [_work(24.9)], {}),
+        (_end(0, 25.6), [_work(24.9)], {}),
+        # The entry left without a word.
+        (_end(0, 25.7), [_work(28)], {}),
+        (_end(0, 25.7), [_work(inf, whole=False)], {}),
+        (_end(0, 22), [_work(28)], {}),
+        # The request came as late as it may, or a second attempt was at work.
+        (_end(502, 24, 4001), [_work(24.9, 22.8)], {'sent_at': 22.7}),
+        (
+            _end(502, 24, 4001),
+            [_work(21, whole=False), _work(24.5, 22)],
+            {},
+        ),
+    ],
+)
+def test_answer_that_is_lost_to_a_stop_is_noticed(
+    end: Ended, works: list[Work], options: dict[str, float]
+) -> None:
+    found = _stopped(end, *works, **options).violations()
+    assert [one.promise for one in found] == [Promise.STOP_ANSWERS]
+
+
+def test_answer_that_is_lost_to_the_stop_of_a_passing_entry_is_noticed() -> (
+    None
+):
+    witness = _stopped(_end(502, 22, 4001), _work(24))
+    witness.sent['t'] = replace(witness.sent['t'], entry='two:80')
+    (found,) = witness.violations()
+    assert found.promise is Promise.STOP_ANSWERS
+
+
+@pytest.mark.parametrize(
+    ('end', 'works', 'options'),
+    [
+        (_end(200, 24), [_work(24)], {}),
+        # Another attempt's answer was sooner.
+        (_end(200, 22), [_work(24), _work(22)], {}),
+        # The upstream broke off, or answers so itself.
+        (_end(502, 22, 4001), [_work(21.9, whole=False)], {}),
+        (_end(0, 22), [_work(21.9, whole=False)], {}),
+        (_end(500, 22), [_work(21.9, whole=False)], {}),
+        # The caller's time was over.
+        (_end(504, 23, 4002), [_work(24)], {'time_left': 4}),
+        (_end(0, 23), [_work(24)], {'time_left': 4}),
+        # The upstream was still at work in the last sixth of the grace period.
+        (_end(504, 25.6, 4008), [_work(25.2)], {}),
+        (_end(504, 25.6, 4008), [_work(inf, whole=False)], {}),
+        # It came too late, and was perhaps executed for another entry.
+        (_end(0, 25.7), [_work(28, 23.1)], {'sent_at': 23}),
+        # All was over before the stop began.
+        (_end(504, 19.9, 4002), [_work(24)], {}),
+        (_end(0, 26), [_work(19.8, 19.5)], {}),
+        # No end was seen.
+        (None, [_work(24)], {}),
+    ],
+)
+def test_what_a_stop_may_do_breaks_nothing(
+    end: Ended | None, works: list[Work], options: dict[str, float]
+) -> None:
+    assert not _stopped(end, *works, **options).violations()
+
+
+@pytest.mark.parametrize('host', ['one', 'two'])
+def test_stop_beside_an_unplanned_fault_or_of_another_entry_is_excused(
+    host: str,
+) -> None:
+    witness = _stopped(_end(502, 22, 4001), _work(24))
+    if host == 'one':
+        witness.faults.append(18)
+    else:
+        witness.stops.stops[0] = replace(_STOP, host='two')
+    assert not witness.violations()
+
+
 def _with_statement(stated: Stated, arrivals: list[float]) -> Witness:
     """Let an upstream state something in a whole answer, and get requests."""
     witness = Witness(_SERVICES)
@@ -320,7 +432,9 @@
     assert steps_of(5, 60) == steps_of(5, 60)
     assert steps_of(5, 60) != steps_of(6, 60)
     assert cuts_of(5, 60) == cuts_of(5, 60)
-    steps = [*steps_of(5, 600), *cuts_of(5, 600)]
+    assert stops_of(5, 60) == stops_of(5, 60)
+    assert Fault.SIGNAL_STOPPING not in {one.fault for one in steps_of(5, 600)}
+    steps = [*steps_of(5, 600), *cuts_of(5, 600), *stops_of(5, 60)]
     assert {step.fault for step in steps} == set(Fault)
     assert set(_PLAYERS) == set(Fault)
 
