--- a/tests/platform/upstream.py
+++ b/tests/platform/upstream.py
@@ -45,6 +45,9 @@
     last: bytes = b''
     """Bytes to write once the endless ones have reached their maximum."""
 
+    after: float = 0
+    """Seconds for which nothing is written."""
+
 
 @dataclass
 class RawUpstream:
@@ -112,6 +115,7 @@
         found = _REQUEST_ID.search(head)
         trace = found[1].decode() if found else ''
         reply = self._reply(writer, trace)
+        await asyncio.sleep(reply.after)
         writer.write(reply.payload)
         await writer.drain()
         if reply.reset:
