Mend what the review of the two-attempt logic found

Cause: a second reader of the mend found, shown by snippets: a request of an entry that had to exit (4008) ended at the entry that passed it on instead of being repeated like after a broken connection; at the exit the answer came before the cancels, so the attempts ran on; a paid retry that an upstream had rejected was given back; requests were passed on until the exit; answers that had begun were cancelled when a record named a new incarnation; the account of a stop left out what the exit ended. Change: each of these; sends assumed of a silent entry are taken back when it says what it sent; an exchange that has ended takes no further bytes. Conclusion: open are two entries that each send up to the route's attempts while one of them is silent, and a failure of the second attempt that begins before the first one's success.

--- a/tests/steering/test_passing.py
+++ b/tests/steering/test_passing.py
@@ -77,7 +77,7 @@
     return of_type(world.effects, PassRequest)
 
 
-def _end_pass(
+def end_pass(
     world: World,
     number: int,
     outcome: AttemptOutcome = AttemptOutcome.ANSWERED,
@@ -142,7 +142,7 @@
 def test_entry_that_cannot_be_reached_is_replaced() -> None:
     world = lost_world()
     number = world.ask(time_left=9)
-    _end_pass(world, number, AttemptOutcome.NOT_CONNECTED)
+    end_pass(world, number, AttemptOutcome.NOT_CONNECTED)
     assert [one.peer for one in passes(world)] == [
         '10.9.0.2:near',
         '10.9.0.2:far',
@@ -165,7 +165,7 @@
     number = world.ask(time_left=9)
     for _ in range(2):
         refusal = PassRefusal(code, 0.2, 0)
-        _end_pass(world, number, AttemptOutcome.NOT_EXECUTED, refusal)
+        end_pass(world, number, AttemptOutcome.NOT_EXECUTED, refusal)
     (answer,) = of_type(world.effects, AnswerResult)
     assert answer.code.certainty is Certainty.NOT_RUN
     assert answer.retry_after > 0
@@ -176,7 +176,7 @@
     world = lost_world()
     number = world.ask(time_left=9)
     refusal = PassRefusal(ResultCode.UPSTREAM_UNREACHABLE, 0.2, 1)
-    _end_pass(world, number, AttemptOutcome.NOT_EXECUTED, refusal)
+    end_pass(world, number, AttemptOutcome.NOT_EXECUTED, refusal)
     assert len(passes(world)) == 1
     (answer,) = of_type(world.effects, AnswerResult)
     assert answer.code is ResultCode.UPSTREAM_UNREACHABLE
@@ -186,7 +186,7 @@
     world = lost_world()
     number = world.ask(time_left=9)
     refusal = PassRefusal(ResultCode.QUEUE_FULL, 0.7, 0)
-    _end_pass(world, number, AttemptOutcome.NOT_EXECUTED, refusal)
+    end_pass(world, number, AttemptOutcome.NOT_EXECUTED, refusal)
     (answer,) = of_type(world.effects, AnswerResult)
     assert (answer.code, answer.retry_after) == (ResultCode.QUEUE_FULL, 0.7)
 
@@ -203,7 +203,7 @@
 ) -> None:
     world = lost_world(routes=(route(timeout=9, kind=kind),))
     number = world.ask(time_left=9)
-    _end_pass(world, number, AttemptOutcome.BROKE_BEFORE_ANSWER)
+    end_pass(world, number, AttemptOutcome.BROKE_BEFORE_ANSWER)
     assert len(passes(world)) == 1 + repeated
     if not repeated:
         (answer,) = of_type(world.effects, AnswerResult)
@@ -213,7 +213,7 @@
 def test_repeat_after_a_lost_answer_tells_what_was_sent() -> None:
     world = lost_world()
     number = world.ask(time_left=9)
-    _end_pass(world, number, AttemptOutcome.BROKE_BEFORE_ANSWER)
+    end_pass(world, number, AttemptOutcome.BROKE_BEFORE_ANSWER)
     assert [one.terms.sends for one in passes(world)] == [0, 1]
 
 
@@ -224,7 +224,7 @@
     assert [one.request for one in of_type(world.effects, CancelAttempt)] == [
         number
     ]
-    _end_pass(world, number, AttemptOutcome.CANCELLED)
+    end_pass(world, number, AttemptOutcome.CANCELLED)
     assert not world.state.requests
 
 
@@ -242,12 +242,38 @@
     number = world.ask(time_left=9)
     hear(world, 'far', 2, zone='b1', region='b')
     world.wait(1.2)
-    _end_pass(world, number, AttemptOutcome.NOT_CONNECTED)
+    end_pass(world, number, AttemptOutcome.NOT_CONNECTED)
     world.wait(2)
     assert len({one.peer for one in passes(world)}) == 2
     assert not of_type(world.effects, AnswerResult)
 
 
+@pytest.mark.parametrize(
+    ('kind', 'repeated'),
+    [(RouteKind.IDEMPOTENT, True), (RouteKind.AT_MOST_ONCE, False)],
+    ids=lambda one: getattr(one, 'name', str(one)),
+)
+def test_request_of_an_entry_that_had_to_exit_is_passed_on_again(
+    kind: RouteKind, *, repeated: bool
+) -> None:
+    world = lost_world(routes=(route(timeout=9, kind=kind),))
+    number = world.ask(time_left=9)
+    stopped = PassRefusal(ResultCode.ENTRY_STOPPED, 0, 1)
+    end_pass(world, number, AttemptOutcome.BROKE_BEFORE_ANSWER, refusal=stopped)
+    assert len(passes(world)) == 1 + repeated
+
+
+def test_second_attempt_that_an_upstream_rejected_stays_paid() -> None:
+    world = lost_world()
+    number = world.ask(time_left=9)
+    hear(world, 'far', 2, zone='b1', region='b')
+    world.wait(1.2)
+    assert len(passes(world)) == 2
+    shed = PassRefusal(ResultCode.UPSTREAM_SHED, 0, 2)
+    end_pass(world, number, AttemptOutcome.NOT_EXECUTED, refusal=shed)
+    assert world.state.budgets.totals.retries['orders'] == 1
+
+
 def test_quota_counts_a_passed_request_once() -> None:
     buyer = customer('buyer', 'key', quota=Quota(5, 5))
     sender = lost_world(customers=[buyer])
--- a/tests/steering/test_stops.py
+++ b/tests/steering/test_stops.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.steering.test_passing import lost_world, take
+from tests.steering.test_passing import end_pass, lost_world, passes, take
 from tests.steering.world import World, customer, of_type, route, upstream
 from worksrail.core.customers import Quota
 from worksrail.core.limits import Admission, SharedLimits, Verdict
@@ -132,6 +132,28 @@
     assert answer.code is ResultCode.ENTRY_LEAVING
 
 
+def test_request_is_not_passed_on_right_before_the_exit() -> None:
+    world = lost_world(routes=_ROUTES, bounds=_BOUNDS)
+    number = world.ask('write', time_left=_TIME_LEFT)
+    world.run(StopRequested(world.now))
+    world.wait(5.4)
+    end_pass(world, number, AttemptOutcome.NOT_CONNECTED)
+    assert len(passes(world)) == 1
+    (answer,) = of_type(world.effects, AnswerResult)
+    assert answer.code is ResultCode.ENTRY_LEAVING
+
+
+def test_attempt_is_cancelled_before_its_request_is_answered_at_the_exit() -> (
+    None
+):
+    world = _world('1')
+    _at_work(world)
+    effects = _stopped(world)
+    (cancelled,) = of_type(effects, CancelAttempt)
+    (answer,) = of_type(effects, AnswerResult)
+    assert effects.index(cancelled) < effects.index(answer)
+
+
 @pytest.mark.parametrize('again_at', [0.0, 1.0, 4.0])
 def test_second_request_to_stop_changes_nothing(again_at: float) -> None:
     world = _world('1')
--- a/tests/test_stops_command.py
+++ b/tests/test_stops_command.py
@@ -70,7 +70,8 @@
     begun = {name: one[name] for name in ('under_way', 'arrived')}
     assert begun == {'under_way': 4, 'arrived': 1}
     assert (one['answered'], one['refused']) == (2, 1)
-    assert one['failed'] + one['open'] == 2
+    assert (one['failed'], one['at_exit']) == (2, 1)
+    assert 'ENTRY_STOPPED:2' in rows[2]['reasons']
     assert [row['unaccounted'] for row in rows] == [0, 0, 0]
     assert rows[2]['answered'] == 4
     assert 'UPSTREAM_BROKE:2' in rows[2]['reasons']
--- a/worksrail/cli/_stops.py
+++ b/worksrail/cli/_stops.py
@@ -10,7 +10,10 @@
 
 _STOPPED: Final = 'stopped'
 _BEGUN: Final = ('under_way', 'arrived')
-_ENDED: Final = ('answered', 'refused', 'failed', 'caller_gone', 'open')
+_ENDED: Final = ('answered', 'refused', 'failed', 'caller_gone')
+# Those of them that the exit ended.
+_AT_EXIT: Final = 'at_exit'
+_COUNTED: Final = (*_BEGUN, *_ENDED, _AT_EXIT)
 _REASONS: Final = ('reasons', 'cancelled')
 _COLUMNS: Final = (
     'entry',
@@ -18,6 +21,7 @@
     'seconds',
     *_BEGUN,
     *_ENDED,
+    _AT_EXIT,
     'unaccounted',
     *_REASONS,
 )
@@ -46,7 +50,7 @@
 
 
 def _row(line: Line, begin: float) -> list[object]:
-    counts = Counter({name: int(line[name]) for name in (*_BEGUN, *_ENDED)})
+    counts = Counter({name: int(line[name]) for name in _COUNTED})
     seconds = round(float(line['after']), 2)
     reasons = [line[name] for name in _REASONS]
     return [
@@ -62,7 +66,7 @@
     counts: Counter[str] = Counter()
     reasons: dict[str, Counter[str]] = {name: Counter() for name in _REASONS}
     for line in stops:
-        for name in (*_BEGUN, *_ENDED):
+        for name in _COUNTED:
             counts[name] += int(line[name])
         for column, total in reasons.items():
             total.update(_parse(line[column]))
@@ -77,7 +81,7 @@
     """Return the counts, and the requests that ended without a line."""
     begun = sum(counts[name] for name in _BEGUN)
     ended = sum(counts[name] for name in _ENDED)
-    return [*(counts[name] for name in (*_BEGUN, *_ENDED)), begun - ended]
+    return [*(counts[name] for name in _COUNTED), begun - ended]
 
 
 def _parse(text: str) -> Counter[str]:
--- a/worksrail/core/steering/_on_passing.py
+++ b/worksrail/core/steering/_on_passing.py
@@ -83,17 +83,21 @@
         return
     if not request.current.helper:
         return
+    refused = event.refusal is not None
+    if event.outcome is AttemptOutcome.NOT_CONNECTED or refused:
+        # What was assumed to be sent by a silent entry is known now.
+        request.sends -= request.current.overdue
     if event.outcome is AttemptOutcome.NOT_CONNECTED:
         yield from _after_refusal(
             state, request, ResultCode.PEER_UNREACHABLE, event
         )
-    elif event.refusal:
+    elif event.refusal and event.refusal.code is not ResultCode.ENTRY_STOPPED:
         yield from _after_refusal(state, request, event.refusal.code, event)
     elif event.outcome is AttemptOutcome.ANSWERED:
         yield from conclude_answered(state, request, event)
     else:
         # For a silent entry that has been counted already.
-        request.sends += not request.current.overdue
+        request.sends += refused or not request.current.overdue
         yield from conclude(state, request, _as_attempt(event))
 
 
@@ -145,7 +149,9 @@
 ) -> Iterator[Effect]:
     request.end_current(event.outcome.name)
     if request.under_way:
-        if code.certainty is Certainty.NOT_RUN:
+        if code.certainty is Certainty.NOT_RUN and not _was_sent(
+            request, event
+        ):
             state.budgets.give_back(request.service, event.now)
         else:
             request.maybe_executed = True
@@ -187,10 +193,15 @@
         return event.replayable
     # Another try after an upstream had the request would be a retry, which
     # the budget of the other entry did not allow.
-    sent = event.refusal is not None and event.refusal.sends > request.sends
+    sent = _was_sent(request, event)
     return code in _OF_THE_ENTRY and event.replayable and not sent
 
 
+def _was_sent(request: SteeredRequest, event: PassEnded) -> bool:
+    """Return whether the entry that refused a request had sent it."""
+    return event.refusal is not None and event.refusal.sends > request.sends
+
+
 def _as_attempt(event: PassEnded) -> AttemptEnded:
     return AttemptEnded(
         event.now,
--- a/worksrail/core/steering/_on_store.py
+++ b/worksrail/core/steering/_on_store.py
@@ -184,6 +184,9 @@
     )
     yield DropConnections(record.address)
     for request in state.requests.values():
+        if request.answering:
+            # Its connection shows whether the rest of the answer comes.
+            continue
         for attempt in request.in_progress:
             if attempt.upstream == record.name:
                 attempt.lost = True
--- a/worksrail/core/steering/_placing.py
+++ b/worksrail/core/steering/_placing.py
@@ -1,6 +1,6 @@
 """Sends a request to the chosen upstream, or refuses it."""
 
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 from typing import Final
 
 from worksrail.core.limits import quota_name
@@ -65,13 +65,8 @@
         )
         return
     if cannot_send(state, request):
-        target = choose_entry(state, request, now)
-        if target:
-            yield from pass_on(state, request, target, now)
-            return
-        if request.passed_to:
-            code = ResultCode.UPSTREAM_UNREACHABLE
-            yield from refuse(state, request, code, now)
+        is_placed = yield from _place_elsewhere(state, request, now)
+        if is_placed:
             return
     choice, permission = _choose_permitted(state, request, now)
     if isinstance(choice, ResultCode):
@@ -85,6 +80,26 @@
         yield from _send(state, request, choice, now)
 
 
+def _place_elsewhere(
+    state: SteeringState,
+    request: SteeredRequest,
+    now: float,
+) -> Generator[Effect, None, bool]:
+    """Pass a request on or refuse it; false if no entry has tried it."""
+    if not _may_pass_on(state, request, now):
+        yield from refuse(state, request, ResultCode.ENTRY_LEAVING, now)
+        return True
+    target = choose_entry(state, request, now)
+    if target:
+        yield from pass_on(state, request, target, now)
+        return True
+    if request.passed_to:
+        code = ResultCode.UPSTREAM_UNREACHABLE
+        yield from refuse(state, request, code, now)
+        return True
+    return False
+
+
 def place_second(
     state: SteeringState,
     request: SteeredRequest,
@@ -96,7 +111,7 @@
     """
     if cannot_send(state, request):
         target = choose_entry(state, request, now)
-        if target:
+        if target and _may_pass_on(state, request, now):
             yield from pass_on(state, request, target, now)
         return
     choice, permission = _choose_permitted(state, request, now)
@@ -107,6 +122,17 @@
         yield from _send(state, request, choice, now)
 
 
+def _may_pass_on(
+    state: SteeringState,
+    request: SteeredRequest,
+    now: float,
+) -> bool:
+    """Return whether another entry's answer is expected before the exit."""
+    guess = request.route.target_latency
+    typical = state.typical_time(request.service, guess).typical
+    return now + typical <= exits_at(state)
+
+
 def _delay_of(
     state: SteeringState,
     request: SteeredRequest,
--- a/worksrail/core/steering/_stop_account.py
+++ b/worksrail/core/steering/_stop_account.py
@@ -30,8 +30,7 @@
 class StopAccount:
     """Requests of one stop, by how they ended.
 
-    What was under way and what arrived since equals the sum of all ends and
-    of what is still open.
+    What was under way and what arrived since equals the sum of all ends.
     """
 
     under_way: int = 0
@@ -53,6 +52,10 @@
         """Count what one event began and ended."""
         if isinstance(event, RequestArrived | PassedRequestArrived):
             self.arrived += 1
+        self.count_ends(effects)
+
+    def count_ends(self, effects: Iterable[Effect]) -> None:
+        """Count the requests that some effects end."""
         for effect in effects:
             if not isinstance(effect, Decision):
                 continue
@@ -64,13 +67,13 @@
             if end in _WITH_REASON:
                 self.reasons[effect.subject] += 1
 
-    def fields(self, still_open: int) -> LogInputs:
-        """Return the fields of the log line, given the open requests."""
+    def fields(self, at_exit: int) -> LogInputs:
+        """Return the fields of the log line, given those ended by the exit."""
         counts = {
             'under_way': self.under_way,
             'arrived': self.arrived,
             **{name: self.ends[name] for name in _ENDS.values()},
-            'open': still_open,
+            'at_exit': at_exit,
         }
         texts = {
             'reasons': _text(self.reasons),
--- a/worksrail/core/steering/_stopping.py
+++ b/worksrail/core/steering/_stopping.py
@@ -40,15 +40,20 @@
     forced = now > exits_at(state)
     if not forced and (state.requests or lingers(state, now)):
         return
-    still_open = len(state.requests)
-    for request in tuple(state.requests.values()):
-        yield from _end_at_exit(state, request, now)
+    at_exit = len(state.requests)
+    ends = [
+        effect
+        for request in tuple(state.requests.values())
+        for effect in _end_at_exit(state, request, now)
+    ]
+    state.stop_account.count_ends(ends)
+    yield from ends
     state.exited = True
     yield Decision(
         DecisionKind.STOPPED,
         inputs=(
             ('after', round(now - state.leaving_at, 3)),
-            *state.stop_account.fields(still_open),
+            *state.stop_account.fields(at_exit),
         ),
     )
     yield ExitProcess()
@@ -68,6 +73,6 @@
     code = ResultCode.ENTRY_STOPPED
     state.requests.pop(request.number)
     yield request_failed(request, code, now, denial='exit')
-    yield AnswerResult(request.number, code, sends=request.sends)
     for attempt in attempts:
         yield from abandon(state, request, attempt, 'exit', now)
+    yield AnswerResult(request.number, code, sends=request.sends)
--- a/worksrail/daemon/http/_exchange.py
+++ b/worksrail/daemon/http/_exchange.py
@@ -122,7 +122,7 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         """Write the head of an upstream's answer."""
-        if self.gone:
+        if self.gone or self.ended:
             return
         self.begun = True
         out = names.end_to_end(headers)
@@ -132,12 +132,14 @@
 
     async def write(self, chunk: bytes) -> None:
         """Write a part of an upstream's answer."""
-        if not self.gone:
+        if not self.gone and not self.ended:
             with self.held.holding(len(chunk)):
                 await self._await_write(self.connection.write(chunk))
 
     def end(self) -> None:
         """Complete an upstream's answer."""
+        if self.ended:
+            return
         self._mark_ended()
         if not self.gone:
             with contextlib.suppress(
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -370,7 +370,8 @@
 
     async def _flush(self) -> None:
         """Let callers that read slowly have the ends of their answers."""
-        left = exits_at(self.engine.state) - self.engine.now()
+        state = self.engine.state
+        left = exits_at(state) - self.engine.now() if state.leaving else 0
         seconds = max(_CLOSE_TIMEOUT, min(left, _MAX_FLUSH_TIME))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
