--- a/worksrail/daemon/main.py
+++ b/worksrail/daemon/main.py
@@ -1,6 +1,7 @@
 """``worksraild``: runs one entry instance of worksrail."""
 
 import asyncio
+import contextlib
 import itertools
 import json
 import sys
@@ -229,11 +230,19 @@
                 server.stop()
         for exchange_server in (self.caller_server, self.passing_server):
             if exchange_server:
-                await exchange_server.close_connections()
+                await self._end_connections(exchange_server)
         if self.peer_server:
             await stop_peer_server(self.peer_server)
         self.peers.close()
 
+    async def _end_connections(self, server: ExchangeServer) -> None:
+        """Close connections once what was answered on them has been sent."""
+        server.refuse_unread(ResultCode.ENTRY_LEAVING)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_FLUSH_TIMEOUT):
+                await server.flush()
+        await server.close_connections()
+
 
 def main() -> None:
     """Run the daemon with flags and environment variables."""
