Give the fleet of the own mode's stop tests addresses of its own

Alone they had passed. Change: the same bundle at other addresses; the checks are the same. Measured: both errors in the run of the process tests on; both pass while that run's fleet holds its addresses. Conclusion: the order of the tests does not matter any more.

--- a/tests/processes/test_own_stops.py
+++ b/tests/processes/test_own_stops.py
@@ -20,6 +20,8 @@
 
 pytestmark = pytest.mark.xdist_group('processes')
 
+# Addresses of its own: the fleet of the session may run beside this one.
+_BUNDLE: Final = SMALL_BUNDLE.replace('127.30.', '127.31.')
 _GET: Final = b'GET / HTTP/1.1\r\nHost: orders.example\r\n\r\n'
 _HEAD: Final = (
     b'POST / HTTP/1.1\r\nHost: orders.example\r\nContent-Length: 10\r\n\r\n'
@@ -40,10 +42,10 @@
         {'orders': _SERVICE_S},
         entries_per_region=1,
         base_port=8350,
-        text=SMALL_BUNDLE,
+        text=_BUNDLE,
     )
     with Fleet(plan) as running:
-        running.roll(SMALL_BUNDLE)
+        running.roll(_BUNDLE)
         running.wait_seats()
         wait_until(partial(_serves, plan.entries[0].caller))
         yield running
