--- a/tests/steering/test_customers.py
+++ b/tests/steering/test_customers.py
@@ -365,6 +365,30 @@
     assert world.state.limits.accounts[f'quota {name}'].used == -1
 
 
+# Outcome of an attempt whose caller has left, and what its quota has back.
+@pytest.mark.parametrize(
+    ('outcome', 'given_back'),
+    [
+        (AttemptOutcome.NOT_CONNECTED, 1),
+        (AttemptOutcome.NOT_EXECUTED, 1),
+        (AttemptOutcome.CANCELLED, 0),
+        (AttemptOutcome.BROKE_BEFORE_ANSWER, 0),
+    ],
+)
+def test_quota_has_back_what_was_not_executed_for_a_caller_that_left(
+    outcome: AttemptOutcome, given_back: int
+) -> None:
+    world, number, report = _awaiting_admission()
+    name = world.state.requests[number].customer_name
+    standing = LimitStatus(1, False, 0)
+    reply = LimitReply(report, {f'quota {name}': standing})
+    world.run(LimitMessageReceived(world.now, reply))
+    world.run(CallerGone(world.now, number))
+    world.end(number, outcome)
+    assert not world.state.requests
+    assert world.state.limits.accounts[f'quota {name}'].used == -given_back
+
+
 def test_no_limit_messages_are_sent_without_limits() -> None:
     world = World(_ROUTES, _UPSTREAMS)
     _receive_digest(world)
--- a/tests/steering/test_named_limits.py
+++ b/tests/steering/test_named_limits.py
@@ -23,6 +23,7 @@
     TokenShare,
 )
 from worksrail.core.steering import reduce
+from worksrail.core.steering.effects import AnswerResult
 from worksrail.core.steering.events import (
     CallerGone,
     NoticeReceived,
@@ -327,9 +328,25 @@
             for number in state.rates.waiting
         ]
     for name, number in waiting:
-        reduce(world.states[name], CallerGone(world.now, number))
+        effects = reduce(world.states[name], CallerGone(world.now, number))
+        answers = [one for one in effects if isinstance(one, AnswerResult)]
+        assert [one.code.name for one in answers] == ['DEADLINE_EXPIRED']
+        assert number not in world.states[name].requests
     world.wait(1)
-    assert world.codes['DEADLINE_EXPIRED'] == len(waiting)
+    assert not world.codes['DEADLINE_EXPIRED']
+
+
+def test_request_waiting_for_a_token_ends_with_its_caller() -> None:
+    world = World((route('read'),), [upstream('u')])
+    pacer = world.state.rates.named
+    pacer.limits.note('u', NamedLimit(5, world.now))
+    other = Members({'other': 'other:1'}, 1)
+    pacer.follow({ALL_REGIONS: other}, world.now)
+    number = world.ask('read')
+    assert number in world.state.rates.waiting
+    world.run(CallerGone(world.now, number))
+    assert not world.state.requests
+    assert not world.state.rates.waiting
 
 
 def test_token_goes_to_the_most_urgent_waiting_request() -> None:
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -13,6 +13,7 @@
 
 from tests.retrying import REGIONS, SERVICE, RetryWorld
 from worksrail.core._retrying import reported_code
+from worksrail.core.effects import AnswerResult
 from worksrail.core.events import CallerGone
 from worksrail.core.reducer import reduce
 from worksrail.core.requests import (
@@ -261,9 +262,11 @@
     instance.requests[active.number] = active
     retries = instance.service_state(SERVICE).retries
     retries.put(QueuedRequest(active.number, now + 1))
-    reduce(instance, CallerGone(now, active.number))
+    effects = reduce(instance, CallerGone(now, active.number))
     assert not instance.requests
     assert retries.pop() is None
+    # What its exchange holds is given back with the answer to nobody.
+    assert [one for one in effects if isinstance(one, AnswerResult)]
 
 
 def _full_budget(seats: dict[int, int], max_per_seat: float) -> RetryBudget:
