Receive on callers' connections whether or not anybody reads

What callers and upstreams saw: with half a head, an empty line, a request or a body that nobody takes behind an open request, the end of the connection was never noticed: upstreams worked on for callers that had left, and requests that had been received were begun for them. Bodies of cancelled requests stayed counted as held, requests that wait for a token stayed, and quotas did not have back what was never executed.

Cause: the server read a connection through the parser only. Its stream listens while its buffer is empty, so anything behind an open request hides the end.

Change: each connection is a protocol of asyncio that always receives, into a bounded buffer; its end drops what was not read and gives up what is open. Answers are sent in order; one of which nothing was sent is replaced if its upstream breaks off.

Conclusion: whatever lies behind a request no longer hides its caller.

--- a/tests/callers/test_leaving_upstreams.py
+++ b/tests/callers/test_leaving_upstreams.py
@@ -8,16 +8,21 @@
 from tests.callers.leaving import WAYS, LeavingCaller, until
 from tests.callers.watching import WatchingUpstream
 from tests.platform.test_upstream_faults import Entry
+from tests.platform.upstream import RawUpstream
 from tests.steering.world import configuration, route
+from tests.steering.world import upstream as upstream_record
 from worksrail.core.steering import RouteKind
-from worksrail.core.steering.events import ConfigurationRead
+from worksrail.core.steering.events import ConfigurationRead, UpstreamsListed
 
 _BODY = 40_000
+_SLOTS = 64
 # Longer than any test: only the caller ends a request.
 _TIMEOUT_S = 60.0
 _ROUTES = (
-    route('read', timeout=_TIMEOUT_S),
-    route('write', timeout=_TIMEOUT_S, kind=RouteKind.AT_MOST_ONCE),
+    route('read', timeout=_TIMEOUT_S, max_attempts=1),
+    route(
+        'write', timeout=_TIMEOUT_S, max_attempts=1, kind=RouteKind.AT_MOST_ONCE
+    ),
 )
 _HEAD = (
     '{method} /{route}/x HTTP/1.1\r\nHost: orders.example\r\n'
@@ -33,15 +38,25 @@
     return text.encode() + body
 
 
+def long_entry(upstream: WatchingUpstream | RawUpstream) -> Entry:
+    """Return an entry whose routes never end a request by themselves."""
+    entry = Entry(upstream)  # type: ignore[arg-type]
+    now = entry.engine.now()
+    entry.engine.dispatch(ConfigurationRead(now, configuration(2, _ROUTES)))
+    record = upstream_record(
+        'i-0', address=upstream.address, slots=_SLOTS, sequence=2
+    )
+    entry.engine.dispatch(UpstreamsListed(now, (record,)))
+    return entry
+
+
 Play = Callable[[LeavingCaller, WatchingUpstream, Entry], Awaitable[None]]
 
 
 def _play(play: Play) -> None:
     async def run() -> None:
         upstream = await WatchingUpstream().open()
-        entry = Entry(upstream)  # type: ignore[arg-type]
-        now = entry.engine.now()
-        entry.engine.dispatch(ConfigurationRead(now, configuration(2, _ROUTES)))
+        entry = long_entry(upstream)
         caller = LeavingCaller(entry.open())
         try:
             await play(caller, upstream, entry)
--- a/worksrail/core/_arriving.py
+++ b/worksrail/core/_arriving.py
@@ -3,11 +3,11 @@
 from collections.abc import Iterator
 
 from worksrail.core._admission import admit
-from worksrail.core._finishing import finish, refuse
+from worksrail.core._finishing import drop, finish, refuse
 from worksrail.core._members import members_by_region
 from worksrail.core._on_requests import begin
 from worksrail.core._quarantining import fingerprint_of
-from worksrail.core.effects import AnswerResult, Effect, SendMessage
+from worksrail.core.effects import Effect, SendMessage
 from worksrail.core.events import RequestArrived
 from worksrail.core.instance import Instance
 from worksrail.core.limits import (
@@ -88,10 +88,7 @@
 ) -> Iterator[Effect]:
     active.admitted = verdict.admission is Admission.ADMITTED
     if active.caller_gone:
-        instance.requests.pop(active.number)
-        if active.admitted:
-            instance.limits.give_back(quota_name(active.customer))
-        yield AnswerResult(active.number, ResultCode.DEADLINE_EXPIRED)
+        yield from drop(instance, active)
     elif active.admitted:
         yield from begin(instance, active, now)
     else:
--- a/worksrail/core/_finishing.py
+++ b/worksrail/core/_finishing.py
@@ -54,6 +54,15 @@
     yield AnswerResult(number, code, delay, entry)
 
 
+def drop(instance: Instance, active: ActiveRequest) -> Iterator[Effect]:
+    """End a queued request whose caller has disconnected."""
+    executed = active.maybe_executed
+    if active.admitted and not executed:
+        instance.limits.give_back(quota_name(active.customer))
+    close(instance, active, executed=executed)
+    yield AnswerResult(active.number, ResultCode.DEADLINE_EXPIRED)
+
+
 def close(
     instance: Instance,
     active: ActiveRequest,
--- a/worksrail/core/_on_requests.py
+++ b/worksrail/core/_on_requests.py
@@ -5,7 +5,7 @@
 
 from worksrail.core._admission import ticket_owner
 from worksrail.core._dispatching import dispatch_waiting, pass_on, place
-from worksrail.core._finishing import close, finish
+from worksrail.core._finishing import close, drop, finish
 from worksrail.core._pacing import learn_limit
 from worksrail.core._placing import hold_until, release_all
 from worksrail.core._quarantining import learn_crash
@@ -89,7 +89,7 @@
     queue = queues.get(active.state)
     if queue is not None:
         queue.remove(active.number)
-        close(instance, active, executed=False)
+        yield from drop(instance, active)
     elif active.idempotent:
         yield CancelRequest(active.number)
 
--- a/worksrail/core/steering/_on_passing.py
+++ b/worksrail/core/steering/_on_passing.py
@@ -5,7 +5,12 @@
 
 from worksrail.core.results import Certainty, ResultCode
 from worksrail.core.steering._on_requests import conclude, conclude_answered
-from worksrail.core.steering._placing import place, refuse, retry_delay
+from worksrail.core.steering._placing import (
+    give_back_unexecuted,
+    place,
+    refuse,
+    retry_delay,
+)
 from worksrail.core.steering._quarantining import fingerprint_of
 from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._routes import RoutingConfiguration
@@ -141,6 +146,20 @@
     return request
 
 
+def _drop_refused(
+    state: SteeringState,
+    request: SteeredRequest,
+    code: ResultCode,
+    event: PassEnded,
+) -> Decision:
+    if code.certainty is Certainty.NOT_RUN:
+        give_back_unexecuted(state, request)
+    state.requests.pop(request.number)
+    return Decision(
+        DecisionKind.REQUEST_DROPPED, event.outcome.name, request.number
+    )
+
+
 def _after_refusal(
     state: SteeringState,
     request: SteeredRequest,
@@ -157,10 +176,7 @@
             request.maybe_executed = True
         return
     if request.caller_gone:
-        state.requests.pop(request.number)
-        yield Decision(
-            DecisionKind.REQUEST_DROPPED, event.outcome.name, request.number
-        )
+        yield _drop_refused(state, request, code, event)
         return
     if _may_try_another(request, code, event):
         yield from place(state, request, event.now)
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -16,6 +16,8 @@
 from worksrail.core.steering._named_limits import learn_limit
 from worksrail.core.steering._path_evidence import record_path
 from worksrail.core.steering._placing import (
+    drop,
+    give_back_unexecuted,
     place,
     refuse,
     retry_delay,
@@ -31,6 +33,7 @@
 from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._request_log import (
     attempt_cancelled,
+    caller_left,
     rejection_of,
     request_answered,
     request_failed,
@@ -113,12 +116,10 @@
     if request is None:
         return
     request.caller_gone = True
-    yield Decision(
-        DecisionKind.CALLER_GONE,
-        request.current.upstream,
-        request.number,
-        (('after', round(event.now - request.arrived_at, 4)),),
-    )
+    yield caller_left(request, event.now)
+    if request.number in state.rates.waiting:
+        yield from drop(state, request)
+        return
     # An execution that must not be repeated is allowed to finish: the caller
     # may rely on its side effects.
     if not request.route.idempotent:
@@ -178,6 +179,7 @@
         return
     cancelled = event.outcome is AttemptOutcome.CANCELLED
     if request.caller_gone or (cancelled and not ended.lost):
+        give_back_unexecuted(state, request)
         state.requests.pop(request.number)
         yield Decision(
             DecisionKind.REQUEST_DROPPED, event.outcome.name, request.number
--- a/worksrail/core/steering/_placing.py
+++ b/worksrail/core/steering/_placing.py
@@ -147,11 +147,17 @@
     return 0
 
 
+def give_back_unexecuted(state: SteeringState, request: SteeredRequest) -> None:
+    """Return to the quota of a customer what was certainly not executed."""
+    if request.admitted and not request.maybe_executed:
+        state.limits.give_back(quota_name(request.customer_name))
+
+
 def drop(state: SteeringState, request: SteeredRequest) -> Iterator[Effect]:
     """End a request whose caller disconnected before it was sent."""
     state.requests.pop(request.number)
-    if request.admitted:
-        state.limits.give_back(quota_name(request.customer_name))
+    state.rates.waiting.pop(request.number, None)
+    give_back_unexecuted(state, request)
     yield Decision(
         DecisionKind.REQUEST_DROPPED, 'before any attempt', request.number
     )
@@ -241,8 +247,7 @@
         kind = DecisionKind.REQUEST_FAILED
         code = ResultCode.UPSTREAM_BROKE
         retry_after = 0
-    elif request.admitted:
-        state.limits.give_back(quota_name(request.customer_name))
+    give_back_unexecuted(state, request)
     if retry_after:
         state.promises.record(request.fingerprint, now + retry_after)
     yield Decision(
--- a/worksrail/core/steering/_request_log.py
+++ b/worksrail/core/steering/_request_log.py
@@ -143,6 +143,30 @@
     )
 
 
+def caller_left(request: SteeredRequest, now: float) -> Decision:
+    """Return the log line of a caller that has left, and what becomes of it.
+
+    ``after`` is the seconds since the request arrived, ``open`` the attempts
+    in progress; ``fate`` says whether they are cancelled.
+    """
+    attempts = request.in_progress
+    fate = 'not begun'
+    if attempts:
+        fate = 'cancelled' if request.route.idempotent else 'may not repeat'
+    return Decision(
+        DecisionKind.CALLER_GONE,
+        request.current.place,
+        request.number,
+        (
+            ('after', round(now - request.arrived_at, 4)),
+            ('route', request.route.name),
+            ('open', len(attempts)),
+            ('sent', round(now - request.current.sent_at, 4)),
+            ('fate', fate),
+        ),
+    )
+
+
 def attempt_kept(
     state: SteeringState,
     request: SteeredRequest,
--- a/worksrail/daemon/http/_exchange.py
+++ b/worksrail/daemon/http/_exchange.py
@@ -22,6 +22,7 @@
     OwnDialect,
 )
 from worksrail.daemon.http._held_bytes import HeldBytes
+from worksrail.daemon.http._turn import Turn
 
 _LOG: Final = Logger('worksrail.exchange')
 _OWN: Final = OwnDialect()
@@ -84,6 +85,9 @@
     body_bytes: int = 0
     """Bytes taken up for the body, until the exchange ends."""
 
+    turn: Turn | None = None
+    """Its place among the answers on the connection."""
+
     def take_body(self, size: int) -> bool:
         """Take up the bytes of the body, unless they do not fit."""
         if not self.held.take(size):
@@ -159,8 +163,8 @@
         if self.ended or self.gone:
             self._mark_ended()
             return
-        if self.begun:
-            self.break_off()
+        if self.begun and not self._retract():
+            self._abort()
             return
         self.begun = True
         self._mark_ended()
@@ -209,11 +213,16 @@
             self.connection.finish()
 
     def break_off(self) -> None:
-        """Abort the answer by closing the caller's connection."""
-        self._mark_ended()
-        stream = getattr(self.connection, 'stream', None)
-        if stream is not None:
-            stream.close()
+        """Abort the answer by closing the caller's connection.
+
+        An answer of which nothing was sent is replaced by a result instead, so
+        that the requests behind it keep their connection.
+        """
+        if self._retract():
+            self.begun = False
+            self.answer_result(ResultCode.UPSTREAM_BROKE)
+        else:
+            self._abort()
 
     def run(self, attempt: Coroutine[Any, Any, None], number: int = 0) -> None:
         """Start an attempt as a task."""
@@ -235,14 +244,29 @@
         self.ended = True
         self.give_back_body()
 
+    @property
+    def _closes_behind(self) -> bool:
+        """Whether the connection is closed behind this answer."""
+        return self.closing and not (self.turn and self.turn.has_followers)
+
+    def _retract(self) -> bool:
+        return self.turn is not None and self.turn.retract()
+
+    def _abort(self) -> None:
+        self._mark_ended()
+        if self.turn:
+            self.turn.abort()
+
     def _set_connection_close(self, headers: httputil.HTTPHeaders) -> None:
         # The rest of an incomplete body is not read, so the connection cannot
         # be used for another request.
-        if self.closing or not self.body.ended:
+        if self._closes_behind or not self.body.ended:
             headers['Connection'] = 'close'
+            if self.turn:
+                self.turn.final = True
 
     def _finish(self) -> None:
-        if self.closing:
+        if self._closes_behind:
             # Tornado decides by the request's headers only whether to close,
             # and has no public attribute for this.
             self.connection._disconnect_on_finish = True  # type: ignore
--- a/worksrail/daemon/http/_held_bytes.py
+++ b/worksrail/daemon/http/_held_bytes.py
@@ -38,6 +38,10 @@
         self.held += size
         return True
 
+    def hold(self, size: int) -> None:
+        """Count bytes that are held anyway, or no longer held if negative."""
+        self.held += size
+
     def take_refused(self) -> int:
         """Return the number of refused requests, and reset it."""
         refused = self.refused
@@ -55,8 +59,8 @@
         An answer that has begun is finished even above the maximum: its
         upstream has done the work.
         """
-        self.held += size
+        self.hold(size)
         try:
             yield
         finally:
-            self.held -= size
+            self.hold(-size)
--- a/worksrail/daemon/http/_requests.py
+++ b/worksrail/daemon/http/_requests.py
@@ -324,6 +324,7 @@
         if exchange.ended or exchange.gone:
             if exchange.number not in self.engine.instance.requests:
                 self.exchanges.pop(exchange.number, None)
+                exchange.give_back_body()
 
 
 def _key_digest(headers: httputil.HTTPHeaders) -> KeyDigest:
--- a/worksrail/daemon/http/_server.py
+++ b/worksrail/daemon/http/_server.py
@@ -1,17 +1,16 @@
 """HTTP server: connections, limits and malformed messages."""
 
 import asyncio
+import contextlib
+import socket
 import uuid
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any, Final, Protocol
 
 from tornado import httputil
-from tornado.http1connection import (
-    HTTP1ConnectionParameters,
-    HTTP1ServerConnection,
-)
-from tornado.iostream import IOStream
+from tornado.http1connection import HTTP1ConnectionParameters
+from tornado.netutil import ssl_options_to_context
 from tornado.tcpserver import TCPServer
 
 from worksrail.core.results import ResultCode
@@ -20,8 +19,9 @@
 from worksrail.daemon.http._dialect import CallerDialect, OwnDialect
 from worksrail.daemon.http._exchange import Exchange, result_payload
 from worksrail.daemon.http._held_bytes import HeldBytes
+from worksrail.daemon.http._row import ConnectionRow
+from worksrail.daemon.http._turn import Turn
 
-_EMPTY_BAD_REQUEST: Final = b'HTTP/1.1 400 Bad Request\r\n\r\n'
 _MAX_PARSED_HEADER_BYTES: Final = 1_048_576
 # Seconds between two checks whether answers have been sent.
 _FLUSH_INTERVAL: Final = 0.02
@@ -69,6 +69,7 @@
 
     server: 'ExchangeServer'
     connection: httputil.HTTPConnection
+    turn: Turn
     client: str
     exchange: Exchange | None = None
     dispatched: bool = False
@@ -82,6 +83,8 @@
         """Validate the head of a request and create its exchange."""
         if not isinstance(start_line, httputil.RequestStartLine):
             raise TypeError('expected a request start line')
+        if self.turn.closed():
+            return
         dialect = self.server.dialect
         trace = dialect.trace_of(headers)[:_MAX_TRACE_LENGTH]
         exchange = Exchange(
@@ -93,6 +96,7 @@
             next(self.server.numbers),
             dialect=dialect,
             held=self.server.held,
+            turn=self.turn,
         )
         self.exchange = exchange
         fault = self._validate(start_line, headers)
@@ -102,9 +106,6 @@
         if not exchange.take_body(_max_held(headers)):
             exchange.answer_result(ResultCode.MEMORY_FULL, _MEMORY_RETRY_DELAY)
             return
-        closing = getattr(self.connection, 'set_close_callback', None)
-        if closing:
-            closing(self.on_connection_close)
         self.server.open.receiving[exchange.number] = exchange
         # After an answer before the end of the body the connection must be
         # closed, so a small body is read first and only a large one streamed.
@@ -127,6 +128,7 @@
         if self.exchange:
             self.exchange.body.end()
             self._dispatch()
+        self.turn.end_message()
 
     def on_connection_close(self) -> None:
         """Handle the disconnect of the caller."""
@@ -143,7 +145,9 @@
 
     def _dispatch(self) -> None:
         exchange = self.exchange
-        if exchange and not self.dispatched and not exchange.ended:
+        if exchange is None or exchange.ended or exchange.gone:
+            return
+        if not self.dispatched:
             self.dispatched = True
             self.server.open.receiving.pop(exchange.number, None)
             self.server.handler.arrived(exchange)
@@ -174,9 +178,12 @@
 class OpenConnections:
     """What is open at a server."""
 
-    connections: set[HTTP1ServerConnection] = field(default_factory=set)
+    connections: set[ConnectionRow] = field(default_factory=set)
     """All connections."""
 
+    accepting: set[asyncio.Future[None]] = field(default_factory=set)
+    """Connections that are being accepted."""
+
     receiving: dict[int, Exchange] = field(default_factory=dict)
     """Requests whose bodies have not arrived completely, by number."""
 
@@ -208,24 +215,12 @@
         self.held = held or HeldBytes()
         self.open = OpenConnections()
 
-    def handle_stream(self, stream: IOStream, address: Any) -> None:
-        """Serve a connection, or close it if there are too many."""
+    def on_open(self, row: ConnectionRow) -> bool:
+        """Add a connection; false if there are too many."""
         if len(self.open.connections) >= self.limits.connections:
-            stream.close()
-            return
-        add_result_to_bad_requests(stream)
-        stream.set_nodelay(True)
-        parameters = HTTP1ConnectionParameters(
-            header_timeout=self.limits.header_seconds,
-            body_timeout=self.limits.body_seconds,
-            max_header_size=_MAX_PARSED_HEADER_BYTES,
-            max_body_size=self.limits.body_bytes,
-        )
-        server_connection = HTTP1ServerConnection(
-            stream, parameters, address[0]
-        )
-        self.open.connections.add(server_connection)
-        server_connection.start_serving(self)
+            return False
+        self.open.connections.add(row)
+        return True
 
     def start_request(
         self,
@@ -234,7 +229,8 @@
     ) -> httputil.HTTPMessageDelegate:
         """Return a reader for the next request of a connection."""
         client = getattr(server_conn, 'context', '')
-        return _RequestReader(self, request_conn, client)
+        turn = request_conn.stream  # type: ignore[attr-defined]
+        return _RequestReader(self, request_conn, turn, client)
 
     def on_close(self, server_conn: object) -> None:
         """Remove a closed connection."""
@@ -250,13 +246,45 @@
 
     async def flush(self) -> None:
         """Wait until all answers that were written have been sent."""
-        while any(one.stream.writing() for one in self.open.connections):
+        while any(row.has_unsent for row in self.open.connections):
             await asyncio.sleep(_FLUSH_INTERVAL)
 
     async def close_connections(self) -> None:
         """Close all connections."""
-        for connection in tuple(self.open.connections):
-            await connection.close()
+        for row in tuple(self.open.connections):
+            row.abort()
+        # The sockets are closed in the next turn of the loop.
+        await asyncio.sleep(0)
+
+    def _handle_connection(
+        self, connection: socket.socket, address: Any
+    ) -> None:
+        # A connection is served by a protocol of asyncio, which receives what
+        # comes whether or not it is read.
+        accepting = asyncio.ensure_future(self._accept(connection))
+        self.open.accepting.add(accepting)
+        accepting.add_done_callback(self.open.accepting.discard)
+
+    async def _accept(self, connection: socket.socket) -> None:
+        context = None
+        if self.ssl_options is not None:
+            context = ssl_options_to_context(self.ssl_options, server_side=True)
+        with contextlib.suppress(OSError):
+            await asyncio.get_running_loop().connect_accepted_socket(
+                self._create_row, connection, ssl=context
+            )
+
+    def _create_row(self) -> ConnectionRow:
+        limits = self.limits
+        parameters = HTTP1ConnectionParameters(
+            header_timeout=limits.header_seconds,
+            body_timeout=limits.body_seconds,
+            max_header_size=_MAX_PARSED_HEADER_BYTES,
+            max_body_size=limits.body_bytes,
+        )
+        return ConnectionRow(
+            self, parameters, _MALFORMED_ANSWER, limits.header_seconds
+        )
 
 
 def _max_held(headers: httputil.HTTPHeaders) -> int:
@@ -266,15 +294,9 @@
     return min(MAX_HELD_BYTES, int(headers.get('Content-Length', '0')))
 
 
-def add_result_to_bad_requests(stream: IOStream) -> None:
-    """Add a result code to the answer to a malformed message.
-
-    Tornado writes an empty 400 answer and closes the connection.  It has no
-    hook for this, so the bytes are replaced when they are written.
-    """
-    write = stream.write
+def _malformed_answer() -> bytes:
     payload = result_payload(ResultCode.MALFORMED_REQUEST, '')
-    with_result = b'\r\n'.join(
+    return b'\r\n'.join(
         (
             b'HTTP/1.1 400 Bad Request',
             b'Content-Type: application/json',
@@ -287,7 +309,5 @@
         )
     )
 
-    def write_with_result(data: Any) -> Any:
-        return write(with_result if data == _EMPTY_BAD_REQUEST else data)
 
-    stream.write = write_with_result  # type: ignore[method-assign]
+_MALFORMED_ANSWER: Final = _malformed_answer()
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -27,6 +27,7 @@
     PassedRequestArrived,
     PassEnded,
     RequestArrived,
+    RequestNumber,
 )
 from worksrail.daemon.http import _headers as names
 from worksrail.daemon.http._attempt import (
@@ -200,8 +201,14 @@
             sink.named_limit(),
         )
         self.engine.dispatch(event)
-        if effect.request not in self.engine.state.requests:
-            self.exchanges.pop(effect.request, None)
+        self._discard_ended(effect.request)
+
+    def _discard_ended(self, number: RequestNumber) -> None:
+        """Forget a request that has ended, and return what its body holds."""
+        if number not in self.engine.state.requests:
+            exchange = self.exchanges.pop(number, None)
+            if exchange:
+                exchange.give_back_body()
 
     def _upstream_of(self, effect: SendUpstream) -> str:
         request = self.engine.state.requests.get(effect.request)
@@ -294,8 +301,7 @@
                 sink.refusal if report.end is AttemptEnd.WHOLE else None,
             )
         )
-        if effect.request not in self.engine.state.requests:
-            self.exchanges.pop(effect.request, None)
+        self._discard_ended(effect.request)
 
     def _build_request(
         self,
