Let the soak see callers that leave, and count what became of them

Cause: the soak's callers send one request at a time and stay; the logs said neither what was open for a caller that left nor what became of it.

Change: the soak's callers that leave send rows of requests and leave at any moment by close, reset or the close of one direction; a promise compares what upstreams run with it. Two requests of a connection run beside each other instead of eight.

Conclusion: eight let one connection take many slots of a busy service.

--- a/tests/callers/test_leaving_upstreams.py
+++ b/tests/callers/test_leaving_upstreams.py
@@ -13,6 +13,7 @@
 from tests.steering.world import upstream as upstream_record
 from worksrail.core.steering import RouteKind
 from worksrail.core.steering.events import ConfigurationRead, UpstreamsListed
+from worksrail.daemon.http._server import HttpLimits
 
 _BODY = 40_000
 _SLOTS = 64
@@ -38,9 +39,12 @@
     return text.encode() + body
 
 
-def long_entry(upstream: WatchingUpstream | RawUpstream) -> Entry:
+def long_entry(
+    upstream: WatchingUpstream | RawUpstream, turns: int = 8
+) -> Entry:
     """Return an entry whose routes never end a request by themselves."""
     entry = Entry(upstream)  # type: ignore[arg-type]
+    entry.server.limits = HttpLimits(turns=turns)
     now = entry.engine.now()
     entry.engine.dispatch(ConfigurationRead(now, configuration(2, _ROUTES)))
     record = upstream_record(
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -164,3 +164,11 @@
     result = asyncio.run(played)
     assert all(passed.asked for passed in result.order.values())
     assert {one.promise for one in result.violations} <= _ORDER
+
+
+# Callers send ahead and leave at any moment, beside kills, stops and lost links.
+def test_nothing_is_done_for_callers_that_have_left(tmp_path: Path) -> None:
+    played = play_seed(1, 10, 3, tmp_path, crashing=False, leaving=True)
+    result = asyncio.run(played)
+    assert result.departed > 50
+    assert not result.violations
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -25,6 +25,7 @@
     stating: bool = False,
     overloading: bool = False,
     stopping: bool = False,
+    leaving: bool = False,
 ) -> None:
     """Play seeds, and end with 1 if a promise was broken.
 
@@ -52,6 +53,7 @@
                     stating=stating,
                     overloading=overloading,
                     stopping=stopping,
+                    leaving=leaving,
                 )
             )
         faults = ' '.join(step.fault.name for step in result.steps)
@@ -59,6 +61,7 @@
             f'seed {number}: {result.requests} requests, '
             f'{result.served} served, {result.statements} statements, '
             f'{result.in_stops} executed in stops, '
+            f'{result.departed} for callers that left, '
             f'{len(result.violations)} broken; '
             f'{faults}',
             flush=True,
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -82,7 +82,7 @@
         status, body, kept, retry_after = 0, b'', False, 0.0
         try:
             async with asyncio.timeout(sent.time_left + 1):
-                writer.write(_request(sent))
+                writer.write(request_bytes(sent))
                 head = await reader.readuntil(b'\r\n\r\n')
                 length = _LENGTH.search(head)
                 body = await reader.readexactly(int(length[1]) if length else 0)
@@ -133,7 +133,8 @@
     return int(found[1]) if found and status != 200 else 0
 
 
-def _request(sent: Sent) -> bytes:
+def request_bytes(sent: Sent) -> bytes:
+    """Return the bytes of a request."""
     method = 'POST' if sent.unsafe else 'GET'
     key = sent.path.rpartition('/')[2]
     head = (
--- a/tests/soak/_promises.py
+++ b/tests/soak/_promises.py
@@ -7,6 +7,7 @@
 from math import inf
 
 from tests.soak._cuts import Cut, CutShare
+from tests.soak._departures import Departures
 from tests.soak._order import (
     Asked,
     Passed,
@@ -57,6 +58,10 @@
     PLANNED_STOP = 'a planned stop cuts no request that is executed'
     CLEAN_EXIT = 'an entry that was told to stop ends with exit code 0'
     STAYS_UP = 'an entry ends only when it is told to'
+    LEFT_ALONE = (
+        'no upstream works on, or gets, what its caller has left, half a second'
+        ' later'
+    )
     RECOVERY = 'all entries serve again once the faults are over'
     NAMED_LIMIT = 'an upstream that names a limit gets no more than it allows'
     FEW_REPEATS = 'repeats over all entries stay within the budget they share'
@@ -279,6 +284,9 @@
     met: list[Met] = field(default_factory=list)
     """Requests that reached the upstream that they were meant for, in order."""
 
+    departures: Departures = field(default_factory=Departures)
+    """Callers that left, and what upstreams ran for them."""
+
     stops: StopsSeen = field(default_factory=StopsSeen)
     """Stops of entries, and what upstreams executed when."""
 
@@ -365,6 +373,12 @@
                 self.sent, self.ended, self._was_calm
             )
         ]
+        found += [
+            Violation(Promise.LEFT_ALONE, trace, details)
+            for trace, details in self.departures.broken(
+                self.sent, self._was_calm
+            )
+        ]
         for limited in self.limited:
             found += self._of_limit(limited)
         for trace, executions in self.executed.items():
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -12,6 +12,7 @@
 from tests.soak._callers import Caller
 from tests.soak._cuts import CutShare
 from tests.soak._faults import Fault, Step, cuts_of, steps_of, stops_of
+from tests.soak._leaving import LeavingWorld, start_leavers
 from tests.soak._open_loop import OpenLoop
 from tests.soak._order import Passed
 from tests.soak._overload import (
@@ -86,6 +87,9 @@
     in_stops: int
     """Requests that upstreams executed while one of their entries stopped."""
 
+    departed: int
+    """Runs of repeatable requests whose callers left."""
+
     order: dict[Promise, Passed]
     """Requests that were refused for others, where slots are short."""
 
@@ -287,6 +291,7 @@
     stating: bool = False,
     overloading: bool = False,
     stopping: bool = False,
+    leaving: bool = False,
 ) -> Result:
     """Play one seed from start to end.
 
@@ -294,7 +299,7 @@
     upstreams name limits if they are to, say that they leave or want no requests,
     and entries lose their links to upstreams.  With the window of a budget of
     repeats, in seconds, callers move from entry to entry and upstreams reject at
-    times.  Or customers ask for more than the slots of a service at times, or
+    times.  Callers that send ahead leave at any moment, if they are to.  Or customers ask for more than the slots of a service at times, or
     entries stop all the while under long calls.
     """
     steps = steps_of(seed, seconds) if faulty else []
@@ -309,6 +314,8 @@
     make_world: type[SoakWorld] = SoakWorld
     if overloading or stopping:
         make_world = StoppingWorld if stopping else OverloadedWorld
+    elif leaving:
+        make_world = LeavingWorld
     world = make_world(folder, entries, seed, budget)
     customer = CUSTOMERS[0] if overloading else ''
     upstreams = _MANY_UPSTREAMS if rejecting else _FEW_UPSTREAMS
@@ -322,6 +329,8 @@
         if stopping:
             number, patience = CALLERS, PATIENCE
         callers = start_callers(world, number, customer, patience)
+        if leaving:
+            callers += start_leavers(world, seed)
         if overloading:
             world.witness.priorities = PRIORITIES
             overload = _overload(world, seed, seconds)
@@ -358,6 +367,7 @@
         world.witness.repeats(),
         len(world.witness.stated),
         len(tuple(world.witness.stops.concerned(world.witness.sent))),
+        len(tuple(world.witness.departures.concerned(world.witness.sent))),
         world.witness.order(),
         world.witness.violations(),
     )
--- a/tests/soak/_upstreams.py
+++ b/tests/soak/_upstreams.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, unique
 
+from tests.soak._departures import Departures, Run
 from tests.soak._listening import LoopbackServer
 from tests.soak._promises import Executed, Limited, answer_of
 from tests.soak._slot_queue import SlotQueue
@@ -87,6 +88,9 @@
     crashes: int = 0
     """Times that it crashed."""
 
+    departures: Departures | None = None
+    """Is told of each run, if the upstream is to notice who leaves it."""
+
     slot_queue: SlotQueue = field(default_factory=SlotQueue)
     """Its slots and the places in its queue."""
 
@@ -165,7 +169,8 @@
                 self.crash(self, trace)
                 return False
             work, crashes = self.work(self, trace, port), self.crashes
-            await asyncio.sleep(self.slot_queue.duration(self.rng))
+            if not await self._execute(trace, reader):
+                return False
             work.end = asyncio.get_running_loop().time()
         finally:
             self.slot_queue.leave()
@@ -175,6 +180,23 @@
         work.is_whole = whole and self.crashes == crashes
         return kept
 
+    async def _execute(self, trace: str, reader: asyncio.StreamReader) -> bool:
+        """Work for some time; false if the sender has left meanwhile."""
+        duration = self.slot_queue.duration(self.rng)
+        if self.departures is None:
+            await asyncio.sleep(duration)
+            return True
+        begin = asyncio.get_running_loop().time()
+        # Nothing else is sent on a connection before its answer.
+        leaving = asyncio.ensure_future(reader.read(1))
+        await asyncio.wait((leaving,), timeout=duration)
+        has_left = leaving.done()
+        leaving.cancel()
+        await asyncio.gather(leaving, return_exceptions=True)
+        end = asyncio.get_running_loop().time()
+        self.departures.runs.append(Run(trace, begin, end, begin + duration))
+        return not has_left
+
     def _rejects(self) -> bool:
         if self.backoff:
             return True
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,10 +6,12 @@
 import asyncio
 from dataclasses import replace
 from math import inf
+from typing import Any
 
 import pytest
 
 from tests.soak._cuts import Cut, CutShare
+from tests.soak._departures import Run
 from tests.soak._faults import Fault, cuts_of, steps_of, stops_of
 from tests.soak._promises import (
     Arrival,
@@ -543,3 +545,54 @@
         witness.ended.pop(f'one-{number}')
     witness.ended['two-0'] = replace(witness.ended['two-0'], at=12)
     assert [one.promise for one in witness.violations()] == [Promise.CUT_SERVED]
+
+
+def _departed(
+    runs: list[Run], *, unsafe: bool = False, fault: float = 0
+) -> Witness:
+    """Ten requests whose callers left at 20, and what was run for them."""
+    witness = Witness({'r': frozenset('a')})
+    if fault:
+        witness.faults.append(fault)
+    for number in range(10):
+        trace = str(number)
+        witness.sent[trace] = Sent(trace, '/r/1', b'', unsafe, 'one:80', 19)
+        witness.departures.left[trace] = 20
+    witness.departures.runs = runs
+    return witness
+
+
+def _runs(count: int, begin: float, end: float, until: float) -> list[Run]:
+    return [Run(str(number), begin, end, until) for number in range(count)]
+
+
+_STOPPED_RUNS = _runs(9, 19.1, 20.1, 22)
+_WENT_ON = _runs(4, 19.1, 22, 22)
+
+
+@pytest.mark.parametrize(
+    'runs',
+    [_WENT_ON, _WENT_ON + _STOPPED_RUNS, _runs(4, 20.6, 20.7, 22)],
+    ids=['all go on', 'a third goes on', 'reach upstreams later'],
+)
+def test_work_for_callers_that_have_left_is_noticed(runs: list[Run]) -> None:
+    (found,) = _departed(runs).violations()
+    assert found.promise is Promise.LEFT_ALONE
+
+
+@pytest.mark.parametrize(
+    ('runs', 'options'),
+    [
+        (_STOPPED_RUNS, {}),
+        (_STOPPED_RUNS + _runs(3, 19.1, 22, 22), {}),
+        (_runs(3, 20.6, 20.7, 22), {}),
+        (_runs(9, 19.1, 20.4, 20.4), {}),
+        (_WENT_ON, {'unsafe': True}),
+        (_WENT_ON, {'fault': 20.3}),
+    ],
+    ids=['stopped', 'few go on', 'few later', 'short', 'writes', 'fault'],
+)
+def test_what_may_be_done_for_callers_that_have_left(
+    runs: list[Run], options: dict[str, Any]
+) -> None:
+    assert not _departed(runs, **options).violations()
--- a/worksrail/cli/main.py
+++ b/worksrail/cli/main.py
@@ -9,6 +9,7 @@
 
 from worksrail.cli._bundles import BundleCommands
 from worksrail.cli._connection import OperatorClient
+from worksrail.cli._departures import show_departures
 from worksrail.cli._keys import KeyCommands
 from worksrail.cli._late import show_late
 from worksrail.cli._logs import show_logs
@@ -98,6 +99,11 @@
             )
         show_losses(self._output, files, every)
 
+    def departures(self, *files: str) -> None:
+        """Show what became of requests whose callers left, from log files."""
+        self._check_files_exist(files)
+        show_departures(self._output, files)
+
     def late(self, *files: str) -> None:
         """Show causes of late answers, and rejections, from log files."""
         self._check_files_exist(files)
--- a/worksrail/daemon/http/_row.py
+++ b/worksrail/daemon/http/_row.py
@@ -20,8 +20,6 @@
 from worksrail.daemon.http._turn import Turn
 
 _LOG: Final = Logger('worksrail.http')
-# Maximum number of requests of one connection that run beside each other.
-_MAX_TURNS: Final = 8
 # Bytes received ahead of their reads from which the sender has to wait.
 _MAX_AHEAD_BYTES: Final = 65_536
 # The end of the connection stays hidden behind what its sender could not send,
@@ -36,6 +34,29 @@
 _MAX_LINGER: Final = 5.0
 
 
+@dataclass(slots=True)
+class UnreadInput:
+    """Counts what was received on connections that ended, and never read."""
+
+    connections: int = 0
+    """Connections that ended with unread bytes."""
+
+    size: int = 0
+    """These bytes."""
+
+    def add(self, size: int) -> None:
+        """Count a connection that has ended."""
+        self.connections += 1
+        self.size += size
+
+    def take(self) -> tuple[int, int]:
+        """Return connections and bytes since the last call."""
+        taken = (self.connections, self.size)
+        self.connections = 0
+        self.size = 0
+        return taken
+
+
 class RowServer(Protocol):
     """Handles the requests of connections."""
 
@@ -50,6 +71,9 @@
     def on_open(self, row: 'ConnectionRow') -> bool:
         """Add a connection; false if there are too many."""
 
+    def on_unread(self, size: int) -> None:
+        """Count bytes that were never read of a connection that ended."""
+
     def on_close(self, server_conn: object) -> None:
         """Remove a closed connection."""
 
@@ -76,6 +100,9 @@
     idle_seconds: float
     """Seconds for which the connection may be idle."""
 
+    max_turns: int
+    """Maximum number of requests that run beside each other."""
+
     input: InputBuffer = field(default_factory=InputBuffer)
     """Bytes that were received and not read."""
 
@@ -247,7 +274,7 @@
         self.input.skip_empty_lines()
         if last is None:
             return bool(self.input)
-        if len(self.turns) >= _MAX_TURNS:
+        if len(self.turns) >= self.max_turns:
             return False
         return last.safe and self.input.begins_safe_request
 
@@ -281,6 +308,8 @@
         if self.ended:
             return
         self.ended = True
+        if self.input:
+            self.server.on_unread(len(self.input))
         self.input.end()
         # Those behind are given up first: nothing is begun for them with what
         # the others give back.
--- a/worksrail/daemon/http/_server.py
+++ b/worksrail/daemon/http/_server.py
@@ -19,7 +19,7 @@
 from worksrail.daemon.http._dialect import CallerDialect, OwnDialect
 from worksrail.daemon.http._exchange import Exchange, result_payload
 from worksrail.daemon.http._held_bytes import HeldBytes
-from worksrail.daemon.http._row import ConnectionRow
+from worksrail.daemon.http._row import ConnectionRow, UnreadInput
 from worksrail.daemon.http._turn import Turn
 
 _MAX_PARSED_HEADER_BYTES: Final = 1_048_576
@@ -52,6 +52,11 @@
     body_seconds: float = 60
     """Timeout in seconds for receiving a request body."""
 
+    turns: int = 2
+    """Maximum number of requests of one connection that run beside each other.
+
+    A connection that had many slots at once would take them from others."""
+
 
 class ExchangeHandler(Protocol):
     """Handles requests and the disconnects of callers."""
@@ -184,6 +189,9 @@
     accepting: set[asyncio.Future[None]] = field(default_factory=set)
     """Connections that are being accepted."""
 
+    unread: UnreadInput = field(default_factory=UnreadInput)
+    """What was never read of connections that ended."""
+
     receiving: dict[int, Exchange] = field(default_factory=dict)
     """Requests whose bodies have not arrived completely, by number."""
 
@@ -232,6 +240,10 @@
         turn = request_conn.stream  # type: ignore[attr-defined]
         return _RequestReader(self, request_conn, turn, client)
 
+    def on_unread(self, size: int) -> None:
+        """Count bytes that were never read of a connection that ended."""
+        self.open.unread.add(size)
+
     def on_close(self, server_conn: object) -> None:
         """Remove a closed connection."""
         self.open.connections.discard(server_conn)  # type: ignore[arg-type]
@@ -283,7 +295,11 @@
             max_body_size=limits.body_bytes,
         )
         return ConnectionRow(
-            self, parameters, _MALFORMED_ANSWER, limits.header_seconds
+            self,
+            parameters,
+            _MALFORMED_ANSWER,
+            limits.header_seconds,
+            limits.turns,
         )
 
 
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -316,6 +316,7 @@
             await asyncio.sleep(_HOUSEKEEPING_INTERVAL)
             self._log_summaries()
             self._log_full_memory()
+            self._log_departures()
             self.sink.flush()
             # The settings file may change without a signal.
             self.reload()
@@ -337,6 +338,15 @@
                 },
             )
 
+    def _log_departures(self) -> None:
+        for server in self.servers:
+            connections, size = server.open.unread.take()
+            if connections:
+                _LOG.info(
+                    'callers-left',
+                    extra={'connections': connections, 'bytes': size},
+                )
+
     def _apply_caller_limits(self) -> None:
         configuration = self.engine.state.configuration
         if isinstance(configuration, RoutingConfiguration):
