--- a/worksrail/daemon/http/_input.py
+++ b/worksrail/daemon/http/_input.py
@@ -11,6 +11,7 @@
 
 # Length of the longest delimiter less one: its beginning may have arrived.
 _MAX_PARTIAL_DELIMITER: Final = 3
+_HEAD_END: Final = b'\r\n\r\n'
 _SAFE_METHODS: Final = (b'GET ', b'HEAD ', b'OPTIONS ')
 
 Search = Callable[[bytearray, int], int]
@@ -53,6 +54,11 @@
         """Whether a request follows that changes nothing."""
         return self.received.startswith(_SAFE_METHODS)
 
+    @property
+    def has_head(self) -> bool:
+        """Whether the head of a message has arrived."""
+        return _HEAD_END in self.received
+
     def feed(self, chunk: bytes) -> None:
         """Add bytes, and finish the read that waits for them."""
         if not self.ended:
--- a/worksrail/daemon/http/_row.py
+++ b/worksrail/daemon/http/_row.py
@@ -13,6 +13,7 @@
     HTTP1ConnectionParameters,
 )
 from tornado.httputil import HTTPMessageDelegate
+from tornado.ioloop import IOLoop
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
 from worksrail.daemon.http._held_bytes import HeldBytes
@@ -78,6 +79,23 @@
         """Remove a closed connection."""
 
 
+@dataclass(frozen=True, slots=True)
+class RowLimits:
+    """Limits of a connection."""
+
+    parser: HTTP1ConnectionParameters
+    """Limits of the parser."""
+
+    arrived: HTTP1ConnectionParameters
+    """The same without a timeout for the head of a message."""
+
+    idle_seconds: float
+    """Seconds for which the connection may be idle."""
+
+    turns: int
+    """Maximum number of requests that run beside each other."""
+
+
 @dataclass(slots=True, eq=False)
 class ConnectionRow(asyncio.Protocol):
     """Reads the requests of a connection and sends their answers in order.
@@ -91,17 +109,14 @@
     server: RowServer
     """Handles the requests."""
 
-    parameters: HTTP1ConnectionParameters
-    """Limits of the parser."""
+    limits: RowLimits
+    """Limits of the connection."""
 
     malformed_answer: bytes
     """Answer to a malformed message."""
 
-    idle_seconds: float
-    """Seconds for which the connection may be idle."""
-
-    max_turns: int
-    """Maximum number of requests that run beside each other."""
+    io_loop: IOLoop
+    """The event loop, as streams name it."""
 
     input: InputBuffer = field(default_factory=InputBuffer)
     """Bytes that were received and not read."""
@@ -248,6 +263,8 @@
     def regulate(self) -> None:
         """Let the sender wait while too much is received ahead."""
         size = len(self.input)
+        if size < _MAX_AHEAD_BYTES and self.receiving and not self.held_ahead:
+            return
         held = max(0, size - _MAX_AHEAD_BYTES)
         if held != self.held_ahead:
             self.server.held.hold(held - self.held_ahead)
@@ -274,17 +291,19 @@
         self.input.skip_empty_lines()
         if last is None:
             return bool(self.input)
-        if len(self.turns) >= self.max_turns:
+        if len(self.turns) >= self.limits.turns:
             return False
         return last.safe and self.input.begins_safe_request
 
     def _begin_turn(self) -> None:
-        turn = Turn(self, self.input.begins_safe_request)
+        limits = self.limits
+        turn = Turn(self, self.io_loop, self.input.begins_safe_request)
         # A turn has what an HTTP1Connection uses of a stream.
         http = HTTP1Connection(
             turn,  # type: ignore[arg-type]
             is_client=False,
-            params=self.parameters,
+            # A timeout for what has arrived would only cost time.
+            params=limits.arrived if self.input.has_head else limits.parser,
             context=self.context,
         )
         turn.http = http
@@ -351,7 +370,7 @@
         now = self._now()
         if self.turns:
             self.idle_since = now
-        left = self.idle_since + self.idle_seconds - now
+        left = self.idle_since + self.limits.idle_seconds - now
         if left <= 0:
             self.end()
         else:
--- a/worksrail/daemon/http/_server.py
+++ b/worksrail/daemon/http/_server.py
@@ -10,6 +10,7 @@
 
 from tornado import httputil
 from tornado.http1connection import HTTP1ConnectionParameters
+from tornado.ioloop import IOLoop
 from tornado.netutil import ssl_options_to_context
 from tornado.tcpserver import TCPServer
 
@@ -19,7 +20,11 @@
 from worksrail.daemon.http._dialect import CallerDialect, OwnDialect
 from worksrail.daemon.http._exchange import Exchange, result_payload
 from worksrail.daemon.http._held_bytes import HeldBytes
-from worksrail.daemon.http._row import ConnectionRow, UnreadInput
+from worksrail.daemon.http._row import (
+    ConnectionRow,
+    RowLimits,
+    UnreadInput,
+)
 from worksrail.daemon.http._turn import Turn
 
 _MAX_PARSED_HEADER_BYTES: Final = 1_048_576
@@ -288,19 +293,26 @@
 
     def _create_row(self) -> ConnectionRow:
         limits = self.limits
-        parameters = HTTP1ConnectionParameters(
-            header_timeout=limits.header_seconds,
-            body_timeout=limits.body_seconds,
-            max_header_size=_MAX_PARSED_HEADER_BYTES,
-            max_body_size=limits.body_bytes,
-        )
-        return ConnectionRow(
-            self,
-            parameters,
-            _MALFORMED_ANSWER,
+        row_limits = RowLimits(
+            _parser_limits(limits, limits.header_seconds),
+            _parser_limits(limits, None),
             limits.header_seconds,
             limits.turns,
         )
+        return ConnectionRow(
+            self, row_limits, _MALFORMED_ANSWER, IOLoop.current()
+        )
+
+
+def _parser_limits(
+    limits: HttpLimits, header_seconds: float | None
+) -> HTTP1ConnectionParameters:
+    return HTTP1ConnectionParameters(
+        header_timeout=header_seconds,
+        body_timeout=limits.body_seconds,
+        max_header_size=_MAX_PARSED_HEADER_BYTES,
+        max_body_size=limits.body_bytes,
+    )
 
 
 def _max_held(headers: httputil.HTTPHeaders) -> int:
--- a/worksrail/daemon/http/_turn.py
+++ b/worksrail/daemon/http/_turn.py
@@ -65,6 +65,9 @@
     row: Row
     """The connection."""
 
+    io_loop: IOLoop
+    """The event loop, as an ``IOStream`` names it."""
+
     safe: bool
     """Whether the request changes nothing, so that others may run beside it."""
 
@@ -104,9 +107,6 @@
     on_close: Callable[[], None] | None = None
     """Is called when the connection ends."""
 
-    io_loop: IOLoop = field(default_factory=IOLoop.current)
-    """The event loop, as an ``IOStream`` names it."""
-
     error: BaseException | None = None
     """Reason for the end of the connection, as an ``IOStream`` names it."""
 
