Run requests of a connection one by one while slots are short

Change: safe requests of a connection run beside each other only while no service is known to be short of slots.

Conclusion: a second request does not wait for the first where slots are free, and takes none from others where they are not.

--- a/tests/callers/test_pipelining.py
+++ b/tests/callers/test_pipelining.py
@@ -3,7 +3,9 @@
 import asyncio
 import re
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from itertools import pairwise
+from math import inf
 
 import pytest
 
@@ -13,6 +15,7 @@
 from tests.platform.test_upstream_faults import Entry
 from tests.platform.upstream import RawUpstream, Reply, answer
 from worksrail.core.results import ResultCode
+from worksrail.core.steering._service_load import NOT_SHORT
 from worksrail.core.steering.events import StopRequested
 from worksrail.daemon.http._held_bytes import HeldBytes
 
@@ -124,6 +127,26 @@
     _play(play)
 
 
+def test_requests_run_one_by_one_while_slots_are_short() -> None:
+    async def play(
+        pipeline: Pipeline, upstream: WatchingUpstream, entry: Entry
+    ) -> None:
+        loads = entry.engine.state.service_loads
+        short = replace(NOT_SHORT, is_short=True, measured_at=inf)
+        loads['orders'] = short
+        pipeline.writer.write(_reads(3))
+        for number in range(3):
+            assert await until(
+                lambda number=number: len(upstream.works) > number
+            )
+            await asyncio.sleep(0.05)
+            assert len(upstream.works) == number + 1
+            upstream.works[number].release.set()
+            assert (await pipeline.answer())[0] == 200
+
+    _play(play)
+
+
 def test_write_waits_for_those_before_it_and_others_wait_for_it() -> None:
     async def play(
         pipeline: Pipeline, upstream: WatchingUpstream, _: Entry
--- a/worksrail/core/steering/__init__.py
+++ b/worksrail/core/steering/__init__.py
@@ -31,7 +31,11 @@
     ServicePolicy,
     ServiceWeight,
 )
-from worksrail.core.steering._scarcity import current_shares, is_contended
+from worksrail.core.steering._scarcity import (
+    current_shares,
+    has_slots_free,
+    is_contended,
+)
 from worksrail.core.steering._settings import (
     EntryAddresses,
     EntryLimits,
@@ -72,6 +76,7 @@
     'decode_terms',
     'encode_terms',
     'exits_at',
+    'has_slots_free',
     'incarnation_name',
     'is_contended',
     'look_up',
--- a/worksrail/core/steering/_scarcity.py
+++ b/worksrail/core/steering/_scarcity.py
@@ -158,6 +158,11 @@
     return service_load(state, request.service, seconds, now)
 
 
+def has_slots_free(state: SteeringState) -> bool:
+    """Return whether no service is known to be short of slots."""
+    return not any(load.is_short for load in state.service_loads.values())
+
+
 def record_slot_time(
     state: SteeringState,
     request: SteeredRequest,
--- a/worksrail/daemon/http/_row.py
+++ b/worksrail/daemon/http/_row.py
@@ -72,6 +72,9 @@
     def on_open(self, row: 'ConnectionRow') -> bool:
         """Add a connection; false if there are too many."""
 
+    def admits_beside(self) -> bool:
+        """Return whether requests of a connection may run beside each other."""
+
     def on_unread(self, size: int) -> None:
         """Count bytes that were never read of a connection that ended."""
 
@@ -101,9 +104,9 @@
     """Reads the requests of a connection and sends their answers in order.
 
     Requests with safe methods run beside each other, as RFC 9112, 9.3.2,
-    allows; any other waits until all before it are answered, and those behind
-    it wait for its answer.  A caller that closes its sending direction counts
-    as one that has left: the two cannot be told apart.
+    allows, if the server admits it; any other waits until all before it are
+    answered, and those behind it wait for its answer.  A caller that closes its
+    sending direction counts as one that has left: the two cannot be told apart.
     """
 
     server: RowServer
@@ -291,9 +294,9 @@
         self.input.skip_empty_lines()
         if last is None:
             return bool(self.input)
-        if len(self.turns) >= self.limits.turns:
+        if len(self.turns) >= self.limits.turns or not last.safe:
             return False
-        return last.safe and self.input.begins_safe_request
+        return self.input.begins_safe_request and self.server.admits_beside()
 
     def _begin_turn(self) -> None:
         limits = self.limits
--- a/worksrail/daemon/http/_server.py
+++ b/worksrail/daemon/http/_server.py
@@ -64,7 +64,11 @@
 
 
 class ExchangeHandler(Protocol):
-    """Handles requests and the disconnects of callers."""
+    """Handles requests and the disconnects of callers.
+
+    One with a method ``admits_beside`` says whether requests of one connection
+    may run beside each other now.
+    """
 
     def arrived(self, exchange: Exchange) -> None:
         """Handle a request whose headers are valid."""
@@ -245,6 +249,11 @@
         turn = request_conn.stream  # type: ignore[attr-defined]
         return _RequestReader(self, request_conn, turn, client)
 
+    def admits_beside(self) -> bool:
+        """Return whether requests of a connection may run beside each other."""
+        asked = getattr(self.handler, 'admits_beside', None)
+        return asked is None or bool(asked())
+
     def on_unread(self, size: int) -> None:
         """Count bytes that were never read of a connection that ended."""
         self.open.unread.add(size)
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -11,7 +11,7 @@
 from worksrail.core.customers import CustomerName
 from worksrail.core.pacing import NoRate
 from worksrail.core.results import ResultCode
-from worksrail.core.steering import wants_requests
+from worksrail.core.steering import has_slots_free, wants_requests
 from worksrail.core.steering.effects import (
     AnswerResult,
     CancelAttempt,
@@ -163,6 +163,14 @@
         """Close idle connections to an address."""
         self.upstreams.drop(effect.address)
 
+    def admits_beside(self) -> bool:
+        """Return whether requests of a connection may run beside each other.
+
+        While slots are short, who sends ahead would take them from more urgent
+        requests.
+        """
+        return has_slots_free(self.engine.state)
+
     def trace_of(self, number: int) -> str:
         """Return the caller's identifier of a request."""
         exchange = self.exchanges.get(number)
