Bound the wait of begun answers, and test answers in progress

Cause: an answer with requests behind it is kept until it is whole; one that comes slowly, as of a stream, would have been kept for as long as it lasts.

Change: a begun answer whose turn has come waits 0.25 s at most. An answer that has ended is never replaced. Tests of callers that leave while their answer is written, read or not, with nothing or a request behind it.

Conclusion: answers in progress end with their callers, too.

--- a/tests/callers/test_leaving_upstreams.py
+++ b/tests/callers/test_leaving_upstreams.py
@@ -8,7 +8,7 @@
 from tests.callers.leaving import WAYS, LeavingCaller, until
 from tests.callers.watching import WatchingUpstream
 from tests.platform.test_upstream_faults import Entry
-from tests.platform.upstream import RawUpstream
+from tests.platform.upstream import RawUpstream, Reply, answer
 from tests.steering.world import configuration, route
 from tests.steering.world import upstream as upstream_record
 from worksrail.core.steering import RouteKind
@@ -153,3 +153,34 @@
         assert not entry.requests.exchanges
 
     _play(play)
+
+
+# Whether the caller reads the answer before it leaves; if not, its entry and the
+# upstream wait for it.
+@pytest.mark.parametrize('reads', [True, False], ids=['reads', 'reads nothing'])
+@pytest.mark.parametrize('behind', ['nothing', 'one request'])
+@pytest.mark.parametrize('way', WAYS)
+def test_answer_in_progress_ends_with_its_caller(
+    way: str, behind: str, *, reads: bool
+) -> None:
+    async def run() -> None:
+        def reply(_: int, trace: str) -> Reply:
+            head = answer(trace, body='x' * 1_000_000_000)[:200]
+            return Reply(head, endless=b'x' * 65_536)
+
+        upstream = await RawUpstream(reply).open()
+        entry = long_entry(upstream)
+        caller = LeavingCaller(entry.open())
+        await caller.send(request('first') + _BEHIND[behind])
+        assert await until(lambda: upstream.endless_taken > 300_000)
+        if reads:
+            await caller.read(1_000_000)
+        WAYS[way](caller)
+        assert await until(lambda: not entry.engine.state.requests)
+        assert await until(lambda: not entry.server.held.held)
+        assert upstream.endless_taken < upstream.most_endless
+        caller.sock.close()
+        entry.server.stop()
+        await entry.server.close_connections()
+
+    asyncio.run(run())
--- a/tests/callers/test_pipelining.py
+++ b/tests/callers/test_pipelining.py
@@ -250,6 +250,28 @@
     assert asyncio.run(run()) == expected
 
 
+def test_begun_answer_does_not_wait_long_for_its_end() -> None:
+    async def run() -> bytes:
+        def reply(_: int, trace: str) -> Reply:
+            whole = answer(trace, body='x' * 100)
+            if trace == 't0':
+                return Reply(whole[:-50], endless=b'', after=0)
+            return Reply(whole, after=60)
+
+        upstream = await RawUpstream(reply).open()
+        entry = long_entry(upstream)
+        pipeline = await _open(entry)
+        pipeline.writer.write(_reads(2))
+        async with asyncio.timeout(PATIENCE_S):
+            head = await pipeline.reader.readuntil(b'\r\n\r\n')
+            body = await pipeline.reader.readexactly(50)
+        pipeline.writer.close()
+        entry.server.stop()
+        return head + body
+
+    assert asyncio.run(run()).endswith(b'x' * 50)
+
+
 def test_stop_in_the_middle_of_a_row_answers_all_of_it() -> None:
     async def play(
         pipeline: Pipeline, upstream: WatchingUpstream, entry: Entry
--- a/worksrail/daemon/http/_exchange.py
+++ b/worksrail/daemon/http/_exchange.py
@@ -218,7 +218,7 @@
         An answer of which nothing was sent is replaced by a result instead, so
         that the requests behind it keep their connection.
         """
-        if self._retract():
+        if not self.ended and self._retract():
             self.begun = False
             self.answer_result(ResultCode.UPSTREAM_BROKE)
         else:
--- a/worksrail/daemon/http/_turn.py
+++ b/worksrail/daemon/http/_turn.py
@@ -15,6 +15,8 @@
 _EMPTY_BAD_REQUEST: Final = b'HTTP/1.1 400 Bad Request\r\n\r\n'
 # Bytes of an answer that are kept for its turn; its upstream waits beyond.
 _MAX_KEPT_BYTES: Final = 65_536
+# Seconds for which an answer whose turn has come waits for its end.
+_MAX_KEPT_SECONDS: Final = 0.25
 
 
 class Row(Protocol):
@@ -89,6 +91,9 @@
     sent: bool = False
     """Whether a part of the answer was sent."""
 
+    patient: bool = True
+    """Whether an answer whose turn has come still waits for its end."""
+
     message_read: bool = False
     """Whether the request was read whole."""
 
@@ -230,6 +235,9 @@
             self.blocked.append(written)
         if self.row.is_first(self):
             self.send_kept()
+        if len(self.kept) == 1:
+            loop = asyncio.get_running_loop()
+            loop.call_later(_MAX_KEPT_SECONDS, self._stop_waiting)
         return written
 
     def set_close_callback(self, callback: Callable[[], None] | None) -> None:
@@ -257,7 +265,12 @@
     def _keeps_answer(self) -> bool:
         if self.sent or self.finished or self.row.is_last(self):
             return False
-        return self.kept_bytes <= _MAX_KEPT_BYTES
+        return self.patient and self.kept_bytes <= _MAX_KEPT_BYTES
+
+    def _stop_waiting(self) -> None:
+        self.patient = False
+        if not self.lost and self.row.is_first(self):
+            self.send_kept()
 
     def _drop_kept(self) -> None:
         self.row.keep(-self.kept_bytes)
