Let routes of the soak's leaving world outlast its calls

Change: routes of that world wait 4 s, as the stopping world sets its own.

Conclusion: a fault of the world, not of an entry: the checks are the same.

--- a/tests/soak/_leaving.py
+++ b/tests/soak/_leaving.py
@@ -5,15 +5,19 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from tests.callers.leaving import WAYS, LeavingCaller
 from tests.soak._callers import request_bytes
 from tests.soak._promises import Sent, Witness
 from tests.soak._slot_queue import SlotQueue
+from tests.soak._stopping import set_timeouts
 from tests.soak._world import SoakWorld
 
 # Callers of each entry that leave.
 CALLERS = 4
+# Seconds until which a route lets a call last.
+_TIMEOUT = 4.0
 _LONG_SHARE = 0.5
 _LONG_EXECUTION = (0.8, 2.4)
 # Requests that are sent at once.
@@ -33,6 +37,11 @@
     def slot_queue(self) -> SlotQueue:
         return SlotQueue(long_share=_LONG_SHARE, long_execution=_LONG_EXECUTION)
 
+    def document(self, service: str) -> dict[str, Any]:
+        document = super().document(service)
+        set_timeouts(document, _TIMEOUT)
+        return document
+
     async def open(self, services: str) -> None:
         await super().open(services)
         for upstream in self.upstreams:
