--- a/worksrail/daemon/http/_turn.py
+++ b/worksrail/daemon/http/_turn.py
@@ -46,9 +46,6 @@
     def regulate(self) -> None:
         """Let the sender wait while too much is received ahead."""
 
-    def end(self) -> None:
-        """Close the connection once what was sent has left."""
-
     def abort(self) -> None:
         """Close the connection at once."""
 
@@ -112,9 +109,6 @@
     on_close: Callable[[], None] | None = None
     """Is called when the connection ends."""
 
-    error: BaseException | None = None
-    """Reason for the end of the connection, as an ``IOStream`` names it."""
-
     def end_message(self) -> None:
         """Let the next request be read."""
         self.message_read = True
@@ -138,10 +132,10 @@
         chunk = b''.join(self.kept)
         self._drop_kept()
         self.sent = True
-        left = self.row.send(chunk)
         blocked = self.blocked
         self.blocked = []
-        left.add_done_callback(lambda _: _finish_all(blocked))
+        sending = self.row.send(chunk)
+        sending.add_done_callback(lambda _: _finish_all(blocked))
 
     def lose(self) -> None:
         """Handle the end of the connection."""
