Draw different ports for entries of tests

Cause: ports were drawn one after the other, each closed before the next: the port for callers and that for readiness were both 35467, and the second bind failed, as the entry's log says.

Change: all ports are bound before one is closed.

--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -5,7 +5,7 @@
 import json
 import signal
 import sys
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 from contextlib import closing
 from pathlib import Path
 from typing import Any
@@ -16,6 +16,7 @@
 
 from tests.platform.test_decoding import CONFIGURATION, SETTINGS
 from tests.platform.upstream import RawUpstream, Reply, answer
+from tests.soak._world import free_ports
 from worksrail.standins.objects import ObjectStore, StoreMood, application
 
 pytestmark = pytest.mark.xdist_group('processes')
@@ -25,13 +26,8 @@
     'Deadline-Ms: 4000\r\n\r\n'
 )
 _PATIENCE = 30.0
-
-
-def _ports() -> Iterator[int]:
-    while True:
-        sock, port = bind_unused_port(address='127.0.0.1')
-        sock.close()
-        yield port
+# Ports for callers, readiness, control, look-ups and other entries.
+_PORTS = 5
 
 
 class Platform:
@@ -44,9 +40,7 @@
         self.upstream = RawUpstream(lambda _, trace: Reply(answer(trace)))
         self.server = HTTPServer(application(self.store))
         self.entries: dict[str, asyncio.subprocess.Process] = {}
-        numbers = _ports()
-        self.ports = [next(numbers) for _ in range(4)]
-        self.inner = next(numbers)
+        *self.ports, self.inner = free_ports(_PORTS)
         self.configuration = json.loads(json.dumps(CONFIGURATION))
         self.configuration['Routes']['Rows'][1][10] = []
         self.bounds: list[str] = []
--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -68,8 +68,7 @@
         self.version = 7
         self.lives = 0
         self.hosts = [f'127.0.1.{number + 2}' for number in range(entries)]
-        self.ports = [_free_port() for _ in _PORTS]
-        self.inner = _free_port()
+        *self.ports, self.inner = free_ports(len(_PORTS) + 1)
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.watches: dict[str, asyncio.Task[None]] = {}
         self.restarting: set[str] = set()
@@ -352,7 +351,10 @@
     await link.open()
 
 
-def _free_port() -> int:
-    sock, port = bind_unused_port(address='127.0.0.1')
-    sock.close()
-    return port
+def free_ports(count: int) -> list[int]:
+    """Return different ports that nobody uses now."""
+    # All are bound before one is closed: the kernel may draw a closed one again.
+    bound = [bind_unused_port(address='127.0.0.1') for _ in range(count)]
+    for sock, _ in bound:
+        sock.close()
+    return [port for _, port in bound]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -29,6 +29,7 @@
 from tests.soak._soak import _PLAYERS
 from tests.soak._statements import Met, Stated
 from tests.soak._stops import Stop, Work
+from tests.soak._world import free_ports
 
 _WRITE = Sent('t', '/w/1', b'x', True, 'one', 10.0)
 _READ = Sent('t', '/r/1', b'', False, 'one', 10.0)
@@ -596,3 +597,8 @@
     runs: list[Run], options: dict[str, Any]
 ) -> None:
     assert not _departed(runs, **options).violations()
+
+
+def test_entries_listen_at_different_ports() -> None:
+    drawn = free_ports(400)
+    assert len(set(drawn)) == len(drawn)
