--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -105,6 +105,8 @@
         self.ports = dict(zip(_PORTS, _free_ports(len(_PORTS)), strict=True))
         self.watches: set[asyncio.Task[None]] = set()
         self.stopping: set[str] = set()
+        # Seconds after which an entry that ended by itself is started again.
+        self.restart_delay: float | None = None
 
     async def open(self) -> None:
         """Start the store."""
@@ -194,6 +196,9 @@
         if host not in self.stopping:
             self.ends.append((host, code))
             self.record.say(f'entry {host} ended by itself with code {code}')
+            if self.restart_delay is not None:
+                await asyncio.sleep(self.restart_delay)
+                await self.start(int(host.rpartition('.')[2]), len(self.processes))
 
     def _settings(self, number: int, hosts: int) -> dict[str, Any]:
         host = self.host(number)
