--- a/review/2/run.py
+++ b/review/2/run.py
@@ -30,9 +30,9 @@
 DEADLINE = 2.5
 # The disruption: begin and end in seconds, and the share of the requests whose
 # clients leave.
-LEAVING = ((5.0, 10.0), (15.0, 20.0))
+LEAVING = ((3.0, 8.0), (11.0, 16.0))
 SHARE = 0.3
-LENGTH = 90.0
+LENGTH = 60.0
 # Seconds after the disruption from which all should be well again.
 RECOVERY = 15.0
 ALLOWED_SHARE = 0.6
