--- a/review/2/run.py
+++ b/review/2/run.py
@@ -31,9 +31,9 @@
 DEADLINE = 2.5
 # The disruption: begin and end in seconds, and the share of the requests whose
 # clients leave.
-LEAVING = ((3.0, 8.0), (11.0, 16.0))
+LEAVING = ((3.0, 8.0), (10.0, 15.0), (17.0, 22.0))
 SHARE = 0.3
-LENGTH = 60.0
+LENGTH = 75.0
 # Seconds after the disruption from which all should be well again.
 RECOVERY = 15.0
 ALLOWED_SHARE = 0.6
