Report the end of an attempt that is cancelled before its first step

Cause: a task that is cancelled before its first step runs no line of its coroutine. The end of an attempt was dispatched by the last lines of that very coroutine, so AttemptEnded and PassEnded were never dispatched: the request stayed in the state, its slot of the upstream in use, its body in HeldBytes.

Change: the coroutine of an attempt only returns its report. Who waits for it is told by the done callback of the task, which asyncio calls whatever ended it. It costs no further callback: the exchange had one already.

--- a/tests/test_closing_servers.py
+++ b/tests/test_closing_servers.py
@@ -23,10 +23,13 @@
     arrivals: list[Exchange] = field(default_factory=list)
     """Requests that were read."""
 
+    tasks: list[asyncio.Future[None]] = field(default_factory=list)
+    """Answers that are being written."""
+
     def arrived(self, exchange: Exchange) -> None:
         """Write the whole answer, which the kernel cannot take at once."""
         self.arrivals.append(exchange)
-        exchange.run(self._answer(exchange))
+        self.tasks.append(asyncio.ensure_future(self._answer(exchange)))
 
     def caller_gone(self, exchange: Exchange) -> None:
         """Do nothing."""
--- a/worksrail/daemon/http/_exchange.py
+++ b/worksrail/daemon/http/_exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import json
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from functools import partial
 from http import HTTPStatus
@@ -15,6 +15,7 @@
 
 from worksrail.core.results import ResultCode
 from worksrail.daemon.http import _headers as names
+from worksrail.daemon.http._attempt import AttemptEnd, AttemptReport
 from worksrail.daemon.http._body import BodyStream
 from worksrail.daemon.http._dialect import (
     AnswerUse,
@@ -76,7 +77,7 @@
     gone: bool = False
     """Whether the caller disconnected."""
 
-    tasks: dict[int, asyncio.Task[None]] = field(default_factory=dict)
+    tasks: dict[int, asyncio.Task[AttemptReport]] = field(default_factory=dict)
     """The attempts in progress, by number."""
 
     held: HeldBytes = field(default_factory=HeldBytes)
@@ -224,11 +225,20 @@
         else:
             self._abort()
 
-    def run(self, attempt: Coroutine[Any, Any, None], number: int = 0) -> None:
-        """Start an attempt as a task."""
+    def run(
+        self,
+        attempt: Coroutine[Any, Any, AttemptReport],
+        on_end: Callable[[AttemptReport], None],
+        number: int = 0,
+    ) -> None:
+        """Start an attempt as a task whose end is reported exactly once.
+
+        A task that is cancelled before its first step runs no line of its
+        coroutine, so the report is made outside of it.
+        """
         task = asyncio.ensure_future(attempt)
         self.tasks[number] = task
-        task.add_done_callback(partial(self._forget, number))
+        task.add_done_callback(partial(self._report_end, number, on_end))
 
     def cancel(self, number: int = 0) -> None:
         """Cancel an attempt if it is in progress."""
@@ -236,9 +246,18 @@
         if task:
             task.cancel()
 
-    def _forget(self, number: int, task: asyncio.Task[None]) -> None:
+    def _report_end(
+        self,
+        number: int,
+        on_end: Callable[[AttemptReport], None],
+        task: asyncio.Task[AttemptReport],
+    ) -> None:
         if self.tasks.get(number) is task:
             self.tasks.pop(number)
+        if task.cancelled():
+            on_end(AttemptReport(AttemptEnd.NOT_SENT))
+        else:
+            on_end(task.result())
 
     def _mark_ended(self) -> None:
         self.ended = True
--- a/worksrail/daemon/http/_requests.py
+++ b/worksrail/daemon/http/_requests.py
@@ -146,7 +146,10 @@
             repeatable=effect.may_cancel and exchange.body.replayable,
         )
         exchange.from_instance = False
-        exchange.run(self._attempt_upstream(exchange, outgoing))
+        exchange.run(
+            self._attempt_upstream(exchange, outgoing),
+            partial(self._end_attempt, exchange),
+        )
 
     def pass_request(self, effect: PassRequest) -> None:
         """Pass a request to another instance."""
@@ -171,7 +174,10 @@
             effect.deadline,
         )
         exchange.from_instance = True
-        exchange.run(self._attempt_passing(exchange, outgoing))
+        exchange.run(
+            self._attempt_passing(exchange, outgoing),
+            partial(self._end_passing, exchange),
+        )
 
     def answer_result(self, effect: AnswerResult) -> None:
         """Answer a request with a result code."""
@@ -233,7 +239,7 @@
         self,
         exchange: Exchange,
         outgoing: Outgoing,
-    ) -> None:
+    ) -> AttemptReport:
         attempt = HttpAttempt(
             self.upstreams,
             self.engine.now,
@@ -243,7 +249,9 @@
             partial(self._learn_notice, exchange.number),
             partial(self._is_wanted, exchange.number),
         )
-        report = await attempt.run()
+        return await attempt.run()
+
+    def _end_attempt(self, exchange: Exchange, report: AttemptReport) -> None:
         outcome = _OUTCOMES[report.end]
         if report.end is AttemptEnd.WHOLE and names.NOT_RUN in report.headers:
             outcome = AttemptOutcome.SHED
@@ -265,11 +273,13 @@
         self,
         exchange: Exchange,
         outgoing: Outgoing,
-    ) -> None:
+    ) -> AttemptReport:
         attempt = HttpAttempt(
             self.peers, self.engine.now, outgoing, exchange.body, exchange
         )
-        report = await attempt.run()
+        return await attempt.run()
+
+    def _end_passing(self, exchange: Exchange, report: AttemptReport) -> None:
         code = _pass_result(report)
         if code is ResultCode.OK:
             self._abort_partial_answer(exchange, AttemptOutcome.ANSWERED)
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -137,12 +137,22 @@
     def send_upstream(self, effect: SendUpstream) -> None:
         """Send a request to an upstream."""
         exchange = self.exchanges[effect.request]
-        exchange.run(self._attempt(exchange, effect), effect.attempt)
+        sink = SteeredSink(exchange, self.adapter, self.engine.now)
+        exchange.run(
+            self._attempt(exchange, effect, sink),
+            partial(self._end_attempt, exchange, effect, sink),
+            effect.attempt,
+        )
 
     def pass_request(self, effect: PassRequest) -> None:
         """Pass a request to another entry."""
         exchange = self.exchanges[effect.request]
-        exchange.run(self._attempt_passing(exchange, effect), effect.attempt)
+        sink = PassingSink(exchange, self.adapter, self.engine.now)
+        exchange.run(
+            self._attempt_passing(exchange, effect, sink),
+            partial(self._end_passing, exchange, effect, sink),
+            effect.attempt,
+        )
 
     def answer_result(self, effect: AnswerResult) -> None:
         """Answer a request with a result code."""
@@ -182,8 +192,8 @@
         self,
         exchange: Exchange,
         effect: SendUpstream,
-    ) -> None:
-        sink = SteeredSink(exchange, self.adapter, self.engine.now)
+        sink: SteeredSink,
+    ) -> AttemptReport:
         attempt = HttpAttempt(
             self.upstreams,
             self.engine.now,
@@ -193,7 +203,15 @@
             partial(self._learn_notice, effect, sink),
             partial(self._is_wanted, self._upstream_of(effect)),
         )
-        report = await attempt.run()
+        return await attempt.run()
+
+    def _end_attempt(
+        self,
+        exchange: Exchange,
+        effect: SendUpstream,
+        sink: SteeredSink,
+        report: AttemptReport,
+    ) -> None:
         outcome = _outcome(report, sink.answer)
         if outcome is AttemptOutcome.BROKE_IN_ANSWER:
             exchange.break_off()
@@ -275,8 +293,8 @@
         self,
         exchange: Exchange,
         effect: PassRequest,
-    ) -> None:
-        sink = PassingSink(exchange, self.adapter, self.engine.now)
+        sink: PassingSink,
+    ) -> AttemptReport:
         outgoing = self._build_outgoing(
             exchange,
             effect.peer,
@@ -294,7 +312,15 @@
             sink,
             partial(self._begin_passed_answer, effect, sink),
         )
-        report = await attempt.run()
+        return await attempt.run()
+
+    def _end_passing(
+        self,
+        exchange: Exchange,
+        effect: PassRequest,
+        sink: PassingSink,
+        report: AttemptReport,
+    ) -> None:
         outcome = sink.outcome(_outcome(report, sink.answer))
         if outcome is AttemptOutcome.BROKE_IN_ANSWER:
             exchange.break_off()
