Count no failure of an upstream for a caller that left while connecting

Callers saw: beside callers that leave within milliseconds, sound upstreams were ejected for up to 8 s (test_upstream_has_no_failure_whenever_callers_leave: 2 of 2 failed, eight failures in a row and several ejections of the only upstream).

Cause: an attempt that is cancelled before it has a connection ended as NOT_SENT, like a connection that was refused, so it counted as a failure of its upstream; in the own mode it counted for its reach, and a peer was avoided.

Change: such an attempt ends as CANCELLED_UNSENT, in both modes: certainly not executed, and no evidence about the upstream unless it took far too long. In the own mode a peer is not avoided for a caller that has left.

Result: 2 of 2 pass, with those of tests/callers and of requests, passing, second attempts and paths.

--- a/tests/callers/test_nothing_stays_in_flight.py
+++ b/tests/callers/test_nothing_stays_in_flight.py
@@ -9,6 +9,7 @@
 from tests.callers.test_leaving_upstreams import request
 from tests.platform.test_upstream_faults import Entry
 from tests.platform.upstream import RawUpstream, Reply, answer
+from worksrail.core.steering.effects import DecisionKind
 
 _BODY = bytes(20_000)
 # Turns of the event loop between the request and its caller's departure; the
@@ -73,3 +74,25 @@
         entry.server.stop()
 
     asyncio.run(run())
+
+
+# An attempt that was cancelled before it had a connection counted as a failure
+# of its upstream.
+@pytest.mark.parametrize('kind', ['safe', 'five at once'])
+def test_upstream_has_no_failure_whenever_callers_leave(kind: str) -> None:
+    async def run() -> None:
+        raw = RawUpstream(lambda _, trace: Reply(answer(trace)))
+        entry = Entry(await raw.open())
+        port = entry.open()
+        for turns in _TURNS:
+            await _leave_after(entry, port, _REQUESTS[kind], 'close', turns)
+        entry.server.stop()
+        assert not entry.engine.state.loads.of('i-0').failures
+        ejected = [
+            note
+            for note in entry.notes
+            if note.kind is DecisionKind.UPSTREAM_EJECTED
+        ]
+        assert not ejected
+
+    asyncio.run(run())
--- a/worksrail/core/_on_requests.py
+++ b/worksrail/core/_on_requests.py
@@ -45,12 +45,21 @@
     )
 )
 _NOT_RUN: Final = frozenset(
-    (AttemptOutcome.NOT_SENT, AttemptOutcome.WITHDRAWN, AttemptOutcome.SHED)
+    (
+        AttemptOutcome.NOT_SENT,
+        AttemptOutcome.WITHDRAWN,
+        AttemptOutcome.CANCELLED_UNSENT,
+        AttemptOutcome.SHED,
+    )
+)
+_CANCELLED: Final = frozenset(
+    (AttemptOutcome.CANCELLED, AttemptOutcome.CANCELLED_UNSENT)
 )
 
 _FINAL_CODES: Final = {
     AttemptOutcome.NOT_SENT: ResultCode.UPSTREAM_UNREACHABLE,
     AttemptOutcome.WITHDRAWN: ResultCode.NO_SLOT,
+    AttemptOutcome.CANCELLED_UNSENT: ResultCode.UPSTREAM_UNREACHABLE,
     AttemptOutcome.SHED: ResultCode.UPSTREAM_SHED,
     AttemptOutcome.BROKE_BEFORE_ANSWER: ResultCode.UPSTREAM_BROKE,
     AttemptOutcome.UNVERIFIABLE: ResultCode.UNVERIFIABLE_ANSWER,
@@ -130,7 +139,8 @@
         )
         close(instance, active, executed=True)
         return
-    if event.code is ResultCode.PEER_UNREACHABLE:
+    # A caller that left while its request was passed on proves nothing.
+    if event.code is ResultCode.PEER_UNREACHABLE and not active.caller_gone:
         instance.membership.avoid(active.passed_to, event.now, _AVOID_DURATION)
     if event.code is ResultCode.REQUEST_HELD:
         yield from finish(
@@ -181,7 +191,7 @@
     _update_reach(state.reach, active.upstream, event.outcome)
     if event.load is not None:
         health.record_report(event.load, event.now)
-    if event.outcome is AttemptOutcome.CANCELLED:
+    if event.outcome in _CANCELLED:
         return
     health.last_answer_at = event.now
     if active.backed_off:
@@ -209,7 +219,7 @@
 ) -> None:
     if outcome in _MISSED:
         reach.record_miss(upstream)
-    elif outcome is not AttemptOutcome.CANCELLED:
+    elif outcome not in _CANCELLED:
         reach.record_answer()
 
 
--- a/worksrail/core/events.py
+++ b/worksrail/core/events.py
@@ -33,6 +33,7 @@
     UNVERIFIABLE = 'the answer has no verifiable length'
     TIMED_OUT = 'the deadline passed after sending'
     WITHDRAWN = 'not sent: the upstream said meanwhile that it wants none'
+    CANCELLED_UNSENT = 'this instance cancelled it before anything left'
     CANCELLED = 'the caller went away'
 
 
--- a/worksrail/core/steering/_learning.py
+++ b/worksrail/core/steering/_learning.py
@@ -36,8 +36,12 @@
 _NO_FAULT: Final = frozenset(
     (AttemptOutcome.NOT_EXECUTED, AttemptOutcome.WITHDRAWN)
 )
+# Outcomes of attempts that this entry ended itself.
+CANCELLED: Final = frozenset(
+    (AttemptOutcome.CANCELLED, AttemptOutcome.CANCELLED_UNSENT)
+)
 # Outcomes of attempts at upstreams that may have been silent all the time.
-_SILENT: Final = frozenset((AttemptOutcome.CANCELLED, AttemptOutcome.TIMED_OUT))
+_SILENT: Final = CANCELLED | {AttemptOutcome.TIMED_OUT}
 _SERVER_ERROR: Final = 500
 # Minimum expected time that an execution is compared with; seconds.
 _MIN_EXPECTED: Final = 0.02
@@ -64,7 +68,7 @@
         # A backoff is no fault, and its end is known exactly.
         return
     _record_rates(load, event)
-    if outcome is AttemptOutcome.CANCELLED and not is_overdue(request, event):
+    if outcome in CANCELLED and not is_overdue(request, event):
         return
     if outcome in _SILENT and request.current.overdue:
         # Its silence has been recorded.
--- a/worksrail/core/steering/_on_passing.py
+++ b/worksrail/core/steering/_on_passing.py
@@ -12,6 +12,7 @@
     retry_delay,
 )
 from worksrail.core.steering._quarantining import fingerprint_of
+from worksrail.core.steering._repeating import NEVER_SENT
 from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering._routes import RoutingConfiguration
 from worksrail.core.steering._scarcity import position_of
@@ -89,10 +90,11 @@
     if not request.current.helper:
         return
     refused = event.refusal is not None
-    if event.outcome is AttemptOutcome.NOT_CONNECTED or refused:
+    not_sent = event.outcome in NEVER_SENT
+    if not_sent or refused:
         # What was assumed to be sent by a silent entry is known now.
         request.sends -= request.current.overdue
-    if event.outcome is AttemptOutcome.NOT_CONNECTED:
+    if not_sent:
         yield from _after_refusal(
             state, request, ResultCode.PEER_UNREACHABLE, event
         )
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -69,6 +69,7 @@
 _FINAL_CODES: Final = {
     AttemptOutcome.NOT_CONNECTED: ResultCode.UPSTREAM_UNREACHABLE,
     AttemptOutcome.WITHDRAWN: ResultCode.NO_SLOT,
+    AttemptOutcome.CANCELLED_UNSENT: ResultCode.UPSTREAM_UNREACHABLE,
     AttemptOutcome.NOT_EXECUTED: ResultCode.UPSTREAM_SHED,
     AttemptOutcome.OTHER_UPSTREAM: ResultCode.UPSTREAM_UNREACHABLE,
     AttemptOutcome.BROKE_BEFORE_ANSWER: ResultCode.UPSTREAM_BROKE,
--- a/worksrail/core/steering/_path_evidence.py
+++ b/worksrail/core/steering/_path_evidence.py
@@ -5,7 +5,7 @@
 
 from worksrail.core.identity import ServiceName
 from worksrail.core.steering._catalog import Upstream
-from worksrail.core.steering._learning import is_overdue
+from worksrail.core.steering._learning import CANCELLED, is_overdue
 from worksrail.core.steering._request import SteeredRequest
 from worksrail.core.steering.effects import Decision, DecisionKind
 from worksrail.core.steering.events import AttemptEnded, AttemptOutcome
@@ -50,9 +50,7 @@
     if event.outcome is AttemptOutcome.WITHDRAWN:
         return
     # An attempt that ends early because the caller left shows nothing.
-    abandoned = request.caller_gone or (
-        event.outcome is AttemptOutcome.CANCELLED
-    )
+    abandoned = request.caller_gone or event.outcome in CANCELLED
     if is_overdue(request, event) or not abandoned:
         # A new connection may also be reset right after it was accepted.
         failed = event.outcome is AttemptOutcome.NOT_CONNECTED
--- a/worksrail/core/steering/_repeating.py
+++ b/worksrail/core/steering/_repeating.py
@@ -19,12 +19,17 @@
     (
         AttemptOutcome.NOT_CONNECTED,
         AttemptOutcome.WITHDRAWN,
+        AttemptOutcome.CANCELLED_UNSENT,
         AttemptOutcome.NOT_EXECUTED,
         AttemptOutcome.OTHER_UPSTREAM,
     )
 )
 NEVER_SENT: Final = frozenset(
-    (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.WITHDRAWN)
+    (
+        AttemptOutcome.NOT_CONNECTED,
+        AttemptOutcome.WITHDRAWN,
+        AttemptOutcome.CANCELLED_UNSENT,
+    )
 )
 _MISSED: Final = NEVER_SENT | {AttemptOutcome.OTHER_UPSTREAM}
 _REPEATABLE: Final = frozenset(
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -35,7 +35,8 @@
     BROKE_IN_ANSWER = 'the connection broke during the answer'
     SPOILED = 'the response was not a valid answer to the request'
     TIMED_OUT = 'the deadline expired after sending'
-    CANCELLED = 'this entry cancelled it'
+    CANCELLED = 'this entry cancelled it after it may have been sent'
+    CANCELLED_UNSENT = 'this entry cancelled it before anything was sent'
 
 
 @dataclass(frozen=True, slots=True)
--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -56,7 +56,8 @@
     UNVERIFIABLE = 'the length of the answer cannot be determined'
     REJECTED = 'the data received does not answer the request'
     TIMED_OUT = 'the deadline passed'
-    CANCELLED = 'the attempt was cancelled'
+    CANCELLED = 'the attempt was cancelled after it may have been sent'
+    CANCELLED_UNSENT = 'the attempt was cancelled before any byte was sent'
 
 
 class AnswerSink(Protocol):
@@ -321,7 +322,10 @@
                 timeout,
                 repeatable=self.outgoing.repeatable,
             )
-        except (OSError, TimeoutError, asyncio.CancelledError) as error:
+        except asyncio.CancelledError:
+            report.end = AttemptEnd.CANCELLED_UNSENT
+            return None
+        except (OSError, TimeoutError) as error:
             _LOG.debug(
                 'connecting to {} failed: {}', self.outgoing.address, error
             )
--- a/worksrail/daemon/http/_exchange.py
+++ b/worksrail/daemon/http/_exchange.py
@@ -255,7 +255,7 @@
         if self.tasks.get(number) is task:
             self.tasks.pop(number)
         if task.cancelled():
-            on_end(AttemptReport(AttemptEnd.NOT_SENT))
+            on_end(AttemptReport(AttemptEnd.CANCELLED_UNSENT))
         else:
             on_end(task.result())
 
--- a/worksrail/daemon/http/_requests.py
+++ b/worksrail/daemon/http/_requests.py
@@ -58,9 +58,11 @@
     AttemptEnd.REJECTED: AttemptOutcome.UNVERIFIABLE,
     AttemptEnd.TIMED_OUT: AttemptOutcome.TIMED_OUT,
     AttemptEnd.CANCELLED: AttemptOutcome.CANCELLED,
+    AttemptEnd.CANCELLED_UNSENT: AttemptOutcome.CANCELLED_UNSENT,
 }
 _PASS_FAILURE_CODES: Final = {
     AttemptEnd.NOT_SENT: ResultCode.PEER_UNREACHABLE,
+    AttemptEnd.CANCELLED_UNSENT: ResultCode.PEER_UNREACHABLE,
     AttemptEnd.TIMED_OUT: ResultCode.UPSTREAM_TIMEOUT,
 }
 
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -61,6 +61,7 @@
     AttemptEnd.REJECTED: AttemptOutcome.SPOILED,
     AttemptEnd.TIMED_OUT: AttemptOutcome.TIMED_OUT,
     AttemptEnd.CANCELLED: AttemptOutcome.CANCELLED,
+    AttemptEnd.CANCELLED_UNSENT: AttemptOutcome.CANCELLED_UNSENT,
 }
 
 
