Refuse a number too large for a float, with its entry only

Cause: float() of such an integer raises OverflowError, which is no MalformedDocumentError, so it ended the follower's task and with it the process.

Evidence: test_odd_number_costs_its_entry_only fails before (OverflowError: int too large to convert to float, 2 of 2) and passes with the change.

Change: Fields.number states the error of the document, as for any other value that is no number.

--- /dev/null
+++ b/tests/platform/test_odd_documents.py
@@ -0,0 +1,81 @@
+"""One odd document of another writer costs nothing but itself."""
+
+import json
+from typing import Any
+
+import msgspec
+import pytest
+
+from worksrail.core.steering import StoreUpdate
+from worksrail.core.steering.kinds import StoreKind
+from worksrail.platform._fields import Fields
+from worksrail.platform._store import _parse_json, _UpdateBuilder
+
+_MARKER = 'MARKER'
+_FIELDS = (
+    'Address',
+    'Info',
+    'Service',
+    'Version',
+    'Zone',
+    'Slots',
+    'State',
+    'Sequence',
+    'ColdRemainingS',
+    'born',
+    'Other',
+)
+# A field that nobody reads.
+_HARMLESS = ('Other',)
+
+
+def _entry(name: str, field: str = '', odd: Any = _MARKER) -> dict[str, Any]:
+    info = {'Service': 'a', 'Version': 'v1', 'Zone': 'z1', 'Slots': 9}
+    status = {'State': 'ready', 'Sequence': 1, 'ColdRemainingS': 0}
+    spec: dict[str, Any] = {'Address': '10.0.0.9:80', 'born': 0}
+    for table in (info, status, spec):
+        if field in table:
+            table[field] = odd
+    if field == 'Info':
+        return _object(name, spec | {'Info': odd, 'Status': status})
+    if field == 'Other':
+        spec['Other'] = odd
+    return _object(name, spec | {'Info': info, 'Status': status})
+
+
+def _object(name: str, spec: dict[str, Any]) -> dict[str, Any]:
+    return {'Metadata': {'Name': name}, 'Spec': spec}
+
+
+def _read(entries: list[dict[str, Any]], odd: str) -> StoreUpdate:
+    """Read a page on which the marker stands for some JSON text."""
+    document = {'items': entries, 'AsOf': 3, 'HasMore': False}
+    text = json.dumps(document).replace(f'"{_MARKER}"', odd)
+    builder = _UpdateBuilder(StoreKind.UPSTREAMS)
+    builder.add_page(Fields.from_value(_parse_json(text.encode()), 'answer'))
+    return builder.build()
+
+
+def _check_sound_entries(update: StoreUpdate, odd_name: str) -> None:
+    names = [record.name for record in update.records]
+    assert [name for name in names if name != odd_name] == ['i-1', 'i-3']
+    # Entries hand updates to each other.
+    assert msgspec.msgpack.encode(update)
+    assert all(len(fault) < 500 for fault in update.faults)
+
+
+_NUMBERS = {
+    '401 digits': '9' * 401,
+    'minus 401 digits': '-' + '9' * 401,
+}
+
+
+# A number too large for a float raised an exception that nobody caught, and
+# ended the process at each start.
+@pytest.mark.parametrize('field', ['ColdRemainingS'])
+@pytest.mark.parametrize('form', _NUMBERS)
+def test_odd_number_costs_its_entry_only(form: str, field: str) -> None:
+    entries = [_entry('i-1'), _entry('i-2', field), _entry('i-3')]
+    update = _read(entries, _NUMBERS[form])
+    _check_sound_entries(update, 'i-2')
+    assert len(update.faults) == (field not in _HARMLESS)
--- a/worksrail/platform/_fields.py
+++ b/worksrail/platform/_fields.py
@@ -61,7 +61,10 @@
         raw = self.table.get(name, default)
         if not isinstance(raw, int | float) or isinstance(raw, bool):
             raise self.error(name, 'a number')
-        return float(raw)
+        try:
+            return float(raw)
+        except OverflowError as error:
+            raise self.error(name, 'a number') from error
 
     def number_in_range(
         self,
