Refuse texts that cannot be encoded, with their entry only

In a zone or service it made the updates between entries fail.

Cause: JSON can name half of a character (\\udcff), which no encoding has. The text was decoded on one path and encoded again on others: digests, updates, headers, log lines.

Change: Fields takes no such text, and an object without a usable name names nothing to be taken out. Messages show at most the first 100 characters of a foreign text, escaped.

--- a/tests/platform/test_odd_documents.py
+++ b/tests/platform/test_odd_documents.py
@@ -79,3 +79,35 @@
     update = _read(entries, _NUMBERS[form])
     _check_sound_entries(update, 'i-2')
     assert len(update.faults) == (field not in _HARMLESS)
+
+
+_TEXTS = {
+    'lone surrogate': r'"i-\udcff"',
+    'two halves in the wrong order': r'"\udcff\ud83d"',
+}
+
+
+# A text that cannot be encoded made updates between entries fail, and ended
+# processes once it was the name of an upstream with requests.
+@pytest.mark.parametrize('field', [*_FIELDS, 'Name'])
+@pytest.mark.parametrize('form', _TEXTS)
+def test_odd_text_costs_its_entry_only(form: str, field: str) -> None:
+    odd = _entry('i-2', field)
+    if field == 'Name':
+        odd['Metadata']['Name'] = _MARKER
+    update = _read([_entry('i-1'), odd, _entry('i-3')], _TEXTS[form])
+    _check_sound_entries(update, 'i-2')
+    assert len(update.faults) == (field not in _HARMLESS)
+    assert not [name for name in update.removed if name != 'i-2']
+
+
+@pytest.mark.parametrize('form', _TEXTS)
+def test_odd_name_of_an_evacuation_is_ignored(form: str) -> None:
+    document = {'items': [_object(_MARKER, {}), _object('z1', {})], 'AsOf': 3}
+    text = json.dumps(document).replace(f'"{_MARKER}"', _TEXTS[form])
+    builder = _UpdateBuilder(StoreKind.EVACUATIONS)
+    builder.add_page(Fields.from_value(_parse_json(text.encode()), 'answer'))
+    update = builder.build()
+    assert update.zones == ('z1',)
+    assert len(update.faults) == 1
+    assert msgspec.msgpack.encode(update)
--- a/worksrail/platform/_fields.py
+++ b/worksrail/platform/_fields.py
@@ -5,7 +5,9 @@
 from typing import Any, Final
 
 # Largest integer that entries can hand each other: one of 64 bits with a sign.
-_MAX_INTEGER: Final = 2**63 - 1
+_MAX_INTEGER: Final = 9_223_372_036_854_775_807
+# Characters of a foreign text that a message shows.
+_MAX_SHOWN: Final = 100
 
 
 class MalformedDocumentError(ValueError):
@@ -36,9 +38,9 @@
     def string(self, name: str) -> str:
         """Return a required, non-empty string."""
         raw = self.table.get(name)
-        if not isinstance(raw, str) or not raw:
+        if not is_text(raw) or not raw:
             raise self.error(name, 'a string')
-        return raw
+        return str(raw)
 
     def integer(self, name: str, default: int | None = None) -> int:
         """Return an integer."""
@@ -93,7 +95,7 @@
         raw = self.table.get(name) or []
         if not isinstance(raw, list):
             raise self.error(name, 'a list')
-        if not all(isinstance(entry, str) for entry in raw):
+        if not all(map(is_text, raw)):
             raise self.error(name, 'a list of strings')
         return tuple(raw)
 
@@ -123,5 +125,27 @@
     def error(self, name: str, expected: str) -> MalformedDocumentError:
         """Return the exception for a field that is missing or malformed."""
         return MalformedDocumentError(
-            f'expected {expected} as {name} at {self.location}'
+            f'expected {expected} as {name} at {shown(self.location)}'
         )
+
+
+def is_text(raw: Any) -> bool:
+    r"""Return whether a value is a string that can be encoded.
+
+    JSON can name a lone surrogate, which no encoding has.
+
+    >>> is_text('i-1'), is_text('i-\udcff')
+    (True, False)
+    """
+    if not isinstance(raw, str):
+        return False
+    try:
+        raw.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def shown(text: str) -> str:
+    """Return the begin of a foreign text, as it may stand in a message."""
+    return text[:_MAX_SHOWN].encode('ascii', 'backslashreplace').decode()
--- a/worksrail/platform/_objects.py
+++ b/worksrail/platform/_objects.py
@@ -20,7 +20,11 @@
     UpstreamRecord,
     incarnation_name,
 )
-from worksrail.platform._fields import Fields, MalformedDocumentError
+from worksrail.platform._fields import (
+    Fields,
+    MalformedDocumentError,
+    shown,
+)
 
 _ROUTE_KINDS: Final = {
     'safe': RouteKind.IDEMPOTENT,
@@ -56,7 +60,7 @@
     12
     """
     if not text.startswith('r') or not text[1:].isdigit():
-        raise MalformedDocumentError(f'expected a version, got {text!r}')
+        raise MalformedDocumentError(f'expected a version, got {shown(text)!r}')
     return int(text[1:])
 
 
--- a/worksrail/platform/_store.py
+++ b/worksrail/platform/_store.py
@@ -23,7 +23,11 @@
 from worksrail.daemon.http._connections import ConnectionPool
 from worksrail.daemon.steered import ANSWER_TIMEOUT, StoreFault
 from worksrail.platform import _names as names
-from worksrail.platform._fields import Fields, MalformedDocumentError
+from worksrail.platform._fields import (
+    Fields,
+    MalformedDocumentError,
+    is_text,
+)
 from worksrail.platform._objects import decode_configuration, decode_upstream
 
 _LOG: Final = Logger('worksrail.store')
@@ -122,12 +126,12 @@
 
 
 def _name_of(document: Any) -> str:
-    """Return the name of an object, or an empty string if it has none."""
+    """Return the usable name of an object, or an empty string."""
     try:
         name = document['Metadata']['Name']
     except (LookupError, TypeError):
         return ''
-    return name if isinstance(name, str) else ''
+    return str(name) if is_text(name) else ''
 
 
 def _parse_json(body: bytes) -> Any:
