Refuse an address that is no IPv4 address and port, with its entry only

Cause: the address was split from the right where it is decoded and from the left where it is connected to, so a URL, an IPv6 address, a host name of 300 letters or one with a line end passed the first and raised an exception in the second. A port of over 4,300 digits raised ValueError at once and ended the process.

Change: only what can be connected to is an address: a dotted IPv4 address and a port of at most five digits.

--- a/tests/platform/test_odd_documents.py
+++ b/tests/platform/test_odd_documents.py
@@ -111,3 +111,32 @@
     assert update.zones == ('z1',)
     assert len(update.faults) == 1
     assert msgspec.msgpack.encode(update)
+
+
+_ADDRESSES = (
+    'http://10.0.0.9:80',
+    'http://10.0.0.9',
+    '[::1]:9',
+    '::1:9',
+    'h' * 300 + ':80',
+    'localhost:80',
+    '10.0.0.9:80\r\n',
+    '10.0.0.9\r\n:80',
+    ' 10.0.0.9:80',
+    '10.0.0:80',
+    '10.0.0.999:80',
+    '10.0.0.9:' + '0' * 5000 + '80',
+    '10.0.0.9:' + '9' * 5000,
+    '10.0.0.9:\N{SUPERSCRIPT TWO}',
+)
+
+
+# An address that cannot be connected to ended the task of an attempt, and its
+# request never got an answer.
+@pytest.mark.parametrize('address', _ADDRESSES, ids=range(len(_ADDRESSES)))
+def test_odd_address_costs_its_entry_only(address: str) -> None:
+    entries = [_entry('i-1'), _entry('i-2', 'Address'), _entry('i-3')]
+    update = _read(entries, json.dumps(address))
+    _check_sound_entries(update, 'i-2')
+    assert len(update.faults) == 1
+    assert [record.name for record in update.records] == ['i-1', 'i-3']
--- a/worksrail/platform/_objects.py
+++ b/worksrail/platform/_objects.py
@@ -1,5 +1,7 @@
 """Decoding of the objects in the platform's store."""
 
+import re
+from ipaddress import AddressValueError, IPv4Address
 from math import inf
 from typing import Any, Final
 
@@ -33,6 +35,7 @@
 }
 # Whether an upstream in each state is draining.
 _DRAINING_BY_STATE: Final = {'ready': False, 'draining': True}
+_PORT: Final = re.compile('[0-9]{1,5}')
 _MAX_PORT: Final = 65_535
 _DEFAULT_TIMEOUT: Final = 60.0
 _DEFAULT_MAX_ATTEMPTS: Final = 2
@@ -97,13 +100,21 @@
 def _decode_address(fields: Fields) -> str:
     address = fields.string('Address')
     host, _, port = address.rpartition(':')
-    if not host or not (port.isascii() and port.isdigit()):
-        raise fields.error('Address', 'an IP address and a port')
+    if not (_is_ip_address(host) and _PORT.fullmatch(port)):
+        raise fields.error('Address', 'an IPv4 address and a port')
     if not 0 < int(port) <= _MAX_PORT:
         raise fields.error('Address', 'a valid port')
     return address
 
 
+def _is_ip_address(host: str) -> bool:
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return False
+    return True
+
+
 def _parse_draining(report: Fields) -> bool:
     drains = _DRAINING_BY_STATE.get(report.string('State'))
     if drains is None:
