Report the end of an attempt that an unforeseen error ended

Cause: an exception of a type that nobody had listed ended the task of an attempt without a report, and stood on standard error only, without the request's identifier. One raised while the request was written left the reading side waiting until the deadline.

Evidence: a table of seven types at eight places, in both modes (test_attempt_with_an_unforeseen_error_reports_its_end).

Change: HttpAttempt.run puts every error into its report, whose end says how far the request had got: nothing written is certainly not executed, what was written may have been. The whole answer counts only once the sink has taken its end. One log line has the request's identifier, a counter its number. A connection to a text that is no address is an OSError, like any other that cannot be made.

--- a/tests/callers/attempts.py
+++ b/tests/callers/attempts.py
@@ -56,7 +56,7 @@
     exchange = Exchange(
         None,  # type: ignore[arg-type]
         RequestStartLine('GET', '/', 'HTTP/1.1'),
-        HTTPHeaders({'Host': 'orders.example'}),
+        HTTPHeaders({'Host': 'orders.example', 'Request-Id': 'trace-1'}),
         '10.0.0.1',
         'trace-1',
         1,
--- a/tests/callers/test_attempt_ends.py
+++ b/tests/callers/test_attempt_ends.py
@@ -5,6 +5,8 @@
 from typing import Any
 
 import pytest
+from logbook import TestHandler
+from tornado.http1connection import HTTP1Connection
 
 from tests.callers.attempts import (
     Attempts,
@@ -13,7 +15,10 @@
     turns,
 )
 from tests.platform.upstream import RawUpstream, Reply, answer
+from worksrail.daemon.http._attempt import HttpAttempt
 from worksrail.daemon.http._connections import ConnectionPool
+from worksrail.daemon.http._exchange import Exchange
+from worksrail.daemon.steered._sink import SteeredSink
 
 _MODES: dict[str, Callable[[Any], Attempts]] = {
     'own': OwnAttempts,
@@ -62,3 +67,80 @@
             pool.close()
 
     asyncio.run(run())
+
+
+def _fail(error: Exception) -> Callable[..., Any]:
+    def raise_error(*_: object, **__: object) -> Any:
+        raise error
+
+    return raise_error
+
+
+_ERRORS = {
+    'value': ValueError('odd'),
+    'overflow': OverflowError('odd'),
+    'encoding': UnicodeEncodeError('utf-8', '\udcff', 0, 1, 'odd'),
+    'key': KeyError('odd'),
+    'attribute': AttributeError('odd'),
+    'recursion': RecursionError('odd'),
+    'memory': MemoryError('odd'),
+}
+# Where an error is raised, and the outcomes that say truly whether the request
+# may have been run, in each mode.
+_PLACES = {
+    (ConnectionPool, 'acquire'): {'NOT_CONNECTED', 'NOT_SENT'},
+    (HTTP1Connection, 'write_headers'): {'NOT_CONNECTED', 'NOT_SENT'},
+    (HttpAttempt, '_write_body'): {'BROKE_BEFORE_ANSWER'},
+    (SteeredSink, 'judge'): {'BROKE_BEFORE_ANSWER'},
+    (Exchange, 'judge'): {'BROKE_BEFORE_ANSWER'},
+    (Exchange, 'start_answer'): {'BROKE_IN_ANSWER'},
+    (Exchange, 'write'): {'BROKE_IN_ANSWER'},
+    (Exchange, 'end'): {'BROKE_IN_ANSWER'},
+}
+_OF_ONE_MODE = {
+    (SteeredSink, 'judge'): 'platform',
+    (Exchange, 'judge'): 'own',
+}
+
+
+# An error of a type that nobody had foreseen ended the task of an attempt, and
+# its request never got an answer.
+@pytest.mark.parametrize('error', _ERRORS)
+@pytest.mark.parametrize('place', _PLACES, ids=lambda place: place[1])
+@pytest.mark.parametrize('mode', _MODES)
+def test_attempt_with_an_unforeseen_error_reports_its_end(
+    mode: str,
+    place: tuple[type, str],
+    error: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def run() -> list[Any]:
+        raw = RawUpstream(lambda _, trace: Reply(answer(trace)))
+        await raw.open()
+        pool = ConnectionPool(lambda: 0.0)
+        attempts = _MODES[mode](pool)
+        for name in ('start_answer', 'write'):
+            monkeypatch.setattr(Exchange, name, _take)
+        monkeypatch.setattr(Exchange, 'end', lambda _: None)
+        monkeypatch.setattr(Exchange, 'break_off', lambda _: None)
+        monkeypatch.setattr(place[0], place[1], _fail(_ERRORS[error]))
+        attempts.send(raw.address)
+        ends = await _until_ended(attempts)
+        pool.close()
+        return ends
+
+    if _OF_ONE_MODE.get(place, mode) != mode:
+        return
+    with TestHandler() as logs:
+        (end,) = asyncio.run(run())
+    assert end.outcome.name in _PLACES[place]
+    (line,) = [
+        record
+        for record in logs.records
+        if record.msg == 'attempt failed unexpectedly'
+    ]
+    assert line.extra['request'] == 'trace-1'
+
+
+async def _take(*_: object) -> None:
+    """Take a part of an answer."""
--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -1,7 +1,6 @@
 """One attempt to send a request over one connection and read its answer."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, unique
@@ -42,6 +41,15 @@
 )
 
 
+# Errors that say how a connection failed; any other is unexpected.
+_CONNECTION_ERRORS: Final = (
+    StreamClosedError,
+    OSError,
+    httputil.HTTPInputError,
+    httputil.HTTPOutputError,
+)
+
+
 @unique
 class AttemptEnd(Enum):
     """How an attempt ended."""
@@ -129,6 +137,9 @@
     held_back: bool = False
     """Whether the answer is not passed on, so that only its head counts."""
 
+    error: Exception | None = None
+    """What failed, if it was not the connection."""
+
     def leave_rest(self) -> None:
         """Mark the answer as read, without the rest of its body."""
         self.end = AttemptEnd.WHOLE
@@ -171,6 +182,54 @@
         """Check the head of the answer and pass it on."""
         if not isinstance(start_line, httputil.ResponseStartLine):
             raise TypeError('expected a response start line')
+        try:
+            await self._receive_head(start_line, headers)
+        except _CONNECTION_ERRORS:
+            raise
+        except Exception as error:
+            # The parser closes the connection without passing the error on.
+            self.report.error = error
+            raise
+
+    async def data_received(self, chunk: bytes) -> None:  # type: ignore
+        """Pass on a part of the body, or drop it up to a bound."""
+        try:
+            await self._receive_body(chunk)
+        except _CONNECTION_ERRORS:
+            raise
+        except Exception as error:
+            self.report.error = error
+            raise
+
+    def finish(self) -> None:
+        """Complete the answer, unless it ends when the connection closes.
+
+        In that case :class:`HttpAttempt` completes it after an orderly close.
+        """
+        if self.until_close:
+            self.read_to_close = True
+            return
+        try:
+            self.complete()
+        except _CONNECTION_ERRORS:
+            raise
+        except Exception as error:
+            self.report.error = error
+            raise
+
+    def complete(self) -> None:
+        """Mark the answer as complete."""
+        if self.use is AnswerUse.PASS_OVER:
+            return
+        if self.use is AnswerUse.PASS_ON:
+            self.sink.end()
+        self.report.end = AttemptEnd.WHOLE
+
+    async def _receive_head(
+        self,
+        start_line: httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
         if start_line.code < _MIN_FINAL_STATUS:
             return
         self._check_length(start_line.code, headers)
@@ -191,8 +250,7 @@
         else:
             self._limit_time()
 
-    async def data_received(self, chunk: bytes) -> None:  # type: ignore
-        """Pass on a part of the body, or drop it up to a bound."""
+    async def _receive_body(self, chunk: bytes) -> None:
         if self.use is AnswerUse.PASS_ON:
             await self.sink.write(chunk)
             return
@@ -200,24 +258,6 @@
         if self.unused_bytes > _MAX_UNUSED_BYTES:
             self._leave_rest()
 
-    def finish(self) -> None:
-        """Complete the answer, unless it ends when the connection closes.
-
-        In that case :class:`HttpAttempt` completes it after an orderly close.
-        """
-        if self.until_close:
-            self.read_to_close = True
-        else:
-            self.complete()
-
-    def complete(self) -> None:
-        """Mark the answer as complete."""
-        if self.use is AnswerUse.PASS_OVER:
-            return
-        self.report.end = AttemptEnd.WHOLE
-        if self.use is AnswerUse.PASS_ON:
-            self.sink.end()
-
     def _limit_time(self) -> None:
         self.report.held_back = True
         when = asyncio.get_running_loop().time() + _MAX_UNUSED_TIME
@@ -282,37 +322,63 @@
     admits: Callable[[], bool] = always_admit
     """Whether the request may still be sent once there is a connection."""
 
+    trace: str = ''
+    """Identifier of the request, for the log."""
+
     async def run(self) -> AttemptReport:
-        """Make the attempt; failures and cancellation end up in the report."""
+        """Make the attempt; whatever ends it ends up in the report."""
         report = AttemptReport(AttemptEnd.NOT_SENT)
+        try:
+            await self._run(report)
+        except Exception as error:
+            report.error = error
+        if report.error:
+            self._log_error(report, report.error)
+        return report
+
+    async def _run(self, report: AttemptReport) -> None:
         acquired = await self._acquire(report)
         if acquired is None:
-            return report
-        stream = acquired.stream
+            return
+        reusable = False
+        try:
+            reusable = await self._use(acquired, report)
+        finally:
+            if not reusable:
+                acquired.stream.close()
+        self.pool.release(
+            self.outgoing.address,
+            acquired.stream,
+            keep_alive_timeout(report.headers),
+        )
+
+    async def _use(self, acquired: Acquired, report: AttemptReport) -> bool:
+        """Send the request; return whether the connection can be reused."""
         sent_at = self.clock()
         if sent_at >= self.outgoing.not_after:
-            self.pool.release(self.outgoing.address, stream)
-            return report
+            return True
         if not self.admits():
-            self.pool.release(self.outgoing.address, stream)
             report.end = AttemptEnd.WITHDRAWN
-            return report
+            return True
         report.end = AttemptEnd.NO_ANSWER
         try:
-            await self._exchange(stream, report)
+            await self._exchange(acquired.stream, report)
         except asyncio.CancelledError:
             report.end = AttemptEnd.CANCELLED
         if report.end is AttemptEnd.NO_ANSWER:
             self.pool.record_failure(acquired, self.clock() - sent_at)
-        if report.end is AttemptEnd.WHOLE and _keeps_alive(report):
-            self.pool.release(
-                self.outgoing.address,
-                stream,
-                keep_alive_timeout(report.headers),
-            )
-        else:
-            stream.close()
-        return report
+        return report.end is AttemptEnd.WHOLE and _keeps_alive(report)
+
+    def _log_error(self, report: AttemptReport, error: Exception) -> None:
+        _LOG.error(
+            'attempt failed unexpectedly',
+            exc_info=(type(error), error, error.__traceback__),
+            extra={
+                'request': self.trace,
+                'address': self.outgoing.address,
+                'end': report.end.name,
+            },
+        )
 
     async def _acquire(self, report: AttemptReport) -> Acquired | None:
         timeout = min(_CONNECT_TIMEOUT, self.outgoing.deadline - self.clock())
@@ -340,7 +406,7 @@
     ) -> None:
         remaining = max(0, self.outgoing.deadline - self.clock())
         connection = HTTP1Connection(stream, True, _PARAMETERS)
-        writer = asyncio.ensure_future(self._write(connection))
+        writer = asyncio.ensure_future(self._write(connection, report))
         try:
             async with asyncio.timeout(remaining) as limit:
                 await self._read(connection, stream, report, limit)
@@ -381,19 +447,37 @@
             # This was a late answer to an earlier request; read the next one.
             # A new reader would wait until it had written a request, too.
 
-    async def _write(self, connection: HTTP1Connection) -> None:
-        with contextlib.suppress(
-            StreamClosedError, OSError, httputil.HTTPOutputError
-        ):
-            await connection.write_headers(
-                self.outgoing.start, self.outgoing.headers
-            )
-            while True:
-                chunk = await self.body.read()
-                if chunk is None:
-                    break
-                await connection.write(chunk)
-            connection.finish()
+    async def _write(
+        self, connection: HTTP1Connection, report: AttemptReport
+    ) -> None:
+        try:
+            await self._write_head(connection, report)
+            await self._write_body(connection)
+        except _CONNECTION_ERRORS:
+            # The reading side learns how the connection ended.
+            return
+        except Exception as error:
+            report.error = error
+            # No answer can come, so the reading side need not wait for one.
+            connection.stream.close()
+
+    async def _write_head(
+        self, connection: HTTP1Connection, report: AttemptReport
+    ) -> None:
+        report.end = AttemptEnd.NOT_SENT
+        written = connection.write_headers(
+            self.outgoing.start, self.outgoing.headers
+        )
+        report.end = AttemptEnd.NO_ANSWER
+        await written
+
+    async def _write_body(self, connection: HTTP1Connection) -> None:
+        while True:
+            chunk = await self.body.read()
+            if chunk is None:
+                break
+            await connection.write(chunk)
+        connection.finish()
 
 
 def _closed_by_peer(error: BaseException | None) -> bool:
--- a/worksrail/daemon/http/_connections.py
+++ b/worksrail/daemon/http/_connections.py
@@ -191,7 +191,8 @@
             stream = await self.client.connect(
                 host, int(port), ssl_options=self.context, timeout=timeout
             )
-        except StreamClosedError as error:
+        except (StreamClosedError, ValueError) as error:
+            # ValueError: the text is no address, or its host is no name.
             raise OSError(f'no connection to {address}') from error
         if stream.closed():
             raise OSError(
--- a/worksrail/daemon/http/_requests.py
+++ b/worksrail/daemon/http/_requests.py
@@ -250,6 +250,7 @@
             exchange,
             partial(self._learn_notice, exchange.number),
             partial(self._is_wanted, exchange.number),
+            exchange.trace,
         )
         return await attempt.run()
 
@@ -277,7 +278,12 @@
         outgoing: Outgoing,
     ) -> AttemptReport:
         attempt = HttpAttempt(
-            self.peers, self.engine.now, outgoing, exchange.body, exchange
+            self.peers,
+            self.engine.now,
+            outgoing,
+            exchange.body,
+            exchange,
+            trace=exchange.trace,
         )
         return await attempt.run()
 
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -147,6 +147,7 @@
             ConnectionPool(engine.now),
         )
         metrics = SteeringMetrics.create()
+        requests.count_error = metrics.attempt_errors.inc
         store = adapter.open_store(settings.store, metrics.count_call)
         turn = asyncio.Event()
         daemon = cls(
--- a/worksrail/daemon/steered/_metrics.py
+++ b/worksrail/daemon/steered/_metrics.py
@@ -84,6 +84,9 @@
     unusable: Counter
     """Objects of the store that could not be decoded, by kind."""
 
+    attempt_errors: Counter
+    """Attempts that ended with an unexpected error."""
+
     over_quota: Counter
     """Requests refused because of a quota, by customer."""
 
@@ -213,6 +216,7 @@
             counter(
                 'worksrail_objects_unusable', 'Objects not usable', ['kind']
             ),
+            counter('worksrail_attempt_errors', 'Unexpected errors'),
             counter(
                 'worksrail_over_quota', 'Refused for a quota', ['customer']
             ),
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -1,5 +1,6 @@
 """Runs the effects on callers' requests."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 from math import inf
@@ -84,6 +85,9 @@
     exchanges: dict[int, Exchange] = field(default_factory=dict)
     """Exchanges in progress, by the number of the request."""
 
+    count_error: Callable[[], object] = bool
+    """Counts attempts that ended with an unexpected error."""
+
     # -- events
 
     def arrived(self, exchange: Exchange) -> None:
@@ -203,6 +207,7 @@
             sink,
             partial(self._learn_notice, effect, sink),
             partial(self._is_wanted, self._upstream_of(effect)),
+            exchange.trace,
         )
         return await attempt.run()
 
@@ -213,6 +218,7 @@
         sink: SteeredSink,
         report: AttemptReport,
     ) -> None:
+        self._count_error(report)
         outcome = _outcome(report, sink.answer)
         if outcome is AttemptOutcome.BROKE_IN_ANSWER:
             exchange.break_off()
@@ -230,6 +236,10 @@
         self.engine.dispatch(event)
         self._discard_ended(effect.request)
 
+    def _count_error(self, report: AttemptReport) -> None:
+        if report.error:
+            self.count_error()
+
     def _discard_ended(self, number: RequestNumber) -> None:
         """Forget a request that has ended, and return what its body holds."""
         if number not in self.engine.state.requests:
@@ -312,6 +322,7 @@
             exchange.body.replay(),
             sink,
             partial(self._begin_passed_answer, effect, sink),
+            trace=exchange.trace,
         )
         return await attempt.run()
 
@@ -322,6 +333,7 @@
         sink: PassingSink,
         report: AttemptReport,
     ) -> None:
+        self._count_error(report)
         outcome = sink.outcome(_outcome(report, sink.answer))
         if outcome is AttemptOutcome.BROKE_IN_ANSWER:
             exchange.break_off()
