Read an answer of the store though one value in it cannot be read

Cause: the answer of the store is decoded as a whole, and such a value raised ValueError or RecursionError for all of it: StoreFault.MALFORMED, for each list and each watch.

--- a/tests/platform/test_odd_documents.py
+++ b/tests/platform/test_odd_documents.py
@@ -1,6 +1,7 @@
 """One odd document of another writer costs nothing but itself."""
 
 import json
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -8,8 +9,10 @@
 
 from worksrail.core.steering import StoreUpdate
 from worksrail.core.steering.kinds import StoreKind
+from worksrail.platform import MalformedDocumentError, read_settings
 from worksrail.platform._fields import Fields
-from worksrail.platform._store import _parse_json, _UpdateBuilder
+from worksrail.platform._json import parse_json
+from worksrail.platform._store import _UpdateBuilder
 
 _MARKER = 'MARKER'
 _FIELDS = (
@@ -52,7 +55,7 @@
     document = {'items': entries, 'AsOf': 3, 'HasMore': False}
     text = json.dumps(document).replace(f'"{_MARKER}"', odd)
     builder = _UpdateBuilder(StoreKind.UPSTREAMS)
-    builder.add_page(Fields.from_value(_parse_json(text.encode()), 'answer'))
+    builder.add_page(Fields.from_value(parse_json(text.encode()), 'answer'))
     return builder.build()
 
 
@@ -106,7 +109,7 @@
     document = {'items': [_object(_MARKER, {}), _object('z1', {})], 'AsOf': 3}
     text = json.dumps(document).replace(f'"{_MARKER}"', _TEXTS[form])
     builder = _UpdateBuilder(StoreKind.EVACUATIONS)
-    builder.add_page(Fields.from_value(_parse_json(text.encode()), 'answer'))
+    builder.add_page(Fields.from_value(parse_json(text.encode()), 'answer'))
     update = builder.build()
     assert update.zones == ('z1',)
     assert len(update.faults) == 1
@@ -140,3 +143,33 @@
     _check_sound_entries(update, 'i-2')
     assert len(update.faults) == 1
     assert [record.name for record in update.records] == ['i-1', 'i-3']
+
+
+_UNREADABLE = {
+    '5000 digits': '9' * 5000,
+    'minus 5000 digits': '-' + '9' * 5000,
+    'float of 5000 digits': '9' * 5000 + '.5',
+    'nested lists': '[' * 3000 + ']' * 3000,
+    'nested tables': '{"a":' * 3000 + '1' + '}' * 3000,
+    'brackets in a text': '[' * 3000 + r'"]\"]"' + ']' * 3000,
+}
+
+
+# A number of over 4,300 digits or a deeply nested value made the whole answer of
+# the store unreadable, so that no entry got ready after a restart.
+@pytest.mark.parametrize('field', _FIELDS)
+@pytest.mark.parametrize('form', _UNREADABLE)
+def test_unreadable_value_costs_its_entry_only(form: str, field: str) -> None:
+    entries = [_entry('i-1'), _entry('i-2', field), _entry('i-3')]
+    update = _read(entries, _UNREADABLE[form])
+    _check_sound_entries(update, 'i-2')
+    assert len(update.faults) == (field not in _HARMLESS)
+
+
+# A deeply nested value in the settings ended a process when it was reloaded.
+@pytest.mark.parametrize('form', _UNREADABLE)
+def test_unreadable_settings_are_malformed(form: str, tmp_path: Path) -> None:
+    path = tmp_path / 'settings.json'
+    path.write_text(f'{{"Limits": {_UNREADABLE[form]}}}')
+    with pytest.raises(MalformedDocumentError):
+        read_settings(path)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -14,7 +14,8 @@
 from worksrail.daemon.steered import StoreFault
 from worksrail.platform import PlatformStore
 from worksrail.platform._fields import Fields
-from worksrail.platform._store import _parse_json, _UpdateBuilder
+from worksrail.platform._json import parse_json
+from worksrail.platform._store import _UpdateBuilder
 from worksrail.standins.objects import ObjectStore, StoreMood, application
 
 
@@ -277,7 +278,7 @@
     ],
 )
 def test_page_with_undecodable_bytes_is_accepted(body: bytes) -> None:
-    page = Fields.from_value(_parse_json(body), 'page')
+    page = Fields.from_value(parse_json(body), 'page')
     builder = _UpdateBuilder(StoreKind.UPSTREAMS)
     assert not builder.add_page(page)
     assert builder.build().revision == 3
--- a/worksrail/platform/_settings.py
+++ b/worksrail/platform/_settings.py
@@ -38,7 +38,7 @@
     """
     try:
         document = json.loads(path.read_text())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise MalformedDocumentError(f'unreadable settings: {error}') from error
     return decode_settings(document)
 
--- a/worksrail/platform/_store.py
+++ b/worksrail/platform/_store.py
@@ -1,6 +1,5 @@
 """Client of the platform's store."""
 
-import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import inf
@@ -28,6 +27,7 @@
     MalformedDocumentError,
     is_text,
 )
+from worksrail.platform._json import parse_json
 from worksrail.platform._objects import decode_configuration, decode_upstream
 
 _LOG: Final = Logger('worksrail.store')
@@ -134,12 +134,6 @@
     return str(name) if is_text(name) else ''
 
 
-def _parse_json(body: bytes) -> Any:
-    # Another writer may have put invalid UTF-8 into one object, which must not
-    # make the other objects of the answer unreadable.
-    return json.loads(body.decode(errors='replace'), strict=False)
-
-
 @dataclass(slots=True)
 class PlatformStore:
     """Reads and watches the platform's objects.
@@ -242,8 +236,8 @@
             refused = collector.status in _REFUSED_STATUSES
             return StoreFault.REFUSED if refused else StoreFault.MALFORMED
         try:
-            return Fields.from_value(_parse_json(collector.body), 'answer')
-        except (ValueError, RecursionError):
+            return Fields.from_value(parse_json(collector.body), 'answer')
+        except ValueError:
             return StoreFault.MALFORMED
 
     def _build_request(
