Use no connection again whose request was not written whole

Cause: the body of the upload broke off, as its caller had left or had been answered early. The task that writes ended as if it had written all, the whole answer made the connection fit for the pool, and the upstream took the next request on it for the rest of the body.

A body shorter or longer than stated did not reach the pool before either.

Change: only what was written up to its end lets a connection return to its pool, in place of a task that is done.

--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -325,6 +325,9 @@
     trace: str = ''
     """Identifier of the request, for the log."""
 
+    written: bool = False
+    """Whether the request was written whole."""
+
     async def run(self) -> AttemptReport:
         """Make the attempt; whatever ends it ends up in the report."""
         report = AttemptReport(AttemptEnd.NOT_SENT)
@@ -420,9 +423,11 @@
             report.closed = _closed_by_peer(stream.error)
             _LOG.debug('attempt at {} failed: {}', self.outgoing.address, error)
         finally:
-            if not writer.done():
+            writer.cancel()
+            if not self.written:
+                # The remote side would take the next request for the rest of
+                # this one.
                 report.headers['Connection'] = 'close'
-                writer.cancel()
 
     async def _read(
         self,
@@ -478,6 +483,7 @@
                 break
             await connection.write(chunk)
         connection.finish()
+        self.written = True
 
 
 def _closed_by_peer(error: BaseException | None) -> bool:
