Refuse configurations with values that would fail all requests

Cause: numbers were checked for their type only, a version by isdigit, which takes what int() does not, and a TrafficSplit that is no list raised TypeError.

Change: times and weights are finite and not negative, a timeout is at least 1 ms, a version has at most 18 ASCII digits, a TrafficSplit is a list. MaxAttempts 0 is taken as before. A configuration with a fault is refused as a whole and the one in force stays; after a restart there is none to go by, which stays open.

--- a/tests/platform/test_odd_documents.py
+++ b/tests/platform/test_odd_documents.py
@@ -1,5 +1,6 @@
 """One odd document of another writer costs nothing but itself."""
 
+import copy
 import json
 from pathlib import Path
 from typing import Any
@@ -7,6 +8,7 @@
 import msgspec
 import pytest
 
+from tests.platform.test_decoding import CONFIGURATION
 from worksrail.core.steering import StoreUpdate
 from worksrail.core.steering.kinds import StoreKind
 from worksrail.platform import MalformedDocumentError, read_settings
@@ -173,3 +175,51 @@
     path.write_text(f'{{"Limits": {_UNREADABLE[form]}}}')
     with pytest.raises(MalformedDocumentError):
         read_settings(path)
+
+
+def _configure(column: str, odd: str) -> StoreUpdate:
+    """Read a configuration in which a column of a route holds some JSON."""
+    document: dict[str, Any] = copy.deepcopy(CONFIGURATION)
+    if column in document:
+        document[column] = _MARKER
+    else:
+        routes = document['Routes']
+        routes['Rows'][0][routes['Columns'].index(column)] = _MARKER
+    page = {'items': [_object('main', document)], 'AsOf': 3}
+    text = json.dumps(page).replace(f'"{_MARKER}"', odd)
+    builder = _UpdateBuilder(StoreKind.CONFIGURATION)
+    builder.add_page(Fields.from_value(parse_json(text.encode()), 'answer'))
+    return builder.build()
+
+
+# What was in force stays so: a timeout of zero gave 504 to all, and some forms
+# ended processes.
+@pytest.mark.parametrize(
+    ('column', 'odd'),
+    [
+        ('TimeoutS', '9' * 401),
+        ('TimeoutS', '9' * 5000),
+        ('TimeoutS', '0'),
+        ('TimeoutS', '-1'),
+        ('TimeoutS', 'NaN'),
+        ('TimeoutS', 'Infinity'),
+        ('TargetLatencyS', 'NaN'),
+        ('TargetLatencyS', '-1'),
+        ('MaxAttempts', '9' * 401),
+        ('Priority', '9' * 401),
+        ('TrafficSplit', 'true'),
+        ('TrafficSplit', '7'),
+        ('TrafficSplit', '"a"'),
+        ('TrafficSplit', '[{"Service": "a", "Weight": NaN}]'),
+        ('TrafficSplit', '[{"Service": "a", "Weight": 1e999}]'),
+        ('Version', '"r' + '9' * 5000 + '"'),
+        ('Version', '"r\N{SUPERSCRIPT TWO}"'),
+        ('Version', '"r' + '9' * 401 + '"'),
+        ('Routes', '[' * 3000 + ']' * 3000),
+    ],
+)
+def test_odd_configuration_is_refused_as_a_whole(column: str, odd: str) -> None:
+    update = _configure(column, odd)
+    assert update.configuration is None
+    assert len(update.faults) == 1
+    assert len(update.faults[0]) < 500
--- a/worksrail/platform/_objects.py
+++ b/worksrail/platform/_objects.py
@@ -37,6 +37,9 @@
 _DRAINING_BY_STATE: Final = {'ready': False, 'draining': True}
 _PORT: Final = re.compile('[0-9]{1,5}')
 _MAX_PORT: Final = 65_535
+_VERSION: Final = re.compile('r[0-9]{1,18}')
+# Seconds; a shorter timeout would refuse every request of its route.
+_MIN_TIMEOUT: Final = 0.001
 _DEFAULT_TIMEOUT: Final = 60.0
 _DEFAULT_MAX_ATTEMPTS: Final = 2
 
@@ -62,7 +65,7 @@
     >>> decode_version('r12')
     12
     """
-    if not text.startswith('r') or not text[1:].isdigit():
+    if not _VERSION.fullmatch(text):
         raise MalformedDocumentError(f'expected a version, got {shown(text)!r}')
     return int(text[1:])
 
@@ -169,8 +172,8 @@
         row.string('Host').lower(),
         prefix,
         kind,
-        row.number('TimeoutS', _DEFAULT_TIMEOUT),
-        row.number('TargetLatencyS', _DEFAULT_TIMEOUT),
+        row.number_in_range('TimeoutS', _MIN_TIMEOUT, inf, _DEFAULT_TIMEOUT),
+        row.number_in_range('TargetLatencyS', 0, inf, _DEFAULT_TIMEOUT),
         row.integer('Priority', 0),
         _decode_traffic_split(row, services),
         row.integer('MaxAttempts', _DEFAULT_MAX_ATTEMPTS),
@@ -185,12 +188,17 @@
 ) -> tuple[ServiceWeight, ...]:
     split = row.table.get('TrafficSplit')
     if split:
+        if not isinstance(split, list):
+            raise row.error('TrafficSplit', 'a list')
         entries = [
             Fields.from_value(entry, f'{row.location}.TrafficSplit')
             for entry in split
         ]
         parts = tuple(
-            ServiceWeight(entry.string('Service'), entry.number('Weight'))
+            ServiceWeight(
+                entry.string('Service'),
+                entry.number_in_range('Weight', 0, inf),
+            )
             for entry in entries
         )
     else:
@@ -199,7 +207,7 @@
         if part.service not in services:
             raise MalformedDocumentError(f'unknown service at {row.location}')
     weights = [part.weight for part in parts]
-    if min(weights) < 0 or sum(weights) <= 0:
+    if sum(weights) <= 0:
         raise MalformedDocumentError(
             f'expected weights with a positive sum at {row.location}'
         )
