Wait until an answer is held up, not for a number of bytes of it

test_answer_in_progress_ends_with_its_caller waited 10 s for 300,000 bytes to leave the upstream while nobody read them.

The test is as strict: it waits for the event that it is about, that the kernel takes no more of the answer from the entry, so that entry and upstream wait; what it asserts after the caller has left is unchanged.

--- a/tests/callers/test_leaving_upstreams.py
+++ b/tests/callers/test_leaving_upstreams.py
@@ -155,6 +155,11 @@
     _play(play)
 
 
+def _is_congested(entry: Entry) -> bool:
+    """Whether the kernel takes no more of an answer from the entry."""
+    return any(row.congested for row in entry.server.open.connections)
+
+
 # Whether the caller reads the answer before it leaves; if not, its entry and the
 # upstream wait for it.
 @pytest.mark.parametrize('reads', [True, False], ids=['reads', 'reads nothing'])
@@ -172,7 +177,8 @@
         entry = long_entry(upstream)
         caller = LeavingCaller(entry.open())
         await caller.send(request('first') + _BEHIND[behind])
-        assert await until(lambda: upstream.endless_taken > 300_000)
+        assert await until(lambda: _is_congested(entry))
+        assert upstream.endless_taken
         if reads:
             await caller.read(1_000_000)
         WAYS[way](caller)
