Count an unforeseen error in an answer of the store for that answer only

Cause: an exception of a type that nobody had listed ended the follower's task, and the end of such a task ends the process.

Change: the follower takes such an answer for a malformed one: it logs the error with its trace, counts it, and reads again after its backoff.

--- a/tests/steering/test_following.py
+++ b/tests/steering/test_following.py
@@ -318,3 +318,61 @@
         StoreUpdate(3, zones=('b1',)),
     )
     assert followed.state.catalog.evacuated == {'a2', 'b1'}
+
+
+class FailingStore(ScriptedStore):
+    """Raises an error that nobody foresaw for the first call."""
+
+    error: Exception | None = None
+
+    def _next(self, since: int | None) -> _Step:
+        error, self.error = self.error, None
+        if error:
+            raise error
+        return super()._next(since)
+
+
+# An error that nobody had foreseen in an answer of the store ended the process.
+@pytest.mark.parametrize('listed_first', [True, False])
+@pytest.mark.parametrize(
+    'error',
+    [
+        ValueError('odd'),
+        OverflowError('odd'),
+        KeyError('odd'),
+        TypeError('odd'),
+    ],
+    ids=lambda error: type(error).__name__,
+)
+def test_unforeseen_error_costs_one_answer_only(
+    error: Exception, *, listed_first: bool
+) -> None:
+    record = upstream('i-1')
+    store = FailingStore([StoreUpdate(7, records=(record,))])
+    store.error = error
+    engine = SteeringEngine(
+        SteeringState.from_settings(settings(), Incarnation('one', 1), 0, 1)
+    )
+    engine.runners = {Decision: lambda _: None}
+    unusable: list[str] = []
+
+    async def sleep(_: float) -> None:
+        """Do not wait."""
+
+    async def run() -> None:
+        follower = Follower(
+            engine,
+            store,  # type: ignore[arg-type]
+            StoreKind.UPSTREAMS,
+            sleep=sleep,
+            count_unusable=unusable.append,
+        )
+        follower.turn.set()
+        if listed_first:
+            await follower.list_once()
+        with contextlib.suppress(asyncio.CancelledError):
+            await follower.run()
+
+    asyncio.run(run())
+    assert unusable == [StoreKind.UPSTREAMS.value]
+    assert 'i-1' in engine.state.catalog.upstreams
--- a/worksrail/daemon/steered/_following.py
+++ b/worksrail/daemon/steered/_following.py
@@ -128,7 +128,9 @@
 
     async def list_once(self) -> None:
         """Read a stale list to start with; peers provide later changes."""
-        update = await self.store.read_all(self.kind, stale=True)
+        update = await self._answer_of(
+            self.store.read_all(self.kind, stale=True)
+        )
         if isinstance(update, StoreFault):
             _LOG.info(
                 'initial list failed',
@@ -160,9 +162,23 @@
     async def _list_or_watch(self) -> _Answer:
         self.called_at = self.engine.now()
         if self.revision is None:
-            return await self.store.read_all(self.kind)
+            return await self._answer_of(self.store.read_all(self.kind))
         seconds = self._watch_time() if self.answered else _PROBE_WATCH_TIME
-        return await self.store.watch(self.kind, self.revision, seconds)
+        return await self._answer_of(
+            self.store.watch(self.kind, self.revision, seconds)
+        )
+
+    async def _answer_of(self, call: Awaitable[_Answer]) -> _Answer:
+        """Wait for a call; an unexpected error is one of this answer only."""
+        try:
+            return await call
+        except Exception:
+            _LOG.exception(
+                'answer of the store not handled',
+                extra={'kind': self.kind.value},
+            )
+            self.count_unusable(self.kind.value)
+            return StoreFault.MALFORMED
 
     def _watch_time(self) -> float:
         history = self.engine.state.settings.bounds.store_history
