Answer HEAD on a document of an entry without its body

Callers saw: HEAD on readiness, look-up or metrics closed the connection without an answer, and what was pipelined behind it was lost.

Cause: the document was written with its body, which the HTTP writer refuses for HEAD by closing the connection; the error was suppressed.

Change: the head states the length of the document, and no body follows.

--- a/worksrail/daemon/http/_exchange.py
+++ b/worksrail/daemon/http/_exchange.py
@@ -209,6 +209,9 @@
         start = httputil.ResponseStartLine(
             'HTTP/1.1', HTTPStatus.OK, HTTPStatus.OK.phrase
         )
+        # The length is that of the document for HEAD as well.
+        if self.start.method == 'HEAD':
+            document = b''
         with contextlib.suppress(StreamClosedError, httputil.HTTPOutputError):
             self.connection.write_headers(start, headers, document)
             self.connection.finish()
