Let the soak find what stays held, and odd entries of another writer

Each play of the soak ends with a check of the gauges of what is held, once the callers have ended: requests in flight, open requests and held bytes are zero at every entry (promise RELEASED). The last two gauges are new. Callers that leave do so at once or within 10 ms in half of their visits, beside a writer of odd entries.

--- a/tests/soak/_leaving.py
+++ b/tests/soak/_leaving.py
@@ -25,8 +25,8 @@
 _UNSAFE_SHARE = 0.15
 # What lies behind them.
 _BEHIND = (b'', b'', b'\r\n', b'GET /r/1 HT')
-# Seconds after which they leave.
-_STAY = (0.0, 1.2)
+# Seconds after which they leave: some at once, the others at any moment.
+_STAYS = ((0.0, 0.0), (0.0, 0.01), (0.0, 1.2), (0.0, 1.2))
 # Seconds for which a half of a connection stays open.
 _HALF_OPEN = 1.0
 
@@ -87,7 +87,9 @@
             await caller.send(text + self.rng.choice(_BEHIND), 0.1)
             for one in row:
                 self.witness.sent[one.trace] = one
-            await asyncio.sleep(self.rng.uniform(*_STAY))
+            stay = self.rng.uniform(*self.rng.choice(_STAYS))
+            if stay:
+                await asyncio.sleep(stay)
             way = self.rng.choice(sorted(WAYS))
             now = self.clock()
             WAYS[way](caller)
--- a/tests/soak/_promises.py
+++ b/tests/soak/_promises.py
@@ -63,6 +63,7 @@
         ' later'
     )
     RECOVERY = 'all entries serve again once the faults are over'
+    RELEASED = 'nothing is held once nobody asks any more'
     NAMED_LIMIT = 'an upstream that names a limit gets no more than it allows'
     FEW_REPEATS = 'repeats over all entries stay within the budget they share'
     CUT_SERVED = 'callers of an entry without links to upstreams are served'
@@ -246,6 +247,9 @@
     silent: set[str] = field(default_factory=set)
     """Entries that did not serve at the end."""
 
+    held: dict[str, str] = field(default_factory=dict)
+    """What entries still held after the last caller."""
+
     exits: list[tuple[str, int | None]] = field(default_factory=list)
     """Entries that were told to stop, and their exit codes."""
 
@@ -345,6 +349,10 @@
             Violation(Promise.RECOVERY, entry, 'does not serve')
             for entry in sorted(self.silent)
         ]
+        found += [
+            Violation(Promise.RELEASED, entry, gauges)
+            for entry, gauges in self.held.items()
+        ]
         found += [
             Violation(Promise.CLEAN_EXIT, entry, f'exit code {code}')
             for entry, code in self.exits
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -13,6 +13,7 @@
 from tests.soak._cuts import CutShare
 from tests.soak._faults import Fault, Step, cuts_of, steps_of, stops_of
 from tests.soak._leaving import LeavingWorld, start_leavers
+from tests.soak._odd_entries import write_odd_entries
 from tests.soak._open_loop import OpenLoop
 from tests.soak._order import Passed
 from tests.soak._overload import (
@@ -24,6 +25,7 @@
 )
 from tests.soak._promises import DEADLINE, Promise, Sent, Violation
 from tests.soak._proxy import Link
+from tests.soak._released import wait_released
 from tests.soak._repeats import Budget, Excess
 from tests.soak._stating import end_statements, state_availability
 from tests.soak._stopping import CALLERS, PATIENCE, StoppingWorld
@@ -299,7 +301,7 @@
     upstreams name limits if they are to, say that they leave or want no requests,
     and entries lose their links to upstreams.  With the window of a budget of
     repeats, in seconds, callers move from entry to entry and upstreams reject at
-    times.  Callers that send ahead leave at any moment, if they are to.  Or customers ask for more than the slots of a service at times, or
+    times.  Callers that send ahead leave at any moment, if they are to, beside another writer in the store.  Or customers ask for more than the slots of a service at times, or
     entries stop all the while under long calls.
     """
     steps = steps_of(seed, seconds) if faulty else []
@@ -331,6 +333,8 @@
         callers = start_callers(world, number, customer, patience)
         if leaving:
             callers += start_leavers(world, seed)
+            odd = write_odd_entries(world, seed)
+            callers.append(asyncio.ensure_future(odd))
         if overloading:
             world.witness.priorities = PRIORITIES
             overload = _overload(world, seed, seconds)
@@ -352,10 +356,10 @@
             callers.pop().cancel()
             end_statements(world)
         world.witness.silent = await wait_served(world, customer)
+        await _end_callers(callers)
+        world.witness.held = await wait_released(world)
     finally:
-        for caller in callers:
-            caller.cancel()
-        await asyncio.gather(*callers, return_exceptions=True)
+        await _end_callers(callers)
         await world.close()
     ends = world.witness.ended.values()
     return Result(
@@ -373,6 +377,12 @@
     )
 
 
+async def _end_callers(callers: list[asyncio.Task[None]]) -> None:
+    for caller in callers:
+        caller.cancel()
+    await asyncio.gather(*callers, return_exceptions=True)
+
+
 async def _overload(world: SoakWorld, seed: int, seconds: float) -> None:
     """Send the requests of customers who ask for too much at times."""
     load = OpenLoop(
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -288,7 +288,9 @@
         )
         self._serve(addresses.look_up, LookUpHandler(self.engine, dialect))
         host = addresses.readiness.partition(':')[0]
-        metrics = MetricsHandler(self.engine, self.decisions.metrics, self.sink)
+        metrics = MetricsHandler(
+            self.engine, self.decisions.metrics, self.sink, self.held
+        )
         try:
             self._serve(f'{host}:{_METRICS_PORT}', metrics)
         except OSError as error:
--- a/worksrail/daemon/steered/_metrics.py
+++ b/worksrail/daemon/steered/_metrics.py
@@ -103,6 +103,12 @@
     in_flight: Gauge
     """Requests of this entry in flight at upstreams, by service."""
 
+    open_requests: Gauge
+    """Requests that have not ended."""
+
+    held_bytes: Gauge
+    """Bytes of requests and answers that the process holds."""
+
     upstreams: Gauge
     """Usable upstreams by service."""
 
@@ -228,6 +234,8 @@
                 _BY_SERVICE,
             ),
             gauge('worksrail_in_flight', 'Requests in flight', _BY_SERVICE),
+            gauge('worksrail_open_requests', 'Requests not ended'),
+            gauge('worksrail_held_bytes', 'Bytes held for callers'),
             gauge('worksrail_upstreams', 'Usable upstreams', _BY_SERVICE),
             gauge('worksrail_entries', 'Other entries alive'),
             gauge('worksrail_configuration_version', 'Version in force'),
@@ -331,6 +339,7 @@
         self.store_age.set(inf if age is None else age)
 
     def _update_services(self, state: SteeringState, now: float) -> None:
+        self.open_requests.set(len(state.requests))
         configuration = state.configuration
         if isinstance(configuration, RoutingConfiguration):
             self.version.set(configuration.version)
--- a/worksrail/daemon/steered/_ports.py
+++ b/worksrail/daemon/steered/_ports.py
@@ -7,6 +7,7 @@
 from worksrail.core.steering import look_up
 from worksrail.daemon._logs import LineSink
 from worksrail.daemon.http._exchange import Exchange
+from worksrail.daemon.http._held_bytes import HeldBytes
 from worksrail.daemon.steered._adapter import RequestDialect
 from worksrail.daemon.steered._engine import SteeringEngine
 from worksrail.daemon.steered._metrics import SteeringMetrics
@@ -82,11 +83,15 @@
     sink: LineSink
     """Counts the dropped log lines."""
 
+    held: HeldBytes
+    """Bytes that the process holds."""
+
     def arrived(self, exchange: Exchange) -> None:
         """Answer a request."""
         if exchange.start.path != METRICS_PATH:
             exchange.answer_result(ResultCode.UNKNOWN_ROUTE)
             return
+        self.metrics.held_bytes.set(self.held.held)
         text = self.metrics.render(
             self.engine.state, self.engine.now(), self.sink.dropped
         )
