Report the end of an attempt whose request could not be built

Cause: the request of an attempt is built in its task, before the attempt that reports all its errors. An error there was raised in the callback of the task instead, and the request never ended. The end of an attempt whose request has not been written could also hide that of an answer that had come unasked.

Change: who waits for the task reports and logs its error, of a request that was certainly not sent; a request counts as not written only if writing its head failed.

--- a/tests/callers/test_attempt_ends.py
+++ b/tests/callers/test_attempt_ends.py
@@ -18,6 +18,7 @@
 from worksrail.daemon.http._attempt import HttpAttempt
 from worksrail.daemon.http._connections import ConnectionPool
 from worksrail.daemon.http._exchange import Exchange
+from worksrail.daemon.steered._requests import SteeredRequests
 from worksrail.daemon.steered._sink import SteeredSink
 
 _MODES: dict[str, Callable[[Any], Attempts]] = {
@@ -88,6 +89,7 @@
 # Where an error is raised, and the outcomes that say truly whether the request
 # may have been run, in each mode.
 _PLACES = {
+    (SteeredRequests, '_build_request'): {'NOT_CONNECTED'},
     (ConnectionPool, 'acquire'): {'NOT_CONNECTED', 'NOT_SENT'},
     (HTTP1Connection, 'write_headers'): {'NOT_CONNECTED', 'NOT_SENT'},
     (HttpAttempt, '_write_body'): {'BROKE_BEFORE_ANSWER'},
@@ -98,6 +100,7 @@
     (Exchange, 'end'): {'BROKE_IN_ANSWER'},
 }
 _OF_ONE_MODE = {
+    (SteeredRequests, '_build_request'): 'platform',
     (SteeredSink, 'judge'): 'platform',
     (Exchange, 'judge'): 'own',
 }
--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -137,7 +137,7 @@
     held_back: bool = False
     """Whether the answer is not passed on, so that only its head counts."""
 
-    error: Exception | None = None
+    error: BaseException | None = None
     """What failed, if it was not the connection."""
 
     def leave_rest(self) -> None:
@@ -146,6 +146,16 @@
         self.headers['Connection'] = 'close'
 
 
+def log_error(report: AttemptReport, trace: str, address: str = '') -> None:
+    """Log an attempt that did not fail by its connection."""
+    error = report.error
+    _LOG.error(
+        'attempt failed unexpectedly',
+        exc_info=(type(error), error, error.__traceback__) if error else None,
+        extra={'request': trace, 'address': address, 'end': report.end.name},
+    )
+
+
 HeadObserver = Callable[[int, httputil.HTTPHeaders], None]
 """Is called with status and headers as soon as the head of an answer to the
 request was read, before its body arrives."""
@@ -336,7 +346,7 @@
         except Exception as error:
             report.error = error
         if report.error:
-            self._log_error(report, report.error)
+            log_error(report, self.trace, self.outgoing.address)
         return report
 
     async def _run(self, report: AttemptReport) -> None:
@@ -372,17 +382,6 @@
             self.pool.record_failure(acquired, self.clock() - sent_at)
         return report.end is AttemptEnd.WHOLE and _keeps_alive(report)
 
-    def _log_error(self, report: AttemptReport, error: Exception) -> None:
-        _LOG.error(
-            'attempt failed unexpectedly',
-            exc_info=(type(error), error, error.__traceback__),
-            extra={
-                'request': self.trace,
-                'address': self.outgoing.address,
-                'end': report.end.name,
-            },
-        )
-
     async def _acquire(self, report: AttemptReport) -> Acquired | None:
         timeout = min(_CONNECT_TIMEOUT, self.outgoing.deadline - self.clock())
         try:
@@ -469,11 +468,14 @@
     async def _write_head(
         self, connection: HTTP1Connection, report: AttemptReport
     ) -> None:
-        report.end = AttemptEnd.NOT_SENT
-        written = connection.write_headers(
-            self.outgoing.start, self.outgoing.headers
-        )
-        report.end = AttemptEnd.NO_ANSWER
+        try:
+            written = connection.write_headers(
+                self.outgoing.start, self.outgoing.headers
+            )
+        except Exception:
+            if report.end is AttemptEnd.NO_ANSWER:
+                report.end = AttemptEnd.NOT_SENT
+            raise
         await written
 
     async def _write_body(self, connection: HTTP1Connection) -> None:
--- a/worksrail/daemon/http/_exchange.py
+++ b/worksrail/daemon/http/_exchange.py
@@ -15,7 +15,11 @@
 
 from worksrail.core.results import ResultCode
 from worksrail.daemon.http import _headers as names
-from worksrail.daemon.http._attempt import AttemptEnd, AttemptReport
+from worksrail.daemon.http._attempt import (
+    AttemptEnd,
+    AttemptReport,
+    log_error,
+)
 from worksrail.daemon.http._body import BodyStream
 from worksrail.daemon.http._dialect import (
     AnswerUse,
@@ -259,8 +263,15 @@
             self.tasks.pop(number)
         if task.cancelled():
             on_end(AttemptReport(AttemptEnd.CANCELLED_UNSENT))
-        else:
+            return
+        error = task.exception()
+        if error is None:
             on_end(task.result())
+            return
+        # What fails once a request is sent is in the report of its attempt.
+        report = AttemptReport(AttemptEnd.NOT_SENT, error=error)
+        log_error(report, self.trace)
+        on_end(report)
 
     def _mark_ended(self) -> None:
         self.ended = True
