--- a/tests/callers/test_unfinished_uploads.py
+++ b/tests/callers/test_unfinished_uploads.py
@@ -1,6 +1,7 @@
 """No request follows one on a connection that was not written whole."""
 
 import asyncio
+import contextlib
 from math import inf
 
 import pytest
@@ -20,10 +21,10 @@
 async def _answer_early(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
-    await reader.readuntil(b'\r\n\r\n')
-    writer.write(_ANSWER)
-    await reader.read(-1)
-    writer.close()
+    with contextlib.closing(writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(_ANSWER)
+        await reader.read(-1)
 
 
 async def _upload(sent: int, *, leaves: bool) -> tuple[AttemptEnd, int]:
