Log and count on what evidence a request counts as not executed

A refusal of a request that must not be repeated named its outcome and its upstream, so the hypotheses of the incident looked alike: whose identifier the answer carried, whether it stated anything and what its connection had been used for were not kept.

Each attempt that counts as not executed now has a line, not-executed, with its evidence, status, statement, named request, and age and uses of the connection; each answer to another request a line, stray-answer. Both stand with the lines of their request and are counted in worksrail_not_executed_total and worksrail_stray_answers_total.

--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -48,7 +48,7 @@
         self, acquired: Acquired, keep_alive_timeout: float | None = None
     ) -> None:
         """Release a connection after a complete answer."""
-        self.pool.release(self.address, acquired.stream, keep_alive_timeout)
+        self.pool.release(self.address, acquired, keep_alive_timeout)
 
 
 def _run_with_pool(use: Callable[[Pool], Awaitable[Any]]) -> Any:
--- a/worksrail/core/steering/_on_passing.py
+++ b/worksrail/core/steering/_on_passing.py
@@ -14,6 +14,7 @@
 from worksrail.core.steering._quarantining import fingerprint_of
 from worksrail.core.steering._repeating import NEVER_SENT
 from worksrail.core.steering._request import SteeredRequest
+from worksrail.core.steering._request_log import evidence_of, strays_of
 from worksrail.core.steering._routes import RoutingConfiguration
 from worksrail.core.steering._scarcity import position_of
 from worksrail.core.steering.effects import (
@@ -89,6 +90,7 @@
         return
     if not request.current.helper:
         return
+    yield from strays_of(request, event)
     refused = event.refusal is not None
     not_sent = event.outcome in NEVER_SENT
     if not_sent or refused:
@@ -168,7 +170,9 @@
     code: ResultCode,
     event: PassEnded,
 ) -> Iterator[Effect]:
-    request.end_current(event.outcome.name)
+    ended = request.end_current(event.outcome.name)
+    if code.certainty is Certainty.NOT_RUN:
+        yield from evidence_of(request, ended, event, code.name)
     if request.under_way:
         if code.certainty is Certainty.NOT_RUN and not _was_sent(
             request, event
@@ -228,4 +232,5 @@
         event.outcome,
         event.status,
         replayable=event.replayable,
+        origin=event.origin,
     )
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -37,6 +37,7 @@
     rejection_of,
     request_answered,
     request_failed,
+    strays_of,
     version_of,
 )
 from worksrail.core.steering._returning import record_caller
@@ -142,6 +143,7 @@
         return
     if not request.current.upstream:
         return
+    yield from strays_of(request, event)
     yield from _learn(state, request, event)
     if event.outcome is AttemptOutcome.ANSWERED:
         yield from conclude_answered(state, request, event)
@@ -171,9 +173,7 @@
     While another attempt is in progress, the request waits for that one.
     """
     ended = request.end_current(event.outcome.name)
-    record_end(request, event.outcome)
-    if event.outcome not in NOT_EXECUTED:
-        request.maybe_executed = True
+    yield from record_end(request, ended, event)
     if request.under_way:
         if event.outcome in NEVER_SENT:
             state.budgets.give_back(request.service, event.now)
--- a/worksrail/core/steering/_repeating.py
+++ b/worksrail/core/steering/_repeating.py
@@ -1,9 +1,13 @@
 """Decides whether a request may be sent to another upstream."""
 
+from collections.abc import Iterator
 from typing import Final
 
+from worksrail.core.steering._attempt import Attempt
 from worksrail.core.steering._quarantining import hold_time
 from worksrail.core.steering._request import SteeredRequest
+from worksrail.core.steering._request_log import evidence_of
+from worksrail.core.steering.effects import Decision
 from worksrail.core.steering.events import AttemptEnded, AttemptOutcome
 from worksrail.core.steering.state import SteeringState
 
@@ -41,8 +45,17 @@
 )
 
 
-def record_end(request: SteeredRequest, outcome: AttemptOutcome) -> None:
-    """Record where a request was, and whether it was sent there."""
+def record_end(
+    request: SteeredRequest,
+    ended: Attempt,
+    event: AttemptEnded,
+) -> Iterator[Decision]:
+    """Record where a request was, and whether it may have been executed."""
+    outcome = event.outcome
+    if outcome in NOT_EXECUTED:
+        yield from evidence_of(request, ended, event, outcome.name)
+    else:
+        request.maybe_executed = True
     request.tried.add(request.last_upstream)
     if outcome in _MISSED:
         request.sends -= 1
--- a/worksrail/core/steering/_request_log.py
+++ b/worksrail/core/steering/_request_log.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from worksrail.core.evidence import NamedRequest
 from worksrail.core.results import ResultCode
 from worksrail.core.steering._attempt import Attempt
 from worksrail.core.steering._catalog import Upstream
@@ -12,6 +13,7 @@
 from worksrail.core.steering.events import (
     AttemptEnded,
     AttemptOutcome,
+    PassEnded,
     ReportedLoad,
 )
 from worksrail.core.steering.state import SteeringState
@@ -127,6 +129,69 @@
     )
 
 
+def evidence_of(
+    request: SteeredRequest,
+    ended: Attempt,
+    event: AttemptEnded | PassEnded,
+    evidence: str,
+) -> Iterator[Decision]:
+    """Yield why an attempt counts as not executed, if it must not repeat.
+
+    ``status`` and the identifier that it ``named`` are those of the answer, if
+    any; ``stated`` tells whether the answer said so.  ``age`` and ``uses`` are
+    those of its connection when the request was sent.
+    """
+    if request.route.idempotent:
+        return
+    connection = event.origin.connection
+    answer: LogInputs = ()
+    if event.origin.heads:
+        head = event.origin.heads[-1]
+        answer = (
+            ('status', head.status),
+            ('stated', int(head.stated)),
+            ('named', head.named.name),
+        )
+    yield Decision(
+        DecisionKind.NOT_EXECUTED,
+        evidence,
+        request.number,
+        (
+            ('service', request.service),
+            ('place', ended.place),
+            ('attempt', ended.number),
+            *answer,
+            ('age', round(connection.age, 3)),
+            ('uses', connection.requests),
+            ('after', round(event.now - ended.sent_at, 4)),
+        ),
+    )
+
+
+def strays_of(
+    request: SteeredRequest,
+    event: AttemptEnded | PassEnded,
+) -> Iterator[Decision]:
+    """Yield the answers on an attempt's connection that named another request.
+
+    These are late, sent twice, or answer what their sender took for a request.
+    """
+    for head in event.origin.heads:
+        if head.named is not NamedRequest.THIS:
+            yield Decision(
+                DecisionKind.STRAY_ANSWER,
+                head.named.name,
+                request.number,
+                (
+                    ('place', request.current.place),
+                    ('status', head.status),
+                    ('stated', int(head.stated)),
+                    ('age', round(event.origin.connection.age, 3)),
+                    ('uses', event.origin.connection.requests),
+                ),
+            )
+
+
 def attempt_cancelled(
     state: SteeringState,
     request: SteeredRequest,
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -228,6 +228,8 @@
     UPSTREAMS_COLD = 'many upstreams cold at once'
     UPSTREAM_EJECTED = 'upstream ejected after failures'
     UPSTREAM_REJECTED = 'upstream did not execute a request'
+    NOT_EXECUTED = 'attempt of a request that must not repeat was not executed'
+    STRAY_ANSWER = 'answer on the connection of a request that is not its own'
     UPSTREAM_LIMITED = 'upstream advertised a new limit'
     UPSTREAM_UNLIMITED = 'upstream stopped advertising its limit'
     UPSTREAM_LIMIT_UNREADABLE = (
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -8,6 +8,7 @@
 
 from worksrail.core.availability import NO_NOTICE, AvailabilityNotice
 from worksrail.core.customers import KeyDigest
+from worksrail.core.evidence import NO_ORIGIN, Origin
 from worksrail.core.identity import ZoneName
 from worksrail.core.limits import LimitMessage
 from worksrail.core.pacing import NamedLimit, PacingMessage
@@ -318,6 +319,9 @@
     limit: NamedLimit | None = None
     """Limit advertised by the response; None if no response came."""
 
+    origin: Origin = NO_ORIGIN
+    """What came back on its connection, for the log."""
+
 
 @dataclass(frozen=True, slots=True)
 class NoticeReceived:
@@ -384,6 +388,9 @@
     refusal: PassRefusal | None = None
     """Result of the other entry; None if an upstream answered, or nobody."""
 
+    origin: Origin = NO_ORIGIN
+    """What came back on its connection, for the log."""
+
 
 @dataclass(frozen=True, slots=True)
 class PassedRequestArrived:
--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -14,6 +14,7 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
+from worksrail.core.evidence import ConnectionUse
 from worksrail.daemon.http._body import BodyStream
 from worksrail.daemon.http._connections import Acquired, ConnectionPool
 from worksrail.daemon.http._dialect import AnswerUse
@@ -140,6 +141,9 @@
     error: BaseException | None = None
     """What failed, if it was not the connection."""
 
+    connection: ConnectionUse = ConnectionUse()
+    """Use of the connection when the request was sent."""
+
     def leave_rest(self) -> None:
         """Mark the answer as read, without the rest of its body."""
         self.end = AttemptEnd.WHOLE
@@ -361,7 +365,7 @@
                 acquired.stream.close()
         self.pool.release(
             self.outgoing.address,
-            acquired.stream,
+            acquired,
             keep_alive_timeout(report.headers),
         )
 
@@ -374,6 +378,8 @@
             report.end = AttemptEnd.WITHDRAWN
             return True
         report.end = AttemptEnd.NO_ANSWER
+        acquired.usage.requests += 1
+        report.connection = acquired.usage.at(sent_at)
         try:
             await self._exchange(acquired.stream, report)
         except asyncio.CancelledError:
--- a/worksrail/daemon/http/_connections.py
+++ b/worksrail/daemon/http/_connections.py
@@ -11,6 +11,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from worksrail.core.evidence import ConnectionUse
+
 _MAX_IDLE_CONNECTIONS: Final = 32
 _MAX_IDLE_TIME: Final = 30.0
 # An idle connection is reused for this share of the keep-alive timeout that
@@ -37,11 +39,27 @@
 )
 
 
+@dataclass(slots=True)
+class Usage:
+    """What a connection has been used for."""
+
+    opened_at: float
+    """When it was opened."""
+
+    requests: int = 0
+    """Number of requests sent on it."""
+
+    def at(self, now: float) -> ConnectionUse:
+        """Return its use until now."""
+        return ConnectionUse(now - self.opened_at, self.requests)
+
+
 @dataclass(slots=True)
 class _Idle:
     stream: IOStream
     since: float
     until: float
+    usage: Usage
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +75,9 @@
     connect_time: float
     """Seconds to establish a new connection; zero if it was reused."""
 
+    usage: Usage
+    """What it has been used for."""
+
 
 @dataclass(slots=True)
 class ConnectionPool:
@@ -101,7 +122,8 @@
             return acquired
         began = self.clock()
         stream = await self._connect(address, timeout)
-        return Acquired(stream, 0, self.clock() - began)
+        now = self.clock()
+        return Acquired(stream, 0, now - began, Usage(now))
 
     def record_failure(self, acquired: Acquired, sent_for: float) -> None:
         """Record a failure without an answer after ``sent_for`` seconds."""
@@ -119,7 +141,7 @@
     def release(
         self,
         address: str,
-        stream: IOStream,
+        acquired: Acquired,
         keep_alive_timeout: float | None = None,
     ) -> None:
         """Return a connection to the pool for later requests.
@@ -127,6 +149,7 @@
         The keep-alive timeout is that advertised by the remote side, if any.
         """
         idle_connections = self.idle[address]
+        stream = acquired.stream
         if stream.closed():
             return
         if len(idle_connections) >= _MAX_IDLE_CONNECTIONS:
@@ -135,7 +158,7 @@
         if keep_alive_timeout is not None:
             age = min(age, keep_alive_timeout * _KEEP_ALIVE_SHARE)
         now = self.clock()
-        idle_connections.append(_Idle(stream, now, now + age))
+        idle_connections.append(_Idle(stream, now, now + age, acquired.usage))
         # Only a stream with a close callback watches for the remote side
         # closing; without one a request could be sent on a dead connection.
         stream.set_close_callback(_ignore_close)
@@ -172,7 +195,7 @@
                 idle_connections.pop(0).stream.close()
                 return None
             idle.stream.set_close_callback(None)
-            return Acquired(idle.stream, idle_for, 0)
+            return Acquired(idle.stream, idle_for, 0, idle.usage)
         return None
 
     def _is_trusted(self, idle_for: float) -> bool:
--- a/worksrail/daemon/steered/_decisions.py
+++ b/worksrail/daemon/steered/_decisions.py
@@ -29,6 +29,8 @@
         DecisionKind.CALLER_GONE,
         DecisionKind.ATTEMPT_CANCELLED,
         DecisionKind.ATTEMPT_KEPT,
+        DecisionKind.NOT_EXECUTED,
+        DecisionKind.STRAY_ANSWER,
     )
 )
 _SUCCESS: Final = DecisionKind.REQUEST_ANSWERED
--- a/worksrail/daemon/steered/_metrics.py
+++ b/worksrail/daemon/steered/_metrics.py
@@ -87,6 +87,13 @@
     attempt_errors: Counter
     """Attempts that ended with an unexpected error."""
 
+    not_executed: Counter
+    """Attempts of requests that must not repeat that count as not executed, by
+    evidence."""
+
+    stray_answers: Counter
+    """Answers on connections of other requests, by the request they name."""
+
     over_quota: Counter
     """Requests refused because of a quota, by customer."""
 
@@ -223,6 +230,16 @@
                 'worksrail_objects_unusable', 'Objects not usable', ['kind']
             ),
             counter('worksrail_attempt_errors', 'Unexpected errors'),
+            counter(
+                'worksrail_not_executed',
+                'Attempts that count as not executed',
+                ['evidence'],
+            ),
+            counter(
+                'worksrail_stray_answers',
+                'Answers to other requests',
+                ['named'],
+            ),
             counter(
                 'worksrail_over_quota', 'Refused for a quota', ['customer']
             ),
@@ -300,6 +317,7 @@
         self.decisions.labels(decision.kind.name).inc()
         self._count_by_caller(decision)
         self._count_send(decision)
+        self._count_evidence(decision)
         if decision.kind is DecisionKind.REQUEST_ANSWERED:
             inputs = dict(decision.inputs)
             self.results.labels('OK').inc()
@@ -412,6 +430,13 @@
         elif decision.kind is DecisionKind.REPEAT_DENIED:
             self.repeats_denied.labels(service, decision.subject).inc()
 
+    def _count_evidence(self, decision: Decision) -> None:
+        """Count why attempts count as not executed, and stray answers."""
+        if decision.kind is DecisionKind.NOT_EXECUTED:
+            self.not_executed.labels(decision.subject).inc()
+        elif decision.kind is DecisionKind.STRAY_ANSWER:
+            self.stray_answers.labels(decision.subject).inc()
+
     def _count_by_caller(self, decision: Decision) -> None:
         """Count the end of a request by who sent it."""
         self._count_return(decision)
--- a/worksrail/daemon/steered/_passing.py
+++ b/worksrail/daemon/steered/_passing.py
@@ -62,6 +62,11 @@
             return AnswerUse.REJECT
         if code is ResultCode.OK:
             return SteeredSink.judge(self, status, headers)
+        self._note(
+            status,
+            headers.get(names.TRACE, ''),
+            stated=code.certainty is Certainty.NOT_RUN,
+        )
         self.refusal = PassRefusal(
             code, _parse_retry_after(headers), _parse_sends(headers)
         )
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -10,6 +10,7 @@
 
 from worksrail.core.availability import AvailabilityNotice
 from worksrail.core.customers import CustomerName
+from worksrail.core.evidence import Origin
 from worksrail.core.pacing import NoRate
 from worksrail.core.results import ResultCode
 from worksrail.core.steering import has_slots_free, wants_requests
@@ -232,6 +233,7 @@
             report.connect_time,
             _rewind_body(exchange),
             sink.named_limit(),
+            Origin(tuple(sink.heads), report.connection),
         )
         self.engine.dispatch(event)
         self._discard_ended(effect.request)
@@ -346,6 +348,7 @@
                 report.status,
                 _rewind_body(exchange),
                 sink.refusal if report.end is AttemptEnd.WHOLE else None,
+                Origin(tuple(sink.heads), report.connection),
             )
         )
         self._discard_ended(effect.request)
--- a/worksrail/daemon/steered/_sink.py
+++ b/worksrail/daemon/steered/_sink.py
@@ -1,10 +1,11 @@
 """Receives the answers of upstreams for callers."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from tornado import httputil
 
+from worksrail.core.evidence import AnswerHead, NamedRequest
 from worksrail.core.pacing import NamedLimit
 from worksrail.core.steering.events import ReportedLoad
 from worksrail.daemon.http._dialect import AnswerUse
@@ -31,9 +32,13 @@
     answered_at: float = 0
     """When that head was received."""
 
+    heads: list[AnswerHead] = field(default_factory=list)
+    """Heads of all answers on the connection, in order."""
+
     def judge(self, status: int, headers: httputil.HTTPHeaders) -> AnswerUse:
         """Decide by its head what to do with an answer."""
         answer = self.adapter.upstreams.read_answer(status, headers)
+        self._note(status, answer.trace, stated=not answer.executed)
         refused = not answer.executed or answer.misdirected
         if answer.trace != self.exchange.trace:
             if answer.trace:
@@ -84,3 +89,7 @@
     def end(self) -> None:
         """End the exchange after a complete answer."""
         self.exchange.end()
+
+    def _note(self, status: int, named: str, *, stated: bool) -> None:
+        whose = NamedRequest.from_identifier(named, self.exchange.trace)
+        self.heads.append(AnswerHead(status, stated, whose))
