Compare whole identifiers of requests, not their first 128 characters

Callers with an identifier of over 128 characters got no answer until their deadline: the entry kept the first 128, forwarded all, and passed over the answer as one to another request. The identifier is whole now and cut only for the log; its length is bound by that of the headers.

--- a/worksrail/daemon/http/_exchange.py
+++ b/worksrail/daemon/http/_exchange.py
@@ -31,6 +31,8 @@
 
 _LOG: Final = Logger('worksrail.exchange')
 _OWN: Final = OwnDialect()
+# Characters of an identifier that a log line holds.
+_MAX_LABEL_LENGTH: Final = 128
 
 
 @dataclass(slots=True)
@@ -93,6 +95,11 @@
     turn: Turn | None = None
     """Its place among the answers on the connection."""
 
+    @property
+    def label(self) -> str:
+        """Return the identifier of the request for the log."""
+        return self.trace[:_MAX_LABEL_LENGTH]
+
     def take_body(self, size: int) -> bool:
         """Take up the bytes of the body, unless they do not fit."""
         if not self.held.take(size):
@@ -270,7 +277,7 @@
             return
         # What fails once a request is sent is in the report of its attempt.
         report = AttemptReport(AttemptEnd.NOT_SENT, error=error)
-        log_error(report, self.trace)
+        log_error(report, self.label)
         on_end(report)
 
     def _mark_ended(self) -> None:
--- a/worksrail/daemon/http/_requests.py
+++ b/worksrail/daemon/http/_requests.py
@@ -198,7 +198,7 @@
     def trace_of(self, number: int) -> str:
         """Return the trace identifier of a request; empty if it is unknown."""
         exchange = self.exchanges.get(number)
-        return exchange.trace if exchange else ''
+        return exchange.label if exchange else ''
 
     # -- helpers
 
@@ -250,7 +250,7 @@
             exchange,
             partial(self._learn_notice, exchange.number),
             partial(self._is_wanted, exchange.number),
-            exchange.trace,
+            exchange.label,
         )
         return await attempt.run()
 
@@ -283,7 +283,7 @@
             outgoing,
             exchange.body,
             exchange,
-            trace=exchange.trace,
+            trace=exchange.label,
         )
         return await attempt.run()
 
--- a/worksrail/daemon/http/_server.py
+++ b/worksrail/daemon/http/_server.py
@@ -30,7 +30,6 @@
 _MAX_PARSED_HEADER_BYTES: Final = 1_048_576
 # Seconds between two checks whether answers have been sent.
 _FLUSH_INTERVAL: Final = 0.02
-_MAX_TRACE_LENGTH: Final = 128
 _MAX_BODY_BYTES: Final = 67_108_864
 # Seconds after which a caller may retry that was refused for want of memory:
 # slow readers are cut off within some seconds.
@@ -100,7 +99,7 @@
         if self.turn.closed():
             return
         dialect = self.server.dialect
-        trace = dialect.trace_of(headers)[:_MAX_TRACE_LENGTH]
+        trace = dialect.trace_of(headers)
         exchange = Exchange(
             self.connection,
             start_line,
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -190,7 +190,7 @@
     def trace_of(self, number: int) -> str:
         """Return the caller's identifier of a request."""
         exchange = self.exchanges.get(number)
-        return exchange.trace if exchange else ''
+        return exchange.label if exchange else ''
 
     # -- attempts
 
@@ -208,7 +208,7 @@
             sink,
             partial(self._learn_notice, effect, sink),
             partial(self._is_wanted, self._upstream_of(effect)),
-            exchange.trace,
+            exchange.label,
         )
         return await attempt.run()
 
@@ -324,7 +324,7 @@
             exchange.body.replay(),
             sink,
             partial(self._begin_passed_answer, effect, sink),
-            trace=exchange.trace,
+            trace=exchange.label,
         )
         return await attempt.run()
 
