Conclude that a request was not executed from proof only

Cause: three things were taken for a statement that none of them makes: a refusal without an identifier (any stray answer on the connection: late, sent twice, or to bytes or health checks of others), the status 421 alone, and 408, 429 and 503 passed on as they came, which callers take for a promise. Each was decided at another place.

What an answer proves is concluded in one place now, worksrail/core/evidence.py, from what it states and whom it names: - only a failure that states it and names the request proves that it was not executed, and only then is the request sent elsewhere; - an answer to another request or to none is passed over: nothing is learned from it, and the answer behind it is awaited; - a refusal that names the request and states nothing may have run: 502 with the new code UNPROVEN_REFUSAL, and sent again only if it may be, within the budget. The promise of a status goes before passing it on unchanged, since callers repeat after it.

A read of a 421 to no request is served by the other upstream (200, 503 before).

--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -45,8 +45,10 @@
 _CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n'
 _COUNTED = 'Content-Length: 900000000000\r\n\r\n'
 _OTHER = 'HTTP/1.1 200 OK\r\nRequest-Id: t0\r\n'
-_REFUSED = 'HTTP/1.1 503 No\r\nNot-Executed: 1\r\n'
-_MISPLACED = 'HTTP/1.1 421 No\r\nInstance-Id: x\r\n'
+# Refusals of the first request, and one of none.
+_REFUSED = 'HTTP/1.1 503 No\r\nRequest-Id: t1\r\nNot-Executed: 1\r\n'
+_MISPLACED = 'HTTP/1.1 421 No\r\nRequest-Id: t1\r\nNot-Executed: 1\r\n'
+_UNNAMED = 'HTTP/1.1 503 No\r\nNot-Executed: 1\r\n'
 
 # The beginning of the first reply, what follows without end, and the status
 # for a caller whose request may be executed only once.  A request that may be
@@ -75,6 +77,9 @@
     'not executed until close': (f'{_REFUSED}\r\n', _FILL, 200),
     'misdirected chunked': (_MISPLACED + _CHUNKED, _CHUNK, 200),
     'misdirected counted': (_MISPLACED + _COUNTED, _FILL, 200),
+    'unnamed refusal chunked': (_UNNAMED + _CHUNKED, _CHUNK, 502),
+    'unnamed refusal counted': (_UNNAMED + _COUNTED, _FILL, 502),
+    'unnamed refusal until close': (f'{_UNNAMED}\r\n', _FILL, 502),
 }
 
 
--- a/tests/platform/test_upstream_faults.py
+++ b/tests/platform/test_upstream_faults.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.platform.upstream import RawUpstream, Reply, answer
+from tests.platform.upstream import RawUpstream, Reply, answer, refusal
 from tests.steering.world import configuration, route, settings, upstream
 from worksrail.core.identity import Incarnation
 from worksrail.core.steering import (
@@ -204,19 +204,17 @@
         200,
         502,
     ),
-    'not executed': (
-        lambda trace: Reply(
-            b'HTTP/1.1 503 No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
-        ),
-        200,
+    'not executed': (lambda trace: Reply(refusal(503, trace)), 200, 200),
+    'not executed without id': (
+        lambda trace: Reply(refusal(503), close=True),
         200,
+        502,
     ),
-    'misdirected': (
-        lambda trace: Reply(
-            b'HTTP/1.1 421 No\r\nInstance-Id: x\r\nContent-Length: 0\r\n\r\n'
-        ),
-        503,
-        503,
+    'misdirected': (lambda trace: Reply(refusal(421, trace)), 503, 503),
+    'misdirected without id': (
+        lambda trace: Reply(refusal(421), close=True),
+        200,
+        502,
     ),
     'two lengths': (
         lambda trace: Reply(
@@ -298,18 +296,14 @@
 _LIMIT_ANSWERS = {
     'its answer': (lambda trace: answer(trace, extra=_LIMIT), 5.1),
     'not executed': (
-        lambda trace: (
-            f'HTTP/1.1 503 No\r\nNot-Executed: 1\r\n{_LIMIT}'
-            'Content-Length: 0\r\n\r\n'
-        ).encode(),
+        lambda trace: refusal(503, trace, _LIMIT),
         5.1,
     ),
-    'another upstream': (
-        lambda trace: (
-            f'HTTP/1.1 421 No\r\n{_LIMIT}Content-Length: 0\r\n\r\n'
-        ).encode(),
+    'not executed, to no request': (
+        lambda trace: refusal(503, '', _LIMIT) + answer(trace),
         None,
     ),
+    'another upstream': (lambda trace: refusal(421, trace, _LIMIT), None),
     'late answer to another request': (
         lambda trace: answer('t0', 'late', _LIMIT) + answer(trace),
         None,
--- a/tests/platform/upstream.py
+++ b/tests/platform/upstream.py
@@ -23,6 +23,18 @@
     ).encode()
 
 
+def refusal(status: int, trace: str = '', extra: str = '') -> bytes:
+    """Return an answer that states that a request was not executed.
+
+    It names no request if the identifier is empty.
+    """
+    named = f'Request-Id: {trace}\r\n' if trace else ''
+    return (
+        f'HTTP/1.1 {status} No\r\n{named}Not-Executed: 1\r\n{extra}'
+        'Content-Length: 0\r\n\r\n'
+    ).encode()
+
+
 @dataclass
 class Reply:
     """The reaction to one request."""
--- a/worksrail/core/results.py
+++ b/worksrail/core/results.py
@@ -279,6 +279,12 @@
     ENTRY_STOPPED = _unknown(
         4008, 504, 'This entry had to exit before the answer came.', _READ_BACK
     )
+    UNPROVEN_REFUSAL = _unknown(
+        4009,
+        502,
+        'It was refused, but nothing proves that it was not run.',
+        _READ_BACK,
+    )
     INVALID_BUNDLE = _operator(
         5001, 422, _EXIT_INVALID, 'The bundle has faults.', 'Correct them.'
     )
--- a/worksrail/core/steering/_learning.py
+++ b/worksrail/core/steering/_learning.py
@@ -19,11 +19,12 @@
 # Seconds without a connection after which a connect attempt counts as
 # unanswered: if only the upstream process is down, its machine refuses sooner.
 _CONNECT_TIMEOUT: Final = 0.4
-# Outcomes after which the upstream has executed the request.
+# Outcomes after which the upstream has, or may have, executed the request.
 _EXECUTED: Final = frozenset(
     (
         AttemptOutcome.ANSWERED,
         AttemptOutcome.SPOILED,
+        AttemptOutcome.UNPROVEN,
         AttemptOutcome.BROKE_IN_ANSWER,
     )
 )
--- a/worksrail/core/steering/_on_requests.py
+++ b/worksrail/core/steering/_on_requests.py
@@ -73,6 +73,7 @@
     AttemptOutcome.CANCELLED_UNSENT: ResultCode.UPSTREAM_UNREACHABLE,
     AttemptOutcome.NOT_EXECUTED: ResultCode.UPSTREAM_SHED,
     AttemptOutcome.OTHER_UPSTREAM: ResultCode.UPSTREAM_UNREACHABLE,
+    AttemptOutcome.UNPROVEN: ResultCode.UNPROVEN_REFUSAL,
     AttemptOutcome.BROKE_BEFORE_ANSWER: ResultCode.UPSTREAM_BROKE,
     AttemptOutcome.BROKE_IN_ANSWER: ResultCode.UPSTREAM_BROKE,
     AttemptOutcome.SPOILED: ResultCode.SPOILED_ANSWER,
--- a/worksrail/core/steering/_path_evidence.py
+++ b/worksrail/core/steering/_path_evidence.py
@@ -28,6 +28,7 @@
         AttemptOutcome.OTHER_UPSTREAM,
         AttemptOutcome.BROKE_IN_ANSWER,
         AttemptOutcome.SPOILED,
+        AttemptOutcome.UNPROVEN,
     )
 )
 
--- a/worksrail/core/steering/_repeating.py
+++ b/worksrail/core/steering/_repeating.py
@@ -40,6 +40,7 @@
     (
         AttemptOutcome.BROKE_BEFORE_ANSWER,
         AttemptOutcome.SPOILED,
+        AttemptOutcome.UNPROVEN,
         AttemptOutcome.CANCELLED,
     )
 )
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -32,6 +32,7 @@
     WITHDRAWN = 'not sent: the upstream said meanwhile that it wants none'
     NOT_EXECUTED = 'the upstream reported that it did not execute it'
     OTHER_UPSTREAM = 'another upstream answered at the address; not executed'
+    UNPROVEN = 'refused without proof that it was not executed'
     BROKE_BEFORE_ANSWER = 'the connection broke before an answer'
     BROKE_IN_ANSWER = 'the connection broke during the answer'
     SPOILED = 'the response was not a valid answer to the request'
--- a/worksrail/daemon/steered/_adapter.py
+++ b/worksrail/daemon/steered/_adapter.py
@@ -75,7 +75,11 @@
     """Identifier of the request that it answers; empty if it has none."""
 
     executed: bool
-    """Whether the upstream executed the request."""
+    """Whether the upstream does not state that it did not execute it."""
+
+    promises: bool
+    """Whether callers take the status for a promise that the request was not
+    executed and will not be."""
 
     misdirected: bool
     """Whether another upstream has the address now."""
--- a/worksrail/daemon/steered/_passing.py
+++ b/worksrail/daemon/steered/_passing.py
@@ -7,6 +7,7 @@
 
 from tornado import httputil
 
+from worksrail.core.evidence import AnswerHead, NamedRequest
 from worksrail.core.results import Certainty, ResultCode, code_by_number
 from worksrail.core.steering import PassingTerms, decode_terms, encode_terms
 from worksrail.core.steering.events import AttemptOutcome, PassRefusal
@@ -62,10 +63,14 @@
             return AnswerUse.REJECT
         if code is ResultCode.OK:
             return SteeredSink.judge(self, status, headers)
-        self._note(
-            status,
-            headers.get(names.TRACE, ''),
-            stated=code.certainty is Certainty.NOT_RUN,
+        self.heads.append(
+            AnswerHead(
+                status,
+                code.certainty is Certainty.NOT_RUN,
+                NamedRequest.from_identifier(
+                    headers.get(names.TRACE, ''), self.exchange.trace
+                ),
+            )
         )
         self.refusal = PassRefusal(
             code, _parse_retry_after(headers), _parse_sends(headers)
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -10,7 +10,7 @@
 
 from worksrail.core.availability import AvailabilityNotice
 from worksrail.core.customers import CustomerName
-from worksrail.core.evidence import Origin
+from worksrail.core.evidence import Origin, Verdict
 from worksrail.core.pacing import NoRate
 from worksrail.core.results import ResultCode
 from worksrail.core.steering import has_slots_free, wants_requests
@@ -40,7 +40,7 @@
 )
 from worksrail.daemon.http._connections import ConnectionPool
 from worksrail.daemon.http._exchange import Exchange
-from worksrail.daemon.steered._adapter import Adapter, UpstreamAnswer
+from worksrail.daemon.steered._adapter import Adapter
 from worksrail.daemon.steered._engine import SteeringEngine
 from worksrail.daemon.steered._passing import (
     PassingDialect,
@@ -65,6 +65,11 @@
     AttemptEnd.CANCELLED: AttemptOutcome.CANCELLED,
     AttemptEnd.CANCELLED_UNSENT: AttemptOutcome.CANCELLED_UNSENT,
 }
+_OUTCOME_BY_VERDICT: Final = {
+    Verdict.NOT_EXECUTED: AttemptOutcome.NOT_EXECUTED,
+    Verdict.OTHER_UPSTREAM: AttemptOutcome.OTHER_UPSTREAM,
+    Verdict.UNPROVEN: AttemptOutcome.UNPROVEN,
+}
 
 
 @dataclass(slots=True)
@@ -220,7 +225,7 @@
         report: AttemptReport,
     ) -> None:
         self._count_error(report)
-        outcome = _outcome(report, sink.answer)
+        outcome = _outcome(report, sink.verdict)
         if outcome is AttemptOutcome.BROKE_IN_ANSWER:
             exchange.break_off()
         event = AttemptEnded(
@@ -266,6 +271,9 @@
         status: int,
         headers: httputil.HTTPHeaders,
     ) -> None:
+        if sink.answer is None:
+            # It names no request, so it may be that of another upstream.
+            return
         notice = self.adapter.upstreams.read_notice(status, headers)
         limit = sink.named_limit()
         if limit and limit.rate is NoRate.NOT_NAMED:
@@ -336,7 +344,7 @@
         report: AttemptReport,
     ) -> None:
         self._count_error(report)
-        outcome = sink.outcome(_outcome(report, sink.answer))
+        outcome = sink.outcome(_outcome(report, sink.verdict))
         if outcome is AttemptOutcome.BROKE_IN_ANSWER:
             exchange.break_off()
         self.engine.dispatch(
@@ -412,16 +420,11 @@
         )
 
 
-def _outcome(
-    report: AttemptReport,
-    answer: UpstreamAnswer | None,
-) -> AttemptOutcome:
-    if answer and report.end is AttemptEnd.WHOLE:
-        if answer.misdirected:
-            return AttemptOutcome.OTHER_UPSTREAM
-        if not answer.executed:
-            return AttemptOutcome.NOT_EXECUTED
-    return _OUTCOME_BY_END[report.end]
+def _outcome(report: AttemptReport, verdict: Verdict) -> AttemptOutcome:
+    outcome = _OUTCOME_BY_END[report.end]
+    if outcome is AttemptOutcome.ANSWERED:
+        return _OUTCOME_BY_VERDICT.get(verdict, outcome)
+    return outcome
 
 
 def _rewind_body(exchange: Exchange) -> bool:
--- a/worksrail/daemon/steered/_sink.py
+++ b/worksrail/daemon/steered/_sink.py
@@ -2,16 +2,26 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Final
 
 from tornado import httputil
 
-from worksrail.core.evidence import AnswerHead, NamedRequest
+from worksrail.core.evidence import AnswerHead, NamedRequest, Verdict
 from worksrail.core.pacing import NamedLimit
 from worksrail.core.steering.events import ReportedLoad
 from worksrail.daemon.http._dialect import AnswerUse
 from worksrail.daemon.http._exchange import Exchange
 from worksrail.daemon.steered._adapter import Adapter, UpstreamAnswer
 
+_USES: Final = {
+    Verdict.ANSWERS: AnswerUse.PASS_ON,
+    Verdict.NOT_EXECUTED: AnswerUse.HOLD_BACK,
+    Verdict.OTHER_UPSTREAM: AnswerUse.HOLD_BACK,
+    Verdict.UNPROVEN: AnswerUse.HOLD_BACK,
+    Verdict.STRAY: AnswerUse.PASS_OVER,
+    Verdict.SPOILED: AnswerUse.REJECT,
+}
+
 
 @dataclass(slots=True)
 class SteeredSink:
@@ -27,34 +37,48 @@
     """Monotonic clock in seconds."""
 
     answer: UpstreamAnswer | None = None
-    """Head of the last answer to this request."""
+    """Head of the last answer that names the request."""
 
     answered_at: float = 0
     """When that head was received."""
 
+    verdict: Verdict = Verdict.STRAY
+    """What follows from the last answer."""
+
     heads: list[AnswerHead] = field(default_factory=list)
     """Heads of all answers on the connection, in order."""
 
     def judge(self, status: int, headers: httputil.HTTPHeaders) -> AnswerUse:
         """Decide by its head what to do with an answer."""
         answer = self.adapter.upstreams.read_answer(status, headers)
-        self._note(status, answer.trace, stated=not answer.executed)
-        refused = not answer.executed or answer.misdirected
-        if answer.trace != self.exchange.trace:
-            if answer.trace:
-                return AnswerUse.PASS_OVER
-            if not refused:
-                return AnswerUse.REJECT
-        self.answer = answer
-        self.answered_at = self.clock()
-        if refused:
-            return AnswerUse.HOLD_BACK
-        return AnswerUse.REJECT if answer.altered else AnswerUse.PASS_ON
+        head = AnswerHead(
+            status,
+            not answer.executed,
+            NamedRequest.from_identifier(answer.trace, self.identifier),
+            answer.promises,
+            answer.misdirected,
+        )
+        if head.named is NamedRequest.THIS:
+            self.answer = answer
+            self.answered_at = self.clock()
+        if self.conclude(head) is Verdict.ANSWERS and answer.altered:
+            return AnswerUse.REJECT
+        return _USES[self.verdict]
+
+    @property
+    def identifier(self) -> str:
+        """Return the identifier with which the request is sent, or none."""
+        return self.adapter.callers.trace_of(self.exchange.headers)
+
+    def conclude(self, head: AnswerHead) -> Verdict:
+        """Keep and return what follows from the head of an answer."""
+        self.heads.append(head)
+        self.verdict = head.verdict
+        return self.verdict
 
     def begins(self) -> bool:
         """Return whether the answer is passed on to the caller."""
-        answer = self.answer
-        return answer is not None and answer.executed and not answer.misdirected
+        return self.verdict is Verdict.ANSWERS
 
     def named_limit(self) -> NamedLimit | None:
         """Return the limit that the answer names for its upstream.
@@ -89,7 +113,3 @@
     def end(self) -> None:
         """End the exchange after a complete answer."""
         self.exchange.end()
-
-    def _note(self, status: int, named: str, *, stated: bool) -> None:
-        whose = NamedRequest.from_identifier(named, self.exchange.trace)
-        self.heads.append(AnswerHead(status, stated, whose))
--- a/worksrail/platform/_dialect.py
+++ b/worksrail/platform/_dialect.py
@@ -137,6 +137,7 @@
         return UpstreamAnswer(
             headers.get(names.REQUEST_ID, ''),
             names.NOT_EXECUTED not in headers,
+            status in names.PROMISES,
             status == names.MISDIRECTED,
             encoding not in _IDENTITY_ENCODINGS,
             _parse_load(headers.get(names.LOAD, '')),
--- a/worksrail/platform/_names.py
+++ b/worksrail/platform/_names.py
@@ -38,6 +38,9 @@
 
 # Another upstream has this address now; the request was not executed.
 MISDIRECTED: Final = 421
+# Callers send a request again after one of these, since it promises that the
+# request was not executed and will not be.
+PROMISES: Final = frozenset((408, MISDIRECTED, 429, 503))
 
 # -- paths
 
