Take results of another entry only for the request that they name

A request that another entry had may have run, but its caller was told 503 if the connection to that entry first carried a result of another request: the result was taken without a look at whose it is. It names its request, so it is judged as the answers of upstreams are; one that names another is passed over.

--- a/worksrail/daemon/steered/_passing.py
+++ b/worksrail/daemon/steered/_passing.py
@@ -14,7 +14,7 @@
 from worksrail.daemon.http import _headers as names
 from worksrail.daemon.http._dialect import AnswerUse, OwnDialect
 from worksrail.daemon.http._exchange import Exchange
-from worksrail.daemon.steered._sink import SteeredSink
+from worksrail.daemon.steered._sink import USES, SteeredSink
 
 # Longest pause in seconds that an entry may ask for.
 _MAX_RETRY_AFTER: Final = 3600.0
@@ -63,27 +63,31 @@
             return AnswerUse.REJECT
         if code is ResultCode.OK:
             return SteeredSink.judge(self, status, headers)
-        self.heads.append(
-            AnswerHead(
-                status,
-                code.certainty is Certainty.NOT_RUN,
-                NamedRequest.from_identifier(
-                    headers.get(names.TRACE, ''), self.exchange.trace
-                ),
+        head = _read_result(code, headers, self._named(headers))
+        use = USES[self.conclude(head)]
+        if use is AnswerUse.PASS_ON:
+            # The entry does not know whether the request was executed.
+            use = AnswerUse.HOLD_BACK
+        if head.named is NamedRequest.THIS:
+            self.refusal = PassRefusal(
+                code, _parse_retry_after(headers), _parse_sends(headers)
             )
-        )
-        self.refusal = PassRefusal(
-            code, _parse_retry_after(headers), _parse_sends(headers)
-        )
-        return AnswerUse.HOLD_BACK
+        return use
+
+    def begins(self) -> bool:
+        """Return whether the answer is passed on to the caller."""
+        return self.refusal is None and SteeredSink.begins(self)
 
     def outcome(self, outcome: AttemptOutcome) -> AttemptOutcome:
         """Return the outcome, given that of the exchange with the entry."""
-        if self.refusal is None or outcome is not AttemptOutcome.ANSWERED:
-            return outcome
-        if self.refusal.code.certainty is Certainty.NOT_RUN:
-            return AttemptOutcome.NOT_EXECUTED
-        return AttemptOutcome.BROKE_BEFORE_ANSWER
+        if outcome is AttemptOutcome.ANSWERED and self.refusal is not None:
+            return AttemptOutcome.BROKE_BEFORE_ANSWER
+        return outcome
+
+    def _named(self, headers: httputil.HTTPHeaders) -> NamedRequest:
+        # The entry makes up an identifier for a request that has none.
+        sent = self.exchange.trace if self.identifier else ''
+        return NamedRequest.from_identifier(headers.get(names.TRACE, ''), sent)
 
 
 def add_terms(headers: httputil.HTTPHeaders, terms: PassingTerms) -> None:
@@ -107,6 +111,16 @@
     return names.TERMS in exchange.headers
 
 
+def _read_result(
+    code: ResultCode,
+    headers: httputil.HTTPHeaders,
+    named: NamedRequest,
+) -> AnswerHead:
+    """Return what a result of another entry says about the request."""
+    stated = code.certainty is Certainty.NOT_RUN
+    return AnswerHead(code.http_status, stated, named)
+
+
 def _parse_code(headers: httputil.HTTPHeaders) -> ResultCode | None:
     try:
         return code_by_number(int(headers.get(names.RESULT, '')))
--- a/worksrail/daemon/steered/_sink.py
+++ b/worksrail/daemon/steered/_sink.py
@@ -13,7 +13,7 @@
 from worksrail.daemon.http._exchange import Exchange
 from worksrail.daemon.steered._adapter import Adapter, UpstreamAnswer
 
-_USES: Final = {
+USES: Final = {
     Verdict.ANSWERS: AnswerUse.PASS_ON,
     Verdict.NOT_EXECUTED: AnswerUse.HOLD_BACK,
     Verdict.OTHER_UPSTREAM: AnswerUse.HOLD_BACK,
@@ -63,7 +63,7 @@
             self.answered_at = self.clock()
         if self.conclude(head) is Verdict.ANSWERS and answer.altered:
             return AnswerUse.REJECT
-        return _USES[self.verdict]
+        return USES[self.verdict]
 
     @property
     def identifier(self) -> str:
