Send no request on a connection that refused one of its identifier

A request that was refused and came back under the same identifier (from another entry, or a caller that sends it again) ran, met the late copy of its first refusal on the same connection, and was refused and sent once more. The identifier is the caller's, so it does not tell the sends apart.

A connection now remembers which requests were refused on it: such a request gets another one, and after 64 refusals the connection is closed.

--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -259,8 +259,11 @@
         """Begin with no requests."""
         self.repeatable: list[bool] = []
 
-    async def acquire(self, *_: Any, repeatable: bool) -> Acquired:
+    async def acquire(
+        self, *_: Any, repeatable: bool, identifier: str
+    ) -> Acquired:
         """Record whether the request may be repeated."""
+        assert identifier == 't'
         self.repeatable.append(repeatable)
         raise OSError('no connection')
 
@@ -308,3 +311,30 @@
     requests = HttpRequests(engine, pool, pool, lambda: TicketSigner((b's',)))
     asyncio.run(send())
     assert pool.repeatable == [repeatable]
+
+
+# A late copy of an earlier refusal was taken for that of the same request.
+def test_connection_that_refused_a_request_does_not_carry_it_again() -> None:
+    async def use(pool: Pool) -> tuple[bool, bool]:
+        first = await pool.acquire_one()
+        first.usage.refused.add('t1')
+        pool.release(first)
+        other = await pool.pool.acquire(pool.address, 5, identifier='t2')
+        pool.release(other)
+        again = await pool.pool.acquire(pool.address, 5, identifier='t1')
+        return other.stream is first.stream, again.stream is first.stream
+
+    assert _run_with_pool(use) == (True, False)
+
+
+def test_connection_with_many_refusals_is_not_kept() -> None:
+    async def use(pool: Pool) -> list[bool]:
+        kept = []
+        for count in (63, 64):
+            first = await pool.acquire_one()
+            first.usage.refused.update(map(str, range(count)))
+            pool.release(first)
+            kept.append(not first.stream.closed())
+        return kept
+
+    assert _run_with_pool(use) == [True, False]
--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -114,6 +114,9 @@
     repeatable: bool = True
     """Whether it may be sent again if the connection fails before an answer."""
 
+    identifier: str = ''
+    """Identifier that answers to it name."""
+
 
 @dataclass(slots=True)
 class AttemptReport:
@@ -384,6 +387,8 @@
             await self._exchange(acquired.stream, report)
         except asyncio.CancelledError:
             report.end = AttemptEnd.CANCELLED
+        if report.held_back:
+            acquired.usage.refused.add(self.outgoing.identifier)
         if report.end is AttemptEnd.NO_ANSWER:
             self.pool.record_failure(acquired, self.clock() - sent_at)
         return report.end is AttemptEnd.WHOLE and _keeps_alive(report)
@@ -395,6 +400,7 @@
                 self.outgoing.address,
                 timeout,
                 repeatable=self.outgoing.repeatable,
+                identifier=self.outgoing.identifier,
             )
         except asyncio.CancelledError:
             report.end = AttemptEnd.CANCELLED_UNSENT
--- a/worksrail/daemon/http/_connections.py
+++ b/worksrail/daemon/http/_connections.py
@@ -28,6 +28,8 @@
 # A remote side may begin to forget idle connections at any moment, so only one
 # that has just carried an answer serves a request that cannot be repeated.
 _TRUSTED_IDLE: Final = 0.1
+# Requests that may be refused on a connection before it is closed.
+_MAX_REFUSED: Final = 64
 # A connection is dead when the remote host has acknowledged nothing for
 # 2000 ms, neither sent bytes nor the keepalive probes that follow 1 s of
 # silence.  Linux ignores the number of probes beside TCP_USER_TIMEOUT.
@@ -49,6 +51,14 @@
     requests: int = 0
     """Number of requests sent on it."""
 
+    refused: set[str] = field(default_factory=set)
+    """Identifiers of the requests that were refused on it."""
+
+    @property
+    def is_used_up(self) -> bool:
+        """Return whether it must not be used again."""
+        return len(self.refused) >= _MAX_REFUSED
+
     def at(self, now: float) -> ConnectionUse:
         """Return its use until now."""
         return ConnectionUse(now - self.opened_at, self.requests)
@@ -112,12 +122,15 @@
         timeout: float,
         *,
         repeatable: bool = True,
+        identifier: str = '',
     ) -> Acquired:
         """Return an idle connection or open a new one; raises ``OSError``.
 
-        A request that cannot be repeated gets none that has rested.
+        A request that cannot be repeated gets none that has rested.  None gets
+        one on which a request of its identifier was refused: a late copy of
+        that refusal would be taken for its own.
         """
-        acquired = self._take_idle(address, repeatable=repeatable)
+        acquired = self._take_idle(address, identifier, repeatable=repeatable)
         if acquired:
             return acquired
         began = self.clock()
@@ -150,7 +163,8 @@
         """
         idle_connections = self.idle[address]
         stream = acquired.stream
-        if stream.closed():
+        if stream.closed() or acquired.usage.is_used_up:
+            stream.close()
             return
         if len(idle_connections) >= _MAX_IDLE_CONNECTIONS:
             idle_connections.pop(0).stream.close()
@@ -178,6 +192,7 @@
     def _take_idle(
         self,
         address: str,
+        identifier: str,
         *,
         repeatable: bool,
     ) -> Acquired | None:
@@ -185,7 +200,8 @@
         while idle_connections:
             idle = idle_connections.pop()
             idle_for = self.clock() - idle.since
-            if not self._is_usable(idle, idle_for):
+            refused = identifier in idle.usage.refused
+            if refused or not self._is_usable(idle, idle_for):
                 idle.stream.close()
                 continue
             if not repeatable and not self._is_trusted(idle_for):
--- a/worksrail/daemon/http/_requests.py
+++ b/worksrail/daemon/http/_requests.py
@@ -146,6 +146,7 @@
             effect.not_after,
             effect.deadline,
             repeatable=effect.may_cancel and exchange.body.replayable,
+            identifier=exchange.trace,
         )
         exchange.from_instance = False
         exchange.run(
@@ -174,6 +175,7 @@
             headers,
             math.inf,
             effect.deadline,
+            identifier=exchange.trace,
         )
         exchange.from_instance = True
         exchange.run(
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -417,6 +417,7 @@
             give_up_at,
             takes_unframed=True,
             repeatable=repeatable,
+            identifier=exchange.trace,
         )
 
 
