Release the first request, not the first to arrive, in a test of pipelining

test_number_of_requests_beside_each_other_is_bounded failed once of five plays of tests/platform and tests/callers beside the whole suite: nothing was begun behind a released request. Requests beside each other go over two connections, so the second may arrive first; answers leave in order, and its end frees no place. Shown by releasing t1 in its place, which fails each time. The bound and the assertion are as they were.

--- a/tests/callers/test_pipelining.py
+++ b/tests/callers/test_pipelining.py
@@ -121,7 +121,9 @@
         assert await until(lambda: len(upstream.works) >= _BESIDE_EACH_OTHER)
         await asyncio.sleep(0.1)
         assert len(upstream.works) == _BESIDE_EACH_OTHER
-        upstream.works[0].release.set()
+        first = upstream.find('t0')
+        assert first
+        first.release.set()
         assert await until(lambda: len(upstream.works) > _BESIDE_EACH_OTHER)
 
     _play(play)
