Take refusals in own mode only for the request that they name

Own mode compared no identifier: any answer marked as not run, of an upstream or of another instance, refused the request in progress, and one that must run once was sent again. Such an answer counts now only if it carries the request's trace; one of another trace is passed over, one without any ends the request as unknown (4009, or 4005 from another instance), and is repeated only if the request may be. The stand-in of upstreams names the request in all answers. worksrail.client takes results of its own trace only.

--- a/worksrail/client/_client.py
+++ b/worksrail/client/_client.py
@@ -202,7 +202,7 @@
             collector.status,
             collector.headers,
             collector.body,
-            _result_code(collector.headers),
+            _result_code(collector.headers, trace),
             trace,
             attempt,
         )
@@ -275,7 +275,10 @@
     return headers
 
 
-def _result_code(headers: HTTPHeaders) -> ResultCode | NoAnswer:
+def _result_code(headers: HTTPHeaders, trace: str) -> ResultCode | NoAnswer:
+    if headers.get('Worksrail-Trace', '') != trace:
+        # It belongs to another request, so it says nothing about this one.
+        return NoAnswer.UNKNOWN
     try:
         return code_by_number(int(headers.get('Worksrail-Result', '')))
     except ValueError:
--- a/worksrail/core/_on_requests.py
+++ b/worksrail/core/_on_requests.py
@@ -32,6 +32,7 @@
         AttemptOutcome.BROKE_BEFORE_ANSWER,
         AttemptOutcome.BROKE_IN_ANSWER,
         AttemptOutcome.UNVERIFIABLE,
+        AttemptOutcome.UNPROVEN,
         AttemptOutcome.TIMED_OUT,
         AttemptOutcome.CANCELLED,
     )
@@ -52,6 +53,9 @@
         AttemptOutcome.SHED,
     )
 )
+_WITHOUT_ANSWER: Final = frozenset(
+    (AttemptOutcome.BROKE_BEFORE_ANSWER, AttemptOutcome.UNPROVEN)
+)
 _CANCELLED: Final = frozenset(
     (AttemptOutcome.CANCELLED, AttemptOutcome.CANCELLED_UNSENT)
 )
@@ -63,6 +67,7 @@
     AttemptOutcome.SHED: ResultCode.UPSTREAM_SHED,
     AttemptOutcome.BROKE_BEFORE_ANSWER: ResultCode.UPSTREAM_BROKE,
     AttemptOutcome.UNVERIFIABLE: ResultCode.UNVERIFIABLE_ANSWER,
+    AttemptOutcome.UNPROVEN: ResultCode.UNPROVEN_REFUSAL,
     AttemptOutcome.TIMED_OUT: ResultCode.UPSTREAM_TIMEOUT,
 }
 
@@ -229,8 +234,8 @@
     event: AttemptEnded,
 ) -> Iterator[Effect]:
     not_executed = event.outcome in _NOT_RUN
-    broke = event.outcome is AttemptOutcome.BROKE_BEFORE_ANSWER
-    may_repeat = not_executed or (broke and active.idempotent)
+    without_answer = event.outcome in _WITHOUT_ANSWER
+    may_repeat = not_executed or (without_answer and active.idempotent)
     if not not_executed:
         active.maybe_executed = True
     code = _FINAL_CODES[event.outcome]
--- a/worksrail/core/_retrying.py
+++ b/worksrail/core/_retrying.py
@@ -14,6 +14,7 @@
         ResultCode.UPSTREAM_TIMEOUT,
         ResultCode.UNVERIFIABLE_ANSWER,
         ResultCode.SPOILED_ANSWER,
+        ResultCode.UNPROVEN_REFUSAL,
         ResultCode.PEER_BROKE,
     )
 )
--- a/worksrail/core/events.py
+++ b/worksrail/core/events.py
@@ -28,6 +28,7 @@
     ANSWERED = 'the whole answer was passed on'
     NOT_SENT = 'no byte of the request left'
     SHED = 'the upstream said that it did not run it'
+    UNPROVEN = 'refused without proof that it was not run'
     BROKE_BEFORE_ANSWER = 'the connection broke before an answer'
     BROKE_IN_ANSWER = 'the connection broke within the answer'
     UNVERIFIABLE = 'the answer has no verifiable length'
--- a/worksrail/daemon/http/_exchange.py
+++ b/worksrail/daemon/http/_exchange.py
@@ -13,6 +13,7 @@
 from tornado import httputil
 from tornado.iostream import StreamClosedError
 
+from worksrail.core.evidence import AnswerHead, NamedRequest
 from worksrail.core.results import ResultCode
 from worksrail.daemon.http import _headers as names
 from worksrail.daemon.http._attempt import (
@@ -95,6 +96,9 @@
     turn: Turn | None = None
     """Its place among the answers on the connection."""
 
+    head: AnswerHead | None = None
+    """What the last answer of an upstream or another instance said."""
+
     @property
     def label(self) -> str:
         """Return the identifier of the request for the log."""
@@ -122,9 +126,17 @@
         """Pass on every answer except one marked as not run.
 
         Numbered results from other instances are held back too, since this
-        instance decides again what to do with the request.
+        instance decides again what to do with the request.  Upstreams need not
+        name the request in other answers.
         """
-        if names.NOT_RUN in headers:
+        stated = names.NOT_RUN in headers
+        named = NamedRequest.from_identifier(
+            headers.get(names.TRACE, ''), self.trace
+        )
+        self.head = AnswerHead(status, stated, named)
+        if named is NamedRequest.ANOTHER:
+            return AnswerUse.PASS_OVER
+        if stated:
             return AnswerUse.HOLD_BACK
         ok = str(ResultCode.OK.number)
         result = headers.get(names.RESULT, ok)
--- a/worksrail/daemon/http/_requests.py
+++ b/worksrail/daemon/http/_requests.py
@@ -23,6 +23,7 @@
     PassEnded,
     RequestArrived,
 )
+from worksrail.core.evidence import AnswerHead, Verdict
 from worksrail.core.pacing import NamedLimit, read_rate
 from worksrail.core.requests import (
     ArrivalPath,
@@ -30,7 +31,7 @@
     RequestHead,
     TicketSigner,
 )
-from worksrail.core.results import ResultCode, code_by_number
+from worksrail.core.results import Certainty, ResultCode, code_by_number
 from worksrail.daemon import _clock
 from worksrail.daemon._engine import Engine
 from worksrail.daemon.http import _headers as names
@@ -257,9 +258,7 @@
         return await attempt.run()
 
     def _end_attempt(self, exchange: Exchange, report: AttemptReport) -> None:
-        outcome = _OUTCOMES[report.end]
-        if report.end is AttemptEnd.WHOLE and names.NOT_RUN in report.headers:
-            outcome = AttemptOutcome.SHED
+        outcome = _outcome(report, exchange.head)
         self._abort_partial_answer(exchange, outcome)
         self.engine.dispatch(
             AttemptEnded(
@@ -290,7 +289,7 @@
         return await attempt.run()
 
     def _end_passing(self, exchange: Exchange, report: AttemptReport) -> None:
-        code = _pass_result(report)
+        code = _pass_result(report, exchange.head)
         if code is ResultCode.OK:
             self._abort_partial_answer(exchange, AttemptOutcome.ANSWERED)
         elif report.end is AttemptEnd.CUT_ANSWER:
@@ -383,10 +382,21 @@
     return NamedLimit(read_rate(texts), now)
 
 
-def _pass_result(report: AttemptReport) -> ResultCode:
+def _outcome(report: AttemptReport, head: AnswerHead | None) -> AttemptOutcome:
+    if report.end is not AttemptEnd.WHOLE or not (head and head.stated):
+        return _OUTCOMES[report.end]
+    proven = head.verdict is Verdict.NOT_EXECUTED
+    return AttemptOutcome.SHED if proven else AttemptOutcome.UNPROVEN
+
+
+def _pass_result(report: AttemptReport, head: AnswerHead | None) -> ResultCode:
     if report.end is not AttemptEnd.WHOLE:
         return _PASS_FAILURE_CODES.get(report.end, ResultCode.PEER_BROKE)
     try:
-        return code_by_number(int(report.headers.get(names.RESULT, '')))
+        code = code_by_number(int(report.headers.get(names.RESULT, '')))
     except ValueError:
         return ResultCode.PEER_BROKE
+    proven = head is not None and head.verdict is Verdict.NOT_EXECUTED
+    if code.certainty is Certainty.NOT_RUN and not proven:
+        return ResultCode.PEER_BROKE
+    return code
--- a/worksrail/standins/upstream.py
+++ b/worksrail/standins/upstream.py
@@ -185,6 +185,11 @@
         self.size = 0
         self.gone = asyncio.Event()
 
+    def prepare(self) -> None:
+        """Name the request in the answer."""
+        trace = self.request.headers.get('Worksrail-Trace', '')
+        self.set_header('Worksrail-Trace', trace)
+
     def data_received(self, chunk: bytes) -> None:
         """Read a part of the body."""
         self.digest.update(chunk)
