Call an attempt unsent only if the socket took no byte of it

An error that nobody foresaw, raised while the head of a request was written, counted as not sent though the socket had taken the head: the request could run and be sent once more. The bytes that the connection took are compared now.

--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -480,12 +480,14 @@
     async def _write_head(
         self, connection: HTTP1Connection, report: AttemptReport
     ) -> None:
+        before = _bytes_taken(connection.stream)
         try:
             written = connection.write_headers(
                 self.outgoing.start, self.outgoing.headers
             )
         except Exception:
-            if report.end is AttemptEnd.NO_ANSWER:
+            unsent = _bytes_taken(connection.stream) == before
+            if unsent and report.end is AttemptEnd.NO_ANSWER:
                 report.end = AttemptEnd.NOT_SENT
             raise
         await written
@@ -500,6 +502,12 @@
         self.written = True
 
 
+def _bytes_taken(stream: IOStream) -> int:
+    """Return how many bytes a stream was given to send."""
+    # There is no public accessor.
+    return int(stream._total_write_index)
+
+
 def _closed_by_peer(error: BaseException | None) -> bool:
     # Without an error the connection was closed in an orderly way.
     return error is None or isinstance(error, ConnectionError)
