--- a/tests/refusals/upstream.py
+++ b/tests/refusals/upstream.py
@@ -43,9 +43,9 @@
     ).encode() + body
 
 
-def success(trace: str) -> bytes:
+def success(trace: str, body: bytes = b'done') -> bytes:
     """Return the answer of an upstream that has executed a request."""
-    return head(200, trace, extra='Response-Signature: s\r\n', body=b'done')
+    return head(200, trace, extra='Response-Signature: s\r\n', body=body)
 
 
 @dataclass
@@ -65,6 +65,9 @@
     address: str = ''
     """IP address and port."""
 
+    greeting: bytes = b''
+    """What it writes on a new connection before any request."""
+
     async def open(self) -> 'OddUpstream':
         """Listen on a free port."""
         server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
@@ -79,6 +82,7 @@
     ) -> None:
         number = 0
         try:
+            writer.write(self.greeting)
             while await self._serve_one(reader, writer, number):
                 number += 1
         except (asyncio.IncompleteReadError, ConnectionError):
