Let upstreams of the soak write refusals that prove nothing

The soak's upstreams repeated only successes, at once and with an identifier, so TRUE_REFUSAL and AT_MOST_ONCE were never put to refusals that are late, double, to no request or without a statement.

--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -172,3 +172,18 @@
     result = asyncio.run(played)
     assert result.departed > 50
     assert not result.violations
+
+
+# Upstreams write refusals to no request, to earlier ones and without a
+# statement, while entries are suspended, killed and cut off from them.
+@pytest.mark.parametrize('seed', [8101, 8107])
+def test_refusals_are_true_beside_odd_answers(
+    seed: int, tmp_path: Path
+) -> None:
+    result = asyncio.run(
+        play_seed(
+            seed, 12, 3, tmp_path, crashing=False, cutting=True, refusing=True
+        )
+    )
+    assert result.served
+    assert not result.violations
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -26,6 +26,7 @@
     overloading: bool = False,
     stopping: bool = False,
     leaving: bool = False,
+    refusing: bool = False,
 ) -> None:
     """Play seeds, and end with 1 if a promise was broken.
 
@@ -54,6 +55,7 @@
                     overloading=overloading,
                     stopping=stopping,
                     leaving=leaving,
+                    refusing=refusing,
                 )
             )
         faults = ' '.join(step.fault.name for step in result.steps)
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -13,6 +13,7 @@
 from tests.soak._cuts import CutShare
 from tests.soak._faults import Fault, Step, cuts_of, steps_of, stops_of
 from tests.soak._leaving import LeavingWorld, start_leavers
+from tests.soak._odd_answers import RefusingWorld
 from tests.soak._odd_entries import write_odd_entries
 from tests.soak._open_loop import OpenLoop
 from tests.soak._order import Passed
@@ -294,6 +295,7 @@
     overloading: bool = False,
     stopping: bool = False,
     leaving: bool = False,
+    refusing: bool = False,
 ) -> Result:
     """Play one seed from start to end.
 
@@ -301,7 +303,7 @@
     upstreams name limits if they are to, say that they leave or want no requests,
     and entries lose their links to upstreams.  With the window of a budget of
     repeats, in seconds, callers move from entry to entry and upstreams reject at
-    times.  Callers that send ahead leave at any moment, if they are to, beside another writer in the store.  Or customers ask for more than the slots of a service at times, or
+    times.  Upstreams write refusals that prove nothing.  Callers that send ahead leave at any moment, if they are to, beside another writer in the store.  Or customers ask for more than the slots of a service at times, or
     entries stop all the while under long calls.
     """
     steps = steps_of(seed, seconds) if faulty else []
@@ -318,6 +320,8 @@
         make_world = StoppingWorld if stopping else OverloadedWorld
     elif leaving:
         make_world = LeavingWorld
+    elif refusing:
+        make_world = RefusingWorld
     world = make_world(folder, entries, seed, budget)
     customer = CUSTOMERS[0] if overloading else ''
     upstreams = _MANY_UPSTREAMS if rejecting else _FEW_UPSTREAMS
--- a/tests/soak/_upstreams.py
+++ b/tests/soak/_upstreams.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, unique
+from typing import Protocol
 
 from tests.soak._departures import Departures, Run
 from tests.soak._listening import LoopbackServer
@@ -17,7 +18,7 @@
 _LENGTH = re.compile(rb'\r\nContent-Length: (\d+)', re.IGNORECASE)
 _TRACE = re.compile(rb'\r\nRequest-Id: (\S+)', re.IGNORECASE)
 _TARGET = re.compile(rb'\r\nTarget-Instance: (\S+)', re.IGNORECASE)
-_NOT_EXECUTED = 'Not-Executed: 1\r\n'
+NOT_EXECUTED = 'Not-Executed: 1\r\n'
 # Path of health checks, which are not requests of callers.
 _HEALTH_PATH = '/health'
 # Path of a request that crashes each upstream which begins it.
@@ -35,6 +36,19 @@
     FAILS = 'answers some requests with 500'
 
 
+class OddSource(Protocol):
+    """Draws answers that prove nothing, and refusals."""
+
+    def strays(self) -> bytes:
+        """Return what is written before an answer, mostly nothing."""
+
+    def refuses(self, trace: str) -> bytes:
+        """Return a true refusal, or nothing."""
+
+    def false_refusal(self, trace: str) -> bytes:
+        """Return a refusal of what was executed, or nothing."""
+
+
 @dataclass(slots=True)
 class Upstream(LoopbackServer):
     """One upstream at one address."""
@@ -91,6 +105,9 @@
     departures: Departures | None = None
     """Is told of each run, if the upstream is to notice who leaves it."""
 
+    odd: OddSource | None = None
+    """Draws odd answers beside its own, if there are any."""
+
     slot_queue: SlotQueue = field(default_factory=SlotQueue)
     """Its slots and the places in its queue."""
 
@@ -138,23 +155,29 @@
         trace = _first(_TRACE, head)
         path = head.split(b' ', 2)[1].decode()
         if path == _HEALTH_PATH and not trace:
-            writer.write(_answer('', 200, b'', f'Instance-Id: {self.name}\r\n'))
+            writer.write(render('', 200, b'', f'Instance-Id: {self.name}\r\n'))
             return True
         meant = _first(_TARGET, head) == self.name
         port = writer.get_extra_info('peername')[1]
         self.meet(self, trace, meant, port)
         if not meant:
-            writer.write(_answer(trace, 421, b'', _NOT_EXECUTED))
+            writer.write(render(trace, 421, b'', NOT_EXECUTED))
             return True
+        if self.odd:
+            writer.write(self.odd.strays())
+            refusal = self.odd.refuses(trace)
+            if refusal:
+                writer.write(refusal)
+                return True
         if self._rejects():
-            extra = _NOT_EXECUTED + self._named() + self._stated()
+            extra = NOT_EXECUTED + self._named() + self._stated()
             self.state(self, trace, port)
-            writer.write(_answer(trace, 503, b'', extra))
+            writer.write(render(trace, 503, b'', extra))
             return True
         if self.slot_queue.is_full():
             self.slot_queue.turned_away += 1
-            extra = _NOT_EXECUTED + self._named() + self._reported()
-            writer.write(_answer(trace, 503, b'', extra))
+            extra = NOT_EXECUTED + self._named() + self._reported()
+            writer.write(render(trace, 503, b'', extra))
             return True
         # The service may change hands while the request waits.
         service = self.service
@@ -222,11 +245,15 @@
     ) -> tuple[bool, bool]:
         """Answer; return whether the connection stays, and the answer is right."""
         named = self._named() + self._reported()
-        right = _answer(trace, 200, body, f'Response-Signature: s\r\n{named}')
+        right = render(trace, 200, body, f'Response-Signature: s\r\n{named}')
+        false_refusal = self.odd.false_refusal(trace) if self.odd else b''
+        if false_refusal:
+            writer.write(false_refusal)
+            return True, False
         if self.habit is Habit.WELL or self.rng.random() < 0.5:
             writer.write(right)
         elif self.habit is Habit.FAILS:
-            writer.write(_answer(trace, 500, b'no', named))
+            writer.write(render(trace, 500, b'no', named))
             return True, False
         elif self.habit is Habit.REPEATS:
             writer.write(right + right)
@@ -243,7 +270,7 @@
     return found[1].decode() if found else ''
 
 
-def _answer(trace: str, status: int, body: bytes, extra: str) -> bytes:
+def render(trace: str, status: int, body: bytes, extra: str) -> bytes:
     head = (
         f'HTTP/1.1 {status} X\r\nRequest-Id: {trace}\r\n{extra}'
         f'Content-Length: {len(body)}\r\n\r\n'
