Do not call a request not run whose body became malformed on the way

A request with a long body is passed on while it still arrives. If its body then turned out to be malformed, its caller got 400 with Worksrail-Not-Run although an upstream had it, at times behind the beginning of that upstream's answer: the answer to malformed messages took no notice of what had become of the request. The connection is closed without it now, which promises nothing.

--- a/worksrail/daemon/http/_server.py
+++ b/worksrail/daemon/http/_server.py
@@ -162,6 +162,7 @@
             return
         if not self.dispatched:
             self.dispatched = True
+            self.turn.dispatched = True
             self.server.open.receiving.pop(exchange.number, None)
             self.server.handler.arrived(exchange)
 
--- a/worksrail/daemon/http/_turn.py
+++ b/worksrail/daemon/http/_turn.py
@@ -94,6 +94,9 @@
     message_read: bool = False
     """Whether the request was read whole."""
 
+    dispatched: bool = False
+    """Whether the request was handed on, so that it may run."""
+
     finished: bool = False
     """Whether the answer is complete."""
 
@@ -216,7 +219,8 @@
             return written
         if chunk == _EMPTY_BAD_REQUEST:
             # Tornado has no hook for its answer to a malformed message.
-            chunk = self.row.malformed_answer
+            # A request that was handed on may run, and its answer have begun.
+            chunk = b'' if self.dispatched else self.row.malformed_answer
         if not self.kept and not self._must_keep():
             self.sent = True
             return self.row.send(chunk)
