--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -317,7 +317,7 @@
 def test_connection_that_refused_a_request_does_not_carry_it_again() -> None:
     async def use(pool: Pool) -> tuple[bool, bool]:
         first = await pool.acquire_one()
-        first.usage.refused.add('t1')
+        first.history.refused.add('t1')
         pool.release(first)
         other = await pool.pool.acquire(pool.address, 5, identifier='t2')
         pool.release(other)
@@ -332,7 +332,7 @@
         kept = []
         for count in (63, 64):
             first = await pool.acquire_one()
-            first.usage.refused.update(map(str, range(count)))
+            first.history.refused.update(map(str, range(count)))
             pool.release(first)
             kept.append(not first.stream.closed())
         return kept
--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -381,14 +381,14 @@
             report.end = AttemptEnd.WITHDRAWN
             return True
         report.end = AttemptEnd.NO_ANSWER
-        acquired.usage.requests += 1
-        report.connection = acquired.usage.at(sent_at)
+        acquired.history.requests += 1
+        report.connection = acquired.history.at(sent_at)
         try:
             await self._exchange(acquired.stream, report)
         except asyncio.CancelledError:
             report.end = AttemptEnd.CANCELLED
         if report.held_back:
-            acquired.usage.refused.add(self.outgoing.identifier)
+            acquired.history.refused.add(self.outgoing.identifier)
         if report.end is AttemptEnd.NO_ANSWER:
             self.pool.record_failure(acquired, self.clock() - sent_at)
         return report.end is AttemptEnd.WHOLE and _keeps_alive(report)
--- a/worksrail/daemon/http/_connections.py
+++ b/worksrail/daemon/http/_connections.py
@@ -42,7 +42,7 @@
 
 
 @dataclass(slots=True)
-class Usage:
+class ConnectionHistory:
     """What a connection has been used for."""
 
     opened_at: float
@@ -69,7 +69,7 @@
     stream: IOStream
     since: float
     until: float
-    usage: Usage
+    history: ConnectionHistory
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,7 +85,7 @@
     connect_time: float
     """Seconds to establish a new connection; zero if it was reused."""
 
-    usage: Usage
+    history: ConnectionHistory
     """What it has been used for."""
 
 
@@ -136,7 +136,7 @@
         began = self.clock()
         stream = await self._connect(address, timeout)
         now = self.clock()
-        return Acquired(stream, 0, now - began, Usage(now))
+        return Acquired(stream, 0, now - began, ConnectionHistory(now))
 
     def record_failure(self, acquired: Acquired, sent_for: float) -> None:
         """Record a failure without an answer after ``sent_for`` seconds."""
@@ -163,7 +163,7 @@
         """
         idle_connections = self.idle[address]
         stream = acquired.stream
-        if stream.closed() or acquired.usage.is_used_up:
+        if stream.closed() or acquired.history.is_used_up:
             stream.close()
             return
         if len(idle_connections) >= _MAX_IDLE_CONNECTIONS:
@@ -172,7 +172,7 @@
         if keep_alive_timeout is not None:
             age = min(age, keep_alive_timeout * _KEEP_ALIVE_SHARE)
         now = self.clock()
-        idle_connections.append(_Idle(stream, now, now + age, acquired.usage))
+        idle_connections.append(_Idle(stream, now, now + age, acquired.history))
         # Only a stream with a close callback watches for the remote side
         # closing; without one a request could be sent on a dead connection.
         stream.set_close_callback(_ignore_close)
@@ -200,7 +200,7 @@
         while idle_connections:
             idle = idle_connections.pop()
             idle_for = self.clock() - idle.since
-            refused = identifier in idle.usage.refused
+            refused = identifier in idle.history.refused
             if refused or not self._is_usable(idle, idle_for):
                 idle.stream.close()
                 continue
@@ -211,7 +211,7 @@
                 idle_connections.pop(0).stream.close()
                 return None
             idle.stream.set_close_callback(None)
-            return Acquired(idle.stream, idle_for, 0, idle.usage)
+            return Acquired(idle.stream, idle_for, 0, idle.history)
         return None
 
     def _is_trusted(self, idle_for: float) -> bool:
--- a/worksrail/daemon/steered/_passing.py
+++ b/worksrail/daemon/steered/_passing.py
@@ -63,7 +63,8 @@
             return AnswerUse.REJECT
         if code is ResultCode.OK:
             return SteeredSink.judge(self, status, headers)
-        head = _read_result(code, headers, self._named(headers))
+        stated = code.certainty is Certainty.NOT_RUN
+        head = AnswerHead(status, stated, self._named(headers))
         use = USES[self.conclude(head)]
         if use is AnswerUse.PASS_ON:
             # The entry does not know whether the request was executed.
@@ -111,16 +112,6 @@
     return names.TERMS in exchange.headers
 
 
-def _read_result(
-    code: ResultCode,
-    headers: httputil.HTTPHeaders,
-    named: NamedRequest,
-) -> AnswerHead:
-    """Return what a result of another entry says about the request."""
-    stated = code.certainty is Certainty.NOT_RUN
-    return AnswerHead(code.http_status, stated, named)
-
-
 def _parse_code(headers: httputil.HTTPHeaders) -> ResultCode | None:
     try:
         return code_by_number(int(headers.get(names.RESULT, '')))
