Delay the answer to the first request, not to the first to arrive, in a test

Requests beside each other go over several connections, so the delayed one could be the second request, and what waits for the first was sent. The same class as in the test of their number. Bound and assertion are as they were.

--- a/tests/callers/test_pipelining.py
+++ b/tests/callers/test_pipelining.py
@@ -312,8 +312,8 @@
 
 def test_answers_that_wait_for_their_turn_count_as_held() -> None:
     async def run() -> list[int]:
-        def reply(number: int, trace: str) -> Reply:
-            first = number == 1
+        def reply(_: int, trace: str) -> Reply:
+            first = trace == 't0'
             return Reply(answer(trace, body='x' * 9_000), after=0.4 * first)
 
         upstream = await RawUpstream(reply).open()
