--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -12,7 +12,8 @@
 import fire, msgspec, tornado
 import worksrail.standins.objects
 '
-for file in review/lib-2/*.py review/6/case.py review/7/case.py review/8/case.py; do
+for file in review/lib-2/*.py review/6/case.py review/7/case.py review/8/case.py \
+  review/9/case.py review/10/case.py; do
   python3 -S -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
 echo 'build-2: ready'
