--- a/review/10/case.py
+++ b/review/10/case.py
@@ -165,6 +165,9 @@
             for server in servers
             for trace, at in server.run_at.items()
         ]
+        for server in servers:
+            for trace in server.run_at:
+                world.record.note('run', id=trace, server=server.name)
         most = most_in_window(times)
         world.record.note(
             'judged', most=most, allowed=ALLOWED, answers=self.answers
