Follow the seeds of reloaded settings, and never forget them

An entry whose seeds were all stale when it started stayed a fleet of its own after its settings had been put right, owned all quotas beside the others, and listed only itself to callers.

Cause: seeds were added to the known addresses in SteeringState.from_settings and nowhere else. reload() replaced the settings behind the reducer's back, so that neither discovery nor the shared limits ever saw the new seeds. Seeds that did not answer were forgotten after 120 s like any other address.

Change: a reload is an event of the reducer. Seeds of the settings in force are not forgotten. The log line of a reload names the seeds.

Seeds that stay stale, and addresses that are forgotten after a long cut, are other faults of the same kind.

--- a/tests/steering/fleet_world.py
+++ b/tests/steering/fleet_world.py
@@ -13,6 +13,12 @@
 )
 from worksrail.core.customers import Customer
 from worksrail.core.identity import Incarnation
+from worksrail.core.limits import (
+    LimitHandover,
+    LimitMessage,
+    LimitReply,
+    LimitReport,
+)
 from worksrail.core.pacing import (
     PacingMessage,
     TokenGrant,
@@ -37,6 +43,7 @@
     FetchStoreUpdate,
     ListStore,
     SendDigest,
+    SendLimitMessage,
     SendPacingMessage,
 )
 from worksrail.core.steering.events import (
@@ -44,6 +51,7 @@
     DigestReceived,
     EvacuationsRead,
     Event,
+    LimitMessageReceived,
     PacingMessageReceived,
     StoreAnswered,
     StoreChecked,
@@ -56,6 +64,7 @@
 from worksrail.core.steering.kinds import StoreKind
 
 STEP = 0.05
+_Message = Digest | LimitMessage | PacingMessage
 # Time at which the first entries start.
 _START = 50.0
 
@@ -101,7 +110,7 @@
         self.rng = random.Random(3)
         self.states: dict[str, SteeringState] = {}
         self.incarnations: Counter[str] = Counter()
-        self.in_transit: list[tuple[str, Digest | PacingMessage]] = []
+        self.in_transit: list[tuple[str, _Message]] = []
         self.sent: Counter[tuple[str, str]] = Counter()
         names = [
             f'{zone}-{number}'
@@ -264,12 +273,14 @@
                 self._post(name, receiver, effect.digest)
         for sent in of_type(effects, SendPacingMessage):
             self._post(name, sent.receiver, sent.message)
+        for told in of_type(effects, SendLimitMessage):
+            self._post(name, told.receiver, told.message)
 
     def _post(
         self,
         name: str,
         receiver: str,
-        message: Digest | PacingMessage,
+        message: _Message,
     ) -> None:
         if name in self.cut_off or self.rng.random() < self.loss:
             return
@@ -280,7 +291,9 @@
         return name in self.states and name not in unreachable
 
 
-def _event_of(message: Digest | PacingMessage, now: float) -> Event:
+def _event_of(message: _Message, now: float) -> Event:
     if isinstance(message, TokenRequest | TokenGrant):
         return PacingMessageReceived(now, message)
+    if isinstance(message, LimitReport | LimitReply | LimitHandover):
+        return LimitMessageReceived(now, message)
     return DigestReceived(now, message)
--- a/worksrail/core/steering/_fleet.py
+++ b/worksrail/core/steering/_fleet.py
@@ -9,7 +9,6 @@
 """
 
 import random
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from heapq import nlargest
 from math import ceil
@@ -111,6 +110,9 @@
     addresses: dict[str, float] = field(default_factory=dict)
     """Known peer addresses, with the time each was learned."""
 
+    seeds: tuple[str, ...] = ()
+    """Peer addresses that the settings name; never forgotten."""
+
     def apply_digest(self, digest: EntryDigest, now: float) -> bool:
         """Apply a digest; false if it is outdated or this entry's own."""
         sender = digest.sender
@@ -150,9 +152,10 @@
         if address and address != self.peer:
             self.addresses[address] = now
 
-    def add_addresses(self, addresses: Iterable[str], now: float) -> None:
-        """Remember addresses at which entries may listen."""
-        for address in addresses:
+    def follow_seeds(self, seeds: tuple[str, ...], now: float) -> None:
+        """Apply the addresses that the settings name, which may be stale."""
+        self.seeds = seeds
+        for address in seeds:
             self.add_address(address, now)
 
     def alive(self, now: float) -> list[Entry]:
@@ -268,7 +271,7 @@
         if forgotten:
             self.weights.clear()
         for address, at in tuple(self.addresses.items()):
-            if now - at > _FORGET_TIMEOUT:
+            if now - at > _FORGET_TIMEOUT and address not in self.seeds:
                 self.addresses.pop(address)
         dead = [
             name for name, entry in self.entries.items() if not entry.alive(now)
--- a/worksrail/core/steering/_reducer.py
+++ b/worksrail/core/steering/_reducer.py
@@ -19,6 +19,7 @@
     _on_time,
     _pacing,
     _probing,
+    _reloading,
     _stopping,
     _store_watch,
 )
@@ -35,6 +36,7 @@
     PassEnded,
     PathProbed,
     RequestArrived,
+    SettingsReloaded,
     StopRequested,
     StoreUpdateFailed,
     StoreUpdateFetched,
@@ -61,6 +63,7 @@
     PassEnded: _on_passing.on_pass_ended,
     PassedRequestArrived: _on_passing.on_passed_arrival,
     PathProbed: _probing.on_path_probed,
+    SettingsReloaded: _reloading.on_settings_reloaded,
 }
 
 
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -17,6 +17,7 @@
 from worksrail.core.steering._digests import Digest
 from worksrail.core.steering._passing_terms import PassingTerms
 from worksrail.core.steering._routes import RoutingConfiguration
+from worksrail.core.steering._settings import EntrySettings
 from worksrail.core.steering._store_sync import StoreUpdate
 from worksrail.core.steering.kinds import StoreKind
 
@@ -436,6 +437,17 @@
     """Load that the upstream reports, if any."""
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsReloaded:
+    """The settings were read again, and differ from those in force."""
+
+    now: float
+    """Monotonic time in seconds."""
+
+    settings: EntrySettings
+    """The new settings."""
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested:
     """The entry was asked to stop gracefully."""
@@ -468,5 +480,6 @@
     | PacingMessageReceived
     | _RequestEvent
     | PathProbed
+    | SettingsReloaded
     | StopRequested
 )
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -230,7 +230,7 @@
         """Start an incarnation that knows only its settings."""
         peer = settings.addresses.peer
         fleet = Fleet(who.name, settings.zone, peer)
-        fleet.add_addresses(settings.seeds, now)
+        fleet.follow_seeds(settings.seeds, now)
         catalog = Catalog.from_regions(
             settings.regions, settings.bounds.heartbeat
         )
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -21,7 +21,7 @@
     effects,
     exits_at,
 )
-from worksrail.core.steering.events import StopRequested
+from worksrail.core.steering.events import SettingsReloaded, StopRequested
 from worksrail.core.steering.kinds import StoreKind
 from worksrail.daemon import _clock
 from worksrail.daemon._logs import LineSink, install_logs
@@ -255,9 +255,11 @@
             _LOG.warning('settings not reloaded', extra={'problem': str(fault)})
             return
         if settings != self.engine.state.settings:
-            self.engine.state.settings = settings
+            self.engine.dispatch(SettingsReloaded(self.engine.now(), settings))
             self.held.maximum = settings.limits.max_held_bytes
-            _LOG.info('settings reloaded')
+            _LOG.info(
+                'settings reloaded', extra={'seeds': ','.join(settings.seeds)}
+            )
 
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
