Remember silent entries beyond two minutes, and go on looking for them

What callers saw (in a model of the decisions): after a cut of 130 s or more two parts of a fleet stayed two for good. Each owned all quotas: a customer that asks 60 a second of each part got 445 requests in 5 s where 262 are allowed.

Cause: entries and addresses were forgotten 120 s after their last message. Nothing brings them back: neither part sends anything to the other any more.

Change: a silent entry counts as one that may still serve callers for two hours, as regions lose each other for an hour and entries that leave say so; so limits, budgets and tokens keep reserving for it. Addresses are bounded by number (64 that have been silent for over two minutes, the latest) instead of by time, and one of them is tried in every fifth second; all, if no entry is alive. Senders to cold upstreams are still chosen among entries heard within two minutes.

Measured: parts find each other within 15 s of the end of a cut (the bound of the test) in each of nine cases.

Conclusion: a cut of any length heals. A quota that is asked for in full on both sides of a cut is not held.

--- a/tests/steering/test_finding_each_other.py
+++ b/tests/steering/test_finding_each_other.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.steering.membership_world import ALLOWED, MembershipWorld
+from worksrail.core.steering._fleet import Fleet
 
 _REGIONS = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
 _STALE = ('a1-77:peer', 'a2-78:peer', 'b1-79:peer')
@@ -49,3 +50,48 @@
     world.reload('a2-0', ('a2-0:peer',))
     world.wait(3)
     assert world.is_one_fleet()
+
+
+@pytest.mark.parametrize(
+    'cut',
+    [
+        ('a2-0',),
+        ('a1-0', 'a1-1'),
+        # All entries that the settings of the others name.
+        ('a1-0',),
+    ],
+)
+@pytest.mark.parametrize('seconds', [60, 130, 1200])
+def test_parts_of_a_fleet_find_each_other_after_a_long_cut(
+    cut: tuple[str, ...], seconds: float
+) -> None:
+    # Addresses were forgotten 120 s after their last message: each part went
+    # on as the whole fleet for good.
+    world = _world()
+    for name in world.states:
+        world.reload(name, _STALE)
+    world.part(cut)
+    world.wait(seconds)
+    assert not world.is_one_fleet()
+    world.part()
+    assert world.seconds_until_one_fleet(30) <= 15
+
+
+def test_quota_holds_over_parts_that_lost_each_other_long_ago() -> None:
+    # Each part forgot the other one after 120 s, and allowed all of the quota.
+    world = _world({'a1': 4, 'a2': 4})
+    world.part(('a1-0', 'a1-1', 'a1-2', 'a1-3'))
+    world.wait(1200)
+    since = world.now
+    world.ask(('a1-0', 'a2-0'), _RATE, 12)
+    assert world.most_in_window(since) <= ALLOWED
+
+
+def test_addresses_of_long_silent_entries_are_bounded() -> None:
+    fleet = Fleet('one', 'a1', '10.9.0.1:4')
+    fleet.follow_seeds(('10.9.0.2:4',), 0)
+    for number in range(1000):
+        fleet.add_address(f'10.9.1.1:{number}', number / 1000)
+    fleet.expire(1e6)
+    assert len(fleet.addresses) == 65
+    assert {'10.9.0.2:4', '10.9.1.1:999'} <= fleet.addresses.keys()
--- a/worksrail/core/steering/_choosing.py
+++ b/worksrail/core/steering/_choosing.py
@@ -354,7 +354,7 @@
         own = state.settings.name
         senders = cold_senders(
             upstream.name,
-            [own, *state.fleet.entries_in_region(region)],
+            [own, *state.fleet.entries_in_region(region, self.now)],
             rate,
             state.settings.bounds,
         )
--- a/worksrail/core/steering/_fleet.py
+++ b/worksrail/core/steering/_fleet.py
@@ -11,7 +11,7 @@
 import random
 from dataclasses import dataclass, field
 from heapq import nlargest
-from math import ceil
+from math import ceil, inf
 from typing import Final
 
 from worksrail.core._rendezvous import rendezvous_weight
@@ -25,12 +25,19 @@
 # relay every 400 ms: when it dies, its zone needs the time above until another
 # entry takes over.
 _REMOTE_DEAD_TIMEOUT: Final = 1.8
-# Seconds for which digests still go to a dead entry, so that it finds the
-# others again if it returns at the same address during a store outage.
-_FORGET_TIMEOUT: Final = 120.0
+# Seconds for which a silent entry counts as one that may still serve callers,
+# as an entry of a part that is cut off does.  Entries that leave say so.
+_FORGET_TIMEOUT: Final = 7200.0
+# Seconds of silence after which an entry is unlikely to return soon, and its
+# address is tried less often.
+_RECENT_WINDOW: Final = 120.0
 # Number of silent addresses that a discovery digest goes to, sampled anew each
 # time.
 _MAX_SILENT: Final = 3
+# Maximum number of addresses to keep that have been silent for longer, and the
+# share of the discovery digests that go to one of them.
+_MAX_REMEMBERED: Final = 64
+_REMEMBERED_SHARE: Final = 0.2
 # Number of entries of other zones that an uninformed entry asks at once.
 _MAX_REMOTE: Final = 2
 # Seconds of silence for which an entry is likely to restart.
@@ -127,8 +134,9 @@
             self.zone_entries.add(sender.name)
         self.add_address(sender.peer, now)
         for address in digest.known:
-            if address != self.peer:
-                self.addresses.setdefault(address, now)
+            # The sender considers the entry there alive.
+            if now - self.addresses.get(address, -inf) > _RECENT_WINDOW:
+                self.add_address(address, now)
         return True
 
     def apply_zone_digest(self, digest: ZoneDigest, now: float) -> bool:
@@ -167,12 +175,13 @@
         zone_peers = [self.entries[name] for name in sorted(self.zone_entries)]
         return [entry.contact for entry in zone_peers if entry.alive(now)]
 
-    def entries_in_region(self, region: RegionName) -> list[str]:
+    def entries_in_region(self, region: RegionName, now: float) -> list[str]:
         """Return the entries of a region, including recently dead ones."""
         return [
             name
             for name, entry in self.entries.items()
             if entry.contact.region == region
+            and now - entry.last_seen_at <= _RECENT_WINDOW
         ]
 
     def remote_entries(self, now: float) -> list[Contact]:
@@ -251,12 +260,21 @@
         """Sample silent addresses and one of another zone, for discovery.
 
         Silent addresses are seeds that have not answered and entries that may
-        return.
+        return.  Those that have been silent for long are tried now and then, as
+        a part of the fleet may have been cut off; if no entry is alive, they
+        are tried like the others.
         """
         known = {entry.contact.peer for entry in self.alive(now)}
-        silent = sorted(self.addresses.keys() - known)
+        recent: list[str] = []
+        remembered: list[str] = []
+        for address in sorted(self.addresses.keys() - known):
+            is_old = bool(known) and self._is_remembered(address, now)
+            (remembered if is_old else recent).append(address)
         remote = sorted(contact.peer for contact in self.remote_entries(now))
-        return _sample(silent, _MAX_SILENT, rng) + _sample(remote, 1, rng)
+        chosen = _sample(recent, _MAX_SILENT, rng) + _sample(remote, 1, rng)
+        if remembered and rng.random() < _REMEMBERED_SHARE:
+            chosen += _sample(remembered, 1, rng)
+        return chosen
 
     def expire(self, now: float) -> tuple[list[str], list[str]]:
         """Forget old entries; return names of dead and of forgotten ones."""
@@ -270,9 +288,7 @@
             self.zone_entries.discard(name)
         if forgotten:
             self.weights.clear()
-        for address, at in tuple(self.addresses.items()):
-            if now - at > _FORGET_TIMEOUT and address not in self.seeds:
-                self.addresses.pop(address)
+        self._forget_addresses(now)
         dead = [
             name for name, entry in self.entries.items() if not entry.alive(now)
         ]
@@ -287,6 +303,22 @@
             self.zones.pop(zone)
         return silent
 
+    def _is_remembered(self, address: str, now: float) -> bool:
+        """Whether an address has been silent for long."""
+        return now - self.addresses[address] > _RECENT_WINDOW
+
+    def _forget_addresses(self, now: float) -> None:
+        """Forget the addresses silent for longest, beyond a maximum."""
+        remembered = [
+            address
+            for address in self.addresses
+            if self._is_remembered(address, now) and address not in self.seeds
+        ]
+        if len(remembered) > _MAX_REMEMBERED:
+            remembered.sort(key=lambda address: self.addresses[address])
+            for address in remembered[:-_MAX_REMEMBERED]:
+                self.addresses.pop(address)
+
     def _outranks(self, one: Contact, other: Contact) -> bool:
         """Whether one entry comes before another one as their zone's relay."""
         # What a relay does not know of its zone is unknown to all other zones.
