Draw the length of what is sent on from what was read, in one place

What callers saw: a caller could have a request executed that nobody sent as one. 'Connection: host' or 'request-id' took these headers away, so that upstreams refused the request; an upstream's 'Connection: response-signature' took the signature from its answer.

Cause: end_to_end dropped every header that Connection named, and the length was set again only for a body that was read whole and is kept for a second send. In the own mode nothing set it again.

Change: outgoing_headers decides the length, for both modes, by how the body was delimited when it was read. Connection cannot remove headers that frame a message, name its host, or that the protocol of the mode relies on; each dialect names its own. Names in Connection are compared as the library writes them: 'x_foo' and 'x-2fa' were not removed.

--- a/worksrail/daemon/http/_dialect.py
+++ b/worksrail/daemon/http/_dialect.py
@@ -26,6 +26,10 @@
 class CallerDialect(Protocol):
     """Reads and writes worksrail's headers towards callers."""
 
+    @property
+    def protected(self) -> frozenset[str]:
+        """Return its headers that ``Connection`` cannot have removed."""
+
     def trace_of(self, headers: HTTPHeaders) -> str:
         """Return the caller's trace identifier; empty if there is none."""
 
@@ -47,6 +51,11 @@
 
     __slots__ = ()
 
+    @property
+    def protected(self) -> frozenset[str]:
+        """Return none: its own headers are protected in every dialect."""
+        return frozenset()
+
     def trace_of(self, headers: HTTPHeaders) -> str:
         """Return the caller's trace identifier; empty if there is none."""
         return headers.get(names.TRACE, '')
--- a/worksrail/daemon/http/_exchange.py
+++ b/worksrail/daemon/http/_exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import json
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Container, Coroutine
 from dataclasses import dataclass, field
 from functools import partial
 from http import HTTPStatus
@@ -120,6 +120,16 @@
         """Hash of the body, used to recognize a repeated request."""
         return self.body.digest(self.headers.get('Content-Length', ''))
 
+    def outgoing_headers(
+        self, protected: Container[str] = ()
+    ) -> httputil.HTTPHeaders:
+        """Return the headers with which the request is sent on."""
+        body = self.body
+        size = body.size if body.ended and body.replayable else None
+        return names.outgoing_headers(
+            self.start.method, self.headers, size, protected
+        )
+
     # -- answers passed through
 
     def judge(self, status: int, headers: httputil.HTTPHeaders) -> AnswerUse:
@@ -153,7 +163,7 @@
         if self.gone or self.ended:
             return
         self.begun = True
-        out = names.end_to_end(headers)
+        out = names.end_to_end(headers, self.dialect.protected)
         self.dialect.mark_answer(out, self.trace)
         self._set_connection_close(out)
         await self._await_write(self.connection.write_headers(start, out))
--- a/worksrail/daemon/http/_headers.py
+++ b/worksrail/daemon/http/_headers.py
@@ -1,6 +1,7 @@
 """Header names, removal of hop-by-hop headers and body length checks."""
 
 import re
+from collections.abc import Container
 from enum import Enum, unique
 from typing import Final
 
@@ -46,6 +47,26 @@
 _INTERNAL_HEADERS: Final = frozenset(
     (CLIENT, HOME, PASSING, RESULT, ENTRY, CUSTOMER, API_KEY, TERMS, SENDS)
 )
+# What these say holds for the whole way of a message, whatever its sender names
+# in ``Connection``: they delimit or describe its body, or name its host.
+_PROTECTED_HEADERS: Final = frozenset(
+    (
+        _CONTENT_LENGTH,
+        'Content-Encoding',
+        'Content-Type',
+        'Host',
+        TRACE,
+        DEADLINE,
+        CERTAINTY,
+        RETRY_AFTER,
+        'Retry-After',
+        KEY,
+        NOT_RUN,
+        LOAD,
+        RATE_LIMIT,
+        LEAVING,
+    )
+)
 _DIGITS: Final = re.compile(r'\d{1,18}')
 _CHUNKED_METHODS: Final = frozenset(('POST', 'PUT', 'PATCH'))
 
@@ -113,16 +134,62 @@
     return None
 
 
-def end_to_end(headers: HTTPHeaders) -> HTTPHeaders:
-    """Copy the headers without hop-by-hop and internal ones."""
+def end_to_end(
+    headers: HTTPHeaders, protected: Container[str] = ()
+) -> HTTPHeaders:
+    """Copy the headers without hop-by-hop and internal ones.
+
+    The sender may name further hop-by-hop headers in ``Connection`` (RFC 9110,
+    7.6.1), but not have those removed that frame the message, or that its
+    receiver relies on; ``protected`` are such headers of a dialect.
+
+    >>> sent = HTTPHeaders({'Connection': 'a, host', 'A': '1', 'Host': 'b'})
+    >>> dict(end_to_end(sent))
+    {'Host': 'b'}
+    """
     named = {
-        name.strip().title()
+        _normalized(name)
         for line in headers.get_list('Connection')
         for name in line.split(',')
     }
-    drop = _HOP_BY_HOP_HEADERS | _INTERNAL_HEADERS | named
+    hop_by_hop = {
+        name for name in named - _PROTECTED_HEADERS if name not in protected
+    }
+    drop = _HOP_BY_HOP_HEADERS | _INTERNAL_HEADERS | hop_by_hop
     kept = HTTPHeaders()
     for name, text in headers.get_all():
         if name not in drop:
             kept.add(name, text)
     return kept
+
+
+def outgoing_headers(
+    method: str,
+    received: HTTPHeaders,
+    size: int | None,
+    protected: Container[str] = (),
+) -> HTTPHeaders:
+    """Return the headers with which a request is sent on.
+
+    Its length follows from how its body was delimited when it was read, and
+    from nothing else.  ``size`` is the size of a body that was read whole, in
+    bytes; one that is still being read is sent as it comes.
+
+    >>> sent = HTTPHeaders({'Content-Length': '5', 'Connection': 'close'})
+    >>> dict(outgoing_headers('DELETE', sent, None))
+    {'Content-Length': '5'}
+    """
+    headers = end_to_end(received, protected)
+    headers.pop('Expect', None)
+    length = request_length(method, received)
+    headers.pop(_CONTENT_LENGTH, None)
+    if length is BodyLength.COUNTED:
+        headers[_CONTENT_LENGTH] = str(int(received[_CONTENT_LENGTH]))
+    elif length is BodyLength.CHUNKED and size is not None:
+        headers[_CONTENT_LENGTH] = str(size)
+    return headers
+
+
+def _normalized(name: str) -> str:
+    """Return the name of a header as the library writes it."""
+    return '-'.join(part.capitalize() for part in name.strip().split('-'))
--- a/worksrail/daemon/http/_requests.py
+++ b/worksrail/daemon/http/_requests.py
@@ -131,7 +131,7 @@
         """Send a request to an upstream."""
         exchange = self.exchanges[effect.request]
         remaining = effect.deadline - self.engine.now()
-        headers = names.end_to_end(exchange.headers)
+        headers = exchange.outgoing_headers()
         headers.pop(names.TICKET, None)
         headers[names.TRACE] = exchange.trace
         headers[names.DEADLINE] = f'{remaining:.3f}'
@@ -159,7 +159,7 @@
         """Pass a request to another instance."""
         exchange = self.exchanges[effect.request]
         remaining = effect.deadline - self.engine.now()
-        headers = names.end_to_end(exchange.headers)
+        headers = exchange.outgoing_headers()
         headers[names.TRACE] = exchange.trace
         headers[names.DEADLINE] = f'{remaining:.3f}'
         headers[names.HOME] = effect.home
--- a/worksrail/daemon/steered/_passing.py
+++ b/worksrail/daemon/steered/_passing.py
@@ -24,6 +24,9 @@
 class PassingDialect(OwnDialect):
     """Dialect of answers to the entry that passed a request on."""
 
+    protected: frozenset[str] = frozenset()
+    """Headers of the callers' dialect that are passed on in any case."""
+
     sends: int = 0
     """Number of upstreams that the request was sent to, by all entries."""
 
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -31,7 +31,6 @@
     RequestArrived,
     RequestNumber,
 )
-from worksrail.daemon.http import _headers as names
 from worksrail.daemon.http._attempt import (
     AttemptEnd,
     AttemptReport,
@@ -119,7 +118,7 @@
     def passed(self, exchange: Exchange) -> None:
         """Dispatch an event for a request that another entry passes on."""
         terms = read_terms(exchange)
-        exchange.dialect = PassingDialect(terms.sends if terms else 0)
+        exchange.dialect = self._passing_dialect(terms.sends if terms else 0)
         head = self.adapter.callers.read_head(
             exchange.start.method, exchange.start.path, exchange.headers
         )
@@ -170,7 +169,7 @@
         exchange = self.exchanges.pop(effect.request, None)
         if exchange:
             if is_passed(exchange):
-                exchange.dialect = PassingDialect(effect.sends)
+                exchange.dialect = self._passing_dialect(effect.sends)
             exchange.closing = self.engine.state.leaving
             exchange.answer_result(effect.code, effect.retry_after)
 
@@ -243,6 +242,9 @@
         self.engine.dispatch(event)
         self._discard_ended(effect.request)
 
+    def _passing_dialect(self, sends: int) -> PassingDialect:
+        return PassingDialect(self.adapter.callers.protected, sends)
+
     def _count_error(self, report: AttemptReport) -> None:
         if report.error:
             self.count_error()
@@ -394,12 +396,7 @@
         *,
         repeatable: bool = True,
     ) -> Outgoing:
-        headers = names.end_to_end(exchange.headers)
-        body = exchange.body
-        headers.pop('Expect', None)
-        if body.ended and body.replayable:
-            if body.size or 'Transfer-Encoding' in exchange.headers:
-                headers['Content-Length'] = str(body.size)
+        headers = exchange.outgoing_headers(self.adapter.callers.protected)
         self.adapter.upstreams.mark_request(
             headers,
             upstream,
--- a/worksrail/platform/_dialect.py
+++ b/worksrail/platform/_dialect.py
@@ -36,6 +36,11 @@
 
     __slots__ = ()
 
+    @property
+    def protected(self) -> frozenset[str]:
+        """Return the headers that ``Connection`` cannot have removed."""
+        return names.PROTECTED
+
     def trace_of(self, headers: HTTPHeaders) -> str:
         """Return the caller's identifier of one attempt."""
         return headers.get(names.REQUEST_ID, '')
--- a/worksrail/platform/_names.py
+++ b/worksrail/platform/_names.py
@@ -34,6 +34,23 @@
 RETRY_AFTER: Final = 'Retry-After'
 CONTENT_ENCODING: Final = 'Content-Encoding'
 
+# Headers that callers, upstreams or entries rely on for each message.
+PROTECTED: Final = frozenset(
+    (
+        REQUEST_ID,
+        DEADLINE,
+        SIGNATURE,
+        TARGET,
+        NOT_EXECUTED,
+        LOAD,
+        RATE_LIMIT,
+        LEAVING,
+        IDENTIFIER,
+        API_KEY,
+        CUSTOMER,
+    )
+)
+
 # -- statuses
 
 # Another upstream has this address now; the request was not executed.
