Bound the exponents of times that double

Cause: record_failure computed 2**exponent before it took the minimum with the longest ejection. From the 1,027th failure in a row of one upstream on, the power is too large for a float, and OverflowError left the reducer in the middle of an event. The own mode's UpstreamHealth.eject had the same line, which overflows where the time is set to a fraction. The third one, TokenStock, is bounded.

Change: one function, doubled, bounds the exponent; both use it.

Conclusion: no number of failures raises. What an exception of a handler costs is another fault.

--- a/worksrail/core/routing/_health.py
+++ b/worksrail/core/routing/_health.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from worksrail.core._doubling import doubled
 from worksrail.core.settings import CoreSettings
 
 _MIN_SAMPLE_WEIGHT: Final = 0.2
@@ -108,9 +109,10 @@
 
     def eject(self, now: float, settings: CoreSettings) -> None:
         """Send it no requests for a time that doubles with each ejection."""
-        time = settings.ejection_time * 2**self.ejections
+        self.ejected_until = now + doubled(
+            settings.ejection_time, self.ejections, _MAX_EJECTION_S
+        )
         self.ejections += 1
-        self.ejected_until = now + min(_MAX_EJECTION_S, time)
 
     def begin_trial(self) -> None:
         """Send it one request at a time to test whether it has recovered."""
--- a/worksrail/core/steering/_load.py
+++ b/worksrail/core/steering/_load.py
@@ -6,6 +6,7 @@
 from math import inf
 from typing import Final
 
+from worksrail.core._doubling import doubled
 from worksrail.core.identity import ServiceName
 from worksrail.core.steering._stated_load import (
     ServiceReports,
@@ -209,9 +210,9 @@
             self.failures = max(self.failures, _EJECTION_THRESHOLD)
         if self.failures < _EJECTION_THRESHOLD:
             return False
-        exponent = self.failures - _EJECTION_THRESHOLD
-        ejection = min(_MAX_EJECTION, _MIN_EJECTION * 2**exponent)
-        self.ejected_until = now + ejection
+        self.ejected_until = now + doubled(
+            _MIN_EJECTION, self.failures - _EJECTION_THRESHOLD, _MAX_EJECTION
+        )
         return True
 
 
