Take no answer for one whose status no server may send

What callers saw (trials of the users): an upstream in trouble answered with the status 000 or 099. The caller got nothing at all, no answer and no close, within 10 s at a deadline of 2.5 s; the log had request-answered with status 0. 600 and 999 were passed on as they were.

Cause: each status below 200 was taken for an informational answer. The library reads on only behind 100 to 199, so the message ended there, was marked as complete without having been judged, and the request ended without an answer.

Change: an answer whose status is not from 200 to 599 is rejected like any other bytes that answer no request: 502, or a second attempt where the request may be repeated. The client is the same for upstreams, other entries, the store, health checks and both modes; health checks have no row of their own.

Conclusion: callers get an answer in their time. That no request outlives its deadline for any other reason is not shown by this.

--- a/worksrail/daemon/http/_attempt.py
+++ b/worksrail/daemon/http/_attempt.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, unique
-from typing import Final, Protocol
+from typing import Final, NoReturn, Protocol
 
 from logbook import Logger
 from tornado import httputil
@@ -29,7 +29,9 @@
 # region.  A lost SYN is retransmitted only after one second; the timeout is
 # shorter, so that another upstream is tried first.
 _CONNECT_TIMEOUT: Final = 0.5
+# Statuses of final answers; no server may send any other (RFC 9110, 15).
 _MIN_FINAL_STATUS: Final = 200
+_MAX_STATUS: Final = 599
 _MAX_ANSWERS_READ: Final = 4
 _MAX_HEADER_BYTES: Final = 65_536
 _MAX_ANSWER_BYTES: Final = 1_099_511_627_776
@@ -247,15 +249,13 @@
         start_line: httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> None:
-        if start_line.code < _MIN_FINAL_STATUS:
-            return
+        if not _MIN_FINAL_STATUS <= start_line.code <= _MAX_STATUS:
+            # The library reads on behind an informational answer by itself.
+            self._reject('no server may send the status of this answer')
         self._check_length(start_line.code, headers)
         self.use = self.sink.judge(start_line.code, headers)
         if self.use is AnswerUse.REJECT:
-            self.report.end = AttemptEnd.REJECTED
-            raise ConnectionAbortedError(
-                'the data received does not answer the request'
-            )
+            self._reject('the data received does not answer the request')
         if self.use is AnswerUse.PASS_OVER:
             return
         self.report.status = start_line.code
@@ -267,6 +267,10 @@
         else:
             self._limit_time()
 
+    def _reject(self, reason: str) -> NoReturn:
+        self.report.end = AttemptEnd.REJECTED
+        raise ConnectionAbortedError(reason)
+
     async def _receive_body(self, chunk: bytes) -> None:
         if self.use is AnswerUse.PASS_ON:
             await self.sink.write(chunk)
