Contain an unexpected error of a handler to the request of its event

Cause: reduce collected the effects of an event in a list. An exception took the effects decided before it along, though the state had changed by then: requests that were to be answered never were, attempts were counted as in flight for good. One in the timer's event skipped all later steps of each tick, and ended the background task, and with it the process. Each time the loop wrote the traceback. Nothing watched over requests that no attempt ends any more.

Change: effects decided before an error are performed. The request of the event ends with 2119 (503, not sent) or 4010 (502, may have been sent), and its attempts give back what they count, once. A failing step of the timer ends itself only. Each error is a decision, handler-failed, with error and place: counted, and 100 lines a second at most. An effect that cannot be started leaves the others. Ten times a second the daemon ends requests that are 0.4 s over their deadline (request-overdue), and answers those that ended without an answer.

Conclusion: an exception costs the request of its event. An event of the store whose handler fails is applied in part and not read again; the own mode's reducer has no such containment yet.

--- a/worksrail/core/results.py
+++ b/worksrail/core/results.py
@@ -244,6 +244,12 @@
         'This entry holds as many bytes as its memory allows.',
         _RETRY_LATER,
     )
+    HANDLING_FAILED = _not_run(
+        2119,
+        503,
+        'This entry failed before it sent the request.',
+        _RETRY_LATER,
+    )
     ALREADY_RUN = ResultDefinition(
         3001,
         Certainty.RUN,
@@ -285,6 +291,12 @@
         'It was refused, but nothing proves that it was not run.',
         _READ_BACK,
     )
+    HANDLING_BROKE = _unknown(
+        4010,
+        502,
+        'This entry failed after it may have sent the request.',
+        _READ_BACK,
+    )
     INVALID_BUNDLE = _operator(
         5001, 422, _EXIT_INVALID, 'The bundle has faults.', 'Correct them.'
     )
--- a/worksrail/core/steering/__init__.py
+++ b/worksrail/core/steering/__init__.py
@@ -14,6 +14,7 @@
     ZoneDigest,
 )
 from worksrail.core.steering._directory import EntryList, look_up
+from worksrail.core.steering._failing import handler_failure
 from worksrail.core.steering._passing_terms import (
     PassingTerms,
     decode_terms,
@@ -76,6 +77,7 @@
     'decode_terms',
     'encode_terms',
     'exits_at',
+    'handler_failure',
     'has_slots_free',
     'incarnation_name',
     'is_contended',
--- a/worksrail/core/steering/_attempt.py
+++ b/worksrail/core/steering/_attempt.py
@@ -19,6 +19,9 @@
     sent_at: float = 0
     """When it started."""
 
+    counted: bool = False
+    """Whether it counts as in flight at its upstream."""
+
     expected_time: float = 0
     """Expected duration in seconds."""
 
--- a/worksrail/core/steering/_ending.py
+++ b/worksrail/core/steering/_ending.py
@@ -9,6 +9,13 @@
 from worksrail.core.steering.state import SteeringState
 
 
+def release(state: SteeringState, attempt: Attempt, now: float) -> None:
+    """Stop counting an attempt as in flight at its upstream."""
+    if attempt.counted:
+        attempt.counted = False
+        state.loads.of(attempt.upstream).record_end(now)
+
+
 def abandon(
     state: SteeringState,
     request: SteeredRequest,
@@ -17,8 +24,7 @@
     now: float,
 ) -> Iterator[Effect]:
     """Cancel an attempt whose end is not awaited."""
-    if attempt.upstream:
-        state.loads.of(attempt.upstream).record_end(now)
+    release(state, attempt, now)
     yield attempt_cancelled(state, request, attempt, reason, now)
     yield CancelAttempt(request.number, attempt.number)
 
--- a/worksrail/core/steering/_learning.py
+++ b/worksrail/core/steering/_learning.py
@@ -8,6 +8,7 @@
 
 from worksrail.core.steering._catalog import Upstream
 from worksrail.core.steering._choosing import region_rtt
+from worksrail.core.steering._ending import release
 from worksrail.core.steering._load import UpstreamLoad
 from worksrail.core.steering._reports import unexplained_time_ratio
 from worksrail.core.steering._request import SteeredRequest
@@ -62,7 +63,7 @@
     """Update all estimates from an attempt that has ended."""
     name = request.current.upstream
     load = state.loads.of(name)
-    load.record_end(event.now)
+    release(state, request.current, event.now)
     yield from _record_reachability(state, request, event)
     outcome = event.outcome
     if request.current.backed_off:
--- a/worksrail/core/steering/_on_time.py
+++ b/worksrail/core/steering/_on_time.py
@@ -1,11 +1,12 @@
 """Timer-driven work: digests, readiness, pause detection."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 from worksrail.core.identity import RegionName
 from worksrail.core.steering._admitting import maintain_limits
 from worksrail.core.steering._availability import maintain_availability
+from worksrail.core.steering._failing import Step, run_step
 from worksrail.core.steering._on_digests import (
     forget_expired_zones,
     schedule_digests,
@@ -38,24 +39,15 @@
 
 
 def on_tick(state: SteeringState, event: Ticked) -> Iterator[Effect]:
-    """Run all work that is due."""
-    yield from expire_upstreams(state, event.now)
-    yield from begin_second_attempts(state, event.now)
-    if event.now >= state.next_upkeep_at:
-        yield from _run_upkeep(state, event.now)
-    yield from check_store(state, event.now)
-    yield from maintain_pacing(state, event.now)
-    if event.now >= state.next_digest_at:
-        yield from send_digests(state, event.now)
-    yield from exit_when_done(state, event.now)
-
-
-def on_pause(
-    state: SteeringState,
-    gap: float,
-    now: float,
-) -> Iterator[Effect]:
+    """Run all work that is due; an error in one step ends only that step."""
+    for step in _due_steps(state, event.now):
+        yield from run_step(state, step, event.now)
+
+
+def on_pause(state: SteeringState, now: float) -> Iterator[Effect]:
     """Discard reported state that aged while the process was suspended."""
+    gap = now - state.last_event_at
+    state.last_event_at = now
     if gap < _MIN_PAUSE:
         return
     for name in tuple(state.loads.reported):
@@ -68,17 +60,17 @@
     yield Decision(DecisionKind.PAUSED, inputs=(('seconds', round(gap, 3)),))
 
 
-def _run_upkeep(state: SteeringState, now: float) -> Iterator[Effect]:
-    """Update entry liveness and the store's state, and adapt to both."""
-    state.next_upkeep_at = now + _UPKEEP_INTERVAL
-    yield from _detect_dead_entries(state, now)
-    yield from watch_paths(state, now)
-    yield from probe_paths(state, now)
-    yield from maintain_availability(state, now)
-    yield from sync_with_store(state, now)
-    _update_key_homes(state, now)
-    _update_budgets(state, now)
-    yield from maintain_limits(state, now)
+def _due_steps(state: SteeringState, now: float) -> Iterator[Step]:
+    yield expire_upstreams
+    yield begin_second_attempts
+    if now >= state.next_upkeep_at:
+        state.next_upkeep_at = now + _UPKEEP_INTERVAL
+        yield from _UPKEEP
+    yield check_store
+    yield maintain_pacing
+    if now >= state.next_digest_at:
+        yield send_digests
+    yield exit_when_done
 
 
 def _detect_dead_entries(state: SteeringState, now: float) -> Iterator[Effect]:
@@ -100,25 +92,27 @@
     state.promises.forget_expired(now)
 
 
-def _update_budgets(state: SteeringState, now: float) -> None:
+def _update_budgets(state: SteeringState, now: float) -> Iterable[Effect]:
     entries = state.fleet.entries.values()
     staying = [peer for peer in entries if not peer.contact.leaving]
     live = sum(entry.alive(now) for entry in staying)
     state.budgets.follow(state.settings.bounds.repeats, now)
     state.budgets.set_fleet_size(1 + live, 1 + len(staying))
     state.budgets.maintain(now)
+    return ()
 
 
-def _update_key_homes(state: SteeringState, now: float) -> None:
+def _update_key_homes(state: SteeringState, now: float) -> Iterable[Effect]:
     """Adapt the key homes to where requests come from."""
     region_shares = state.region_shares
     if not region_shares.is_due(now):
-        return
+        return ()
     region_shares.observe_demand(_arrival_rates(state, now), now)
     region = state.settings.region
     for service in tuple(region_shares.shares):
         shared = state.key_overlap.is_shared(service, region, now)
         region_shares.follow(state.catalog, service, region, shared=shared)
+    return ()
 
 
 def _arrival_rates(state: SteeringState, now: float) -> dict[RegionName, float]:
@@ -144,3 +138,16 @@
         )
         schedule_digests(state, now)
         yield from send_digests(state, now)
+
+
+# Updates entry liveness and the store's state, and adapts to both.
+_UPKEEP: Final[tuple[Step, ...]] = (
+    _detect_dead_entries,
+    watch_paths,
+    probe_paths,
+    maintain_availability,
+    sync_with_store,
+    _update_key_homes,
+    _update_budgets,
+    maintain_limits,
+)
--- a/worksrail/core/steering/_placing.py
+++ b/worksrail/core/steering/_placing.py
@@ -187,22 +187,21 @@
     now: float,
 ) -> Iterator[Effect]:
     upstream = choice.upstream
-    load = state.loads.of(upstream.name)
-    load.record_sent(now)
     request.attempts += 1
     request.sends += 1
-    request.begin(
-        Attempt(
-            request.attempts,
-            upstream.name,
-            sent_at=now,
-            expected_time=choice.wait + choice.latency,
-            queue=choice.queue,
-            warm=choice.warm,
-            home=rank_of_home(state, request, upstream.name),
-            pace=choice.pace,
-        )
+    attempt = Attempt(
+        request.attempts,
+        upstream.name,
+        sent_at=now,
+        expected_time=choice.wait + choice.latency,
+        queue=choice.queue,
+        warm=choice.warm,
+        home=rank_of_home(state, request, upstream.name),
+        pace=choice.pace,
     )
+    request.begin(attempt)
+    state.loads.of(upstream.name).record_sent(now)
+    attempt.counted = True
     if upstream.cold_until > now:
         state.rates.cold.record_sent(upstream.name, now)
     state.rates.named.record_sent(upstream.name, now)
--- a/worksrail/core/steering/_reducer.py
+++ b/worksrail/core/steering/_reducer.py
@@ -11,6 +11,7 @@
 from worksrail.core.steering import (
     _admitting,
     _availability,
+    _failing,
     _on_digests,
     _on_passing,
     _on_requests,
@@ -58,6 +59,7 @@
     **_on_store.HANDLERS,
     RequestArrived: _on_requests.on_arrival,
     CallerGone: _on_requests.on_caller_gone,
+    **_failing.HANDLERS,
     AttemptEnded: _on_requests.on_attempt_ended,
     NoticeReceived: _availability.on_notice,
     PassEnded: _on_passing.on_pass_ended,
@@ -68,13 +70,16 @@
 
 
 def reduce(state: SteeringState, event: Event) -> list[Effect]:
-    """Apply one event to the state and return the effects to perform."""
-    gap = event.now - state.last_event_at
-    state.last_event_at = event.now
-    effects = list(_on_time.on_pause(state, gap, event.now))
-    effects.extend(_HANDLERS[type(event)](state, event))
+    """Apply one event to the state and return the effects to perform.
+
+    An unexpected error ends the request of the event, or a step of the work
+    that is due; it is an effect, too, and leaves all others as they are.
+    """
+    now = event.now
+    effects = list(_failing.run_step(state, _on_time.on_pause, now))
+    effects.extend(_failing.run_handler(state, event, _HANDLERS[type(event)]))
     if not state.ready:
-        effects.extend(_on_time.become_ready(state, event.now))
+        effects.extend(_failing.run_step(state, _on_time.become_ready, now))
     if state.leaving:
         state.stop_account.record(event, effects)
     return effects
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -259,6 +259,8 @@
     LEAVING = 'stopping'
     STOPPED = 'stopped'
     PAUSED = 'process was suspended'
+    HANDLER_FAILED = 'an event was not handled whole, for an unexpected error'
+    REQUEST_OVERDUE = 'request ended by the check of deadlines'
 
 
 # Maximum number of decisions of one kind that are logged one by one; more are
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -290,6 +290,17 @@
     """Number of the request."""
 
 
+@dataclass(frozen=True, slots=True)
+class RequestOverdue:
+    """A request has no answer yet, well after its deadline."""
+
+    now: float
+    """Monotonic time in seconds."""
+
+    request: RequestNumber
+    """Number of the request."""
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """An attempt to send a request to an upstream ended."""
@@ -459,6 +470,7 @@
 _RequestEvent = (
     RequestArrived
     | CallerGone
+    | RequestOverdue
     | AttemptEnded
     | NoticeReceived
     | PassEnded
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -314,6 +314,7 @@
     async def _tick(self) -> None:
         while True:
             self.engine.tick()
+            self.requests.end_overdue()
             await asyncio.sleep(_TICK_INTERVAL)
 
     async def _run_housekeeping(self) -> None:
--- a/worksrail/daemon/steered/_engine.py
+++ b/worksrail/daemon/steered/_engine.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from worksrail.core.steering import SteeringState, reduce
-from worksrail.core.steering.effects import Effect
+from worksrail.core.steering import SteeringState, handler_failure, reduce
+from worksrail.core.steering.effects import Decision, Effect
 from worksrail.core.steering.events import Event, Ticked
 from worksrail.daemon import _clock
 
@@ -17,7 +17,8 @@
     """Applies all events to the state, one at a time.
 
     Effects are started before :meth:`dispatch` returns and report their results
-    as later events, so no event is handled within another one.
+    as later events, so no event is handled within another one.  One that cannot
+    be started is logged, and the others are started all the same.
     """
 
     state: SteeringState
@@ -43,4 +44,10 @@
         self.dispatch(Ticked(self.now()))
 
     def _run(self, effect: Effect) -> None:
-        self.runners[type(effect)](effect)
+        try:
+            self.runners[type(effect)](effect)
+        except Exception as error:
+            if isinstance(effect, Decision):
+                raise
+            number = getattr(effect, 'request', 0)
+            self._run(handler_failure(type(effect).__name__, error, number))
--- a/worksrail/daemon/steered/_requests.py
+++ b/worksrail/daemon/steered/_requests.py
@@ -30,6 +30,7 @@
     PassEnded,
     RequestArrived,
     RequestNumber,
+    RequestOverdue,
 )
 from worksrail.daemon.http._attempt import (
     AttemptEnd,
@@ -50,6 +51,9 @@
 )
 from worksrail.daemon.steered._sink import SteeredSink
 
+# Seconds after its deadline from which a request counts as overdue.  Attempts
+# wait for the last answers of upstreams for a part of them.
+_MAX_OVERDUE: Final = 0.4
 _HTTP_VERSION: Final = 'HTTP/1.1'
 
 _OUTCOME_BY_END: Final = {
@@ -142,6 +146,21 @@
         if exchange.number in self.exchanges:
             self.engine.dispatch(CallerGone(self.engine.now(), exchange.number))
 
+    def end_overdue(self) -> None:
+        """End the requests without an answer well after their deadlines.
+
+        Attempts end by themselves; this is the check that nothing else keeps
+        a request open.
+        """
+        now = self.engine.now()
+        active = self.engine.state.requests
+        for number in tuple(self.exchanges):
+            request = active.get(number)
+            if request is None:
+                self._discard_ended(number)
+            elif now - request.deadline > _MAX_OVERDUE:
+                self.engine.dispatch(RequestOverdue(now, number))
+
     # -- effects
 
     def send_upstream(self, effect: SendUpstream) -> None:
@@ -253,7 +272,10 @@
         """Forget a request that has ended, and return what its body holds."""
         if number not in self.engine.state.requests:
             exchange = self.exchanges.pop(number, None)
-            if exchange:
+            if exchange and not exchange.ended:
+                # Its request has ended, but nothing has answered it.
+                exchange.answer_result(ResultCode.HANDLING_BROKE)
+            elif exchange:
                 exchange.give_back_body()
 
     def _upstream_of(self, effect: SendUpstream) -> str:
