Find other entries through the store, where no address is known

What callers saw (in a model of the decisions): an entry whose seeds are all stale stays alone for good, and so does one that joins a fleet whose members were replaced one by one, so that no seed is left. Two fleets that began with seeds of their own stay two.

Cause: seeds were the only way to the first other entry. Nothing that lasts names the entries.

Evidence: tests/steering/test_finding_each_other.py, five new tests; without the step that reads the store all five fail, with it none.

Change: the relay of each zone keeps up to eight peer addresses of its zone in the store (kind 'entries', one object for each zone, so nothing has to be removed) and reads those of all zones: once after its start, then once a minute, and while it knows no other entry after 2, 4, 8 and up to 60 s. Unknown addresses get digests like any other. A record is written when fewer than two of its addresses are alive.

Conclusion: an entry that reaches the store finds the fleet. One that reaches neither cannot know of it.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -302,3 +302,54 @@
     update = _run(call)
     assert update.configuration.version == 7
     assert not update.faults
+
+
+def test_addresses_of_entries_are_written_and_read() -> None:
+    async def call(store: ObjectStore, client: PlatformStore) -> Any:
+        first = await client.write_entries('z1', ('10.0.0.1:7',), is_new=True)
+        again = await client.write_entries('z1', ('10.0.0.2:7',), is_new=True)
+        later = await client.write_entries('z1', ('10.0.0.3:7',), is_new=False)
+        unknown = await client.write_entries('z/2', ('a',), is_new=False)
+        return first, again, later, unknown, await client.read_entries()
+
+    first, again, later, unknown, found = _run(call)
+    assert (first, later) == (None, None)
+    assert isinstance(again, StoreFault)
+    assert isinstance(unknown, StoreFault)
+    assert found == {'z1': ('10.0.0.3:7',)}
+
+
+@pytest.mark.parametrize(
+    ('spec', 'expected'),
+    [
+        ({'Addresses': ['10.0.0.1:7', 'x', '10.0.0.1:70000', ':1']}, True),
+        ({'Addresses': 'x'}, False),
+        ({'Addresses': [1]}, False),
+        ({}, True),
+        (None, False),
+        (7, False),
+    ],
+)
+def test_odd_records_of_entries_cost_themselves(
+    spec: Any, expected: bool
+) -> None:
+    async def call(store: ObjectStore, client: PlatformStore) -> Any:
+        store.put('entries', 'z1', spec)
+        store.put('entries', 'z2', {'Addresses': ['10.0.0.2:7']})
+        return await client.read_entries()
+
+    found = _run(call)
+    assert found['z2'] == ('10.0.0.2:7',)
+    assert ('z1' in found) is expected
+    assert set(found.get('z1', ())) <= {'10.0.0.1:7'}
+
+
+@pytest.mark.parametrize('mood', [StoreMood.BUSY, StoreMood.LIMITED])
+def test_store_that_refuses_leaves_the_addresses_unread(
+    mood: StoreMood,
+) -> None:
+    async def call(store: ObjectStore, client: PlatformStore) -> Any:
+        store.mood = mood
+        return await client.read_entries()
+
+    assert isinstance(_run(call), StoreFault)
--- a/tests/steering/membership_world.py
+++ b/tests/steering/membership_world.py
@@ -14,10 +14,17 @@
 from worksrail.core.customers import Quota, digest_of_key
 from worksrail.core.limits import QuotaBounds
 from worksrail.core.steering import SteeringBounds
-from worksrail.core.steering.effects import AnswerResult, Effect, SendUpstream
+from worksrail.core.steering.effects import (
+    AnswerResult,
+    Effect,
+    ReadEntryAddresses,
+    SendUpstream,
+    WriteEntryAddresses,
+)
 from worksrail.core.steering.events import (
     AttemptEnded,
     AttemptOutcome,
+    EntryAddressesRead,
     RequestArrived,
     SettingsReloaded,
     SteeredHead,
@@ -43,6 +50,9 @@
     def __init__(self, zones: dict[str, int], regions: dict[str, str]) -> None:
         """Start a number of entries in each zone."""
         self.parts: list[set[str]] = []
+        self.records: dict[str, tuple[str, ...]] = {}
+        self.store_answers = True
+        self.record_calls: Counter[str] = Counter()
         self.sent_at: list[float] = []
         self.asked = 0
         self.open: list[tuple[str, SendUpstream]] = []
@@ -143,6 +153,14 @@
         for sent in of_type(effects, SendUpstream):
             self.sent_at.append(self.now)
             self.open.append((name, sent))
+        if of_type(effects, ReadEntryAddresses):
+            self.record_calls['read'] += 1
+            found = dict(self.records) if self.store_answers else None
+            self._run(name, EntryAddressesRead(self.now, found))
+        for written in of_type(effects, WriteEntryAddresses):
+            self.record_calls['write'] += 1
+            if self.store_answers:
+                self.records[written.zone] = written.addresses
         self.results: Counter[str] = getattr(self, 'results', Counter())
         self.results.update(
             answer.code.name for answer in of_type(effects, AnswerResult)
--- a/tests/steering/test_finding_each_other.py
+++ b/tests/steering/test_finding_each_other.py
@@ -34,6 +34,7 @@
     # Seeds were read at the start only: the entry stayed alone, and owned all
     # quotas beside the fleet.
     world = _world()
+    world.store_answers = False
     world.start_with_seeds('a2-9', _STALE)
     world.wait(5)
     assert not world.is_one_fleet()
@@ -95,3 +96,58 @@
     fleet.expire(1e6)
     assert len(fleet.addresses) == 65
     assert {'10.9.0.2:4', '10.9.1.1:999'} <= fleet.addresses.keys()
+
+
+def test_entry_whose_seeds_are_all_stale_finds_the_others_in_the_store() -> (
+    None
+):
+    # Seeds were the only way to the others: with stale ones an entry stayed
+    # alone for good, and owned all quotas beside the fleet.
+    world = _world()
+    world.start_with_seeds('b1-9', _STALE)
+    since = world.now
+    world.ask(('a1-0', 'b1-9'), _RATE, 12)
+    assert world.is_one_fleet()
+    assert world.most_in_window(since) <= ALLOWED
+
+
+def test_fleet_replaced_one_by_one_stays_one() -> None:
+    # Those that start last have no seed that is left.
+    world = _world()
+    for number, name in enumerate(sorted(world.states)):
+        world.start_with_seeds(f'a1-9{number}', world.seeds)
+        world.wait(2)
+        world.stop(name)
+        world.wait(2)
+    assert world.seconds_until_one_fleet(3) <= 1
+
+
+@pytest.mark.parametrize('zone', ['a1', 'b1'])
+def test_fleets_that_never_knew_each_other_become_one(zone: str) -> None:
+    world = _world()
+    world.store_answers = False
+    own = (f'{zone}-8:peer', f'{zone}-9:peer')
+    world.start_with_seeds(f'{zone}-8', own)
+    world.start_with_seeds(f'{zone}-9', own)
+    world.wait(10)
+    assert not world.is_one_fleet()
+    world.store_answers = True
+    # Both read the store once in a minute, as they know other entries.
+    assert world.seconds_until_one_fleet(90) <= 75
+
+
+def test_store_that_is_away_at_the_start_is_asked_again() -> None:
+    world = _world()
+    world.store_answers = False
+    world.start_with_seeds('a2-9', _STALE)
+    world.wait(20)
+    world.store_answers = True
+    assert world.seconds_until_one_fleet(60) <= 30
+
+
+def test_calls_for_addresses_are_few() -> None:
+    world = _world({'a1': 3, 'a2': 3, 'b1': 3})
+    world.wait(300)
+    # One entry of each zone reads, and writes once.
+    assert world.record_calls['read'] <= 3 * 8
+    assert world.record_calls['write'] <= 3 * 2
--- a/worksrail/core/steering/_fleet.py
+++ b/worksrail/core/steering/_fleet.py
@@ -9,6 +9,7 @@
 """
 
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from heapq import nlargest
 from math import ceil, inf
@@ -160,6 +161,13 @@
         if address and address != self.peer:
             self.addresses[address] = now
 
+    def add_unknown(self, addresses: Iterable[str], now: float) -> int:
+        """Remember addresses; return how many were unknown."""
+        unknown = set(addresses) - self.addresses.keys() - {self.peer}
+        for address in unknown:
+            self.add_address(address, now)
+        return len(unknown)
+
     def follow_seeds(self, seeds: tuple[str, ...], now: float) -> None:
         """Apply the addresses that the settings name, which may be stale."""
         self.seeds = seeds
--- a/worksrail/core/steering/_on_time.py
+++ b/worksrail/core/steering/_on_time.py
@@ -6,6 +6,7 @@
 from worksrail.core.identity import RegionName
 from worksrail.core.steering._admitting import maintain_limits
 from worksrail.core.steering._availability import maintain_availability
+from worksrail.core.steering._discovery import discover_entries
 from worksrail.core.steering._failing import Step, run_step
 from worksrail.core.steering._on_digests import (
     forget_expired_zones,
@@ -147,6 +148,7 @@
     probe_paths,
     maintain_availability,
     sync_with_store,
+    discover_entries,
     _update_key_homes,
     _update_budgets,
     maintain_limits,
--- a/worksrail/core/steering/_reducer.py
+++ b/worksrail/core/steering/_reducer.py
@@ -11,6 +11,7 @@
 from worksrail.core.steering import (
     _admitting,
     _availability,
+    _discovery,
     _failing,
     _on_digests,
     _on_passing,
@@ -60,6 +61,7 @@
     RequestArrived: _on_requests.on_arrival,
     CallerGone: _on_requests.on_caller_gone,
     **_failing.HANDLERS,
+    **_discovery.HANDLERS,
     AttemptEnded: _on_requests.on_attempt_ended,
     NoticeReceived: _availability.on_notice,
     PassEnded: _on_passing.on_pass_ended,
--- a/worksrail/core/steering/effects.py
+++ b/worksrail/core/steering/effects.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from worksrail.core.customers import CustomerName
+from worksrail.core.identity import ZoneName
 from worksrail.core.limits import LimitMessage
 from worksrail.core.pacing import PacingMessage
 from worksrail.core.results import ResultCode
@@ -162,6 +163,25 @@
     """Read everything in the store once; may return data some seconds old."""
 
 
+@dataclass(frozen=True, slots=True)
+class ReadEntryAddresses:
+    """Read the addresses of entries that the store has; they may be stale."""
+
+
+@dataclass(frozen=True, slots=True)
+class WriteEntryAddresses:
+    """Replace the addresses of a zone's entries in the store; may fail."""
+
+    zone: ZoneName
+    """The zone."""
+
+    addresses: tuple[str, ...]
+    """Peer addresses of some of its entries."""
+
+    is_new: bool
+    """Whether the store has no record of the zone yet."""
+
+
 @dataclass(frozen=True, slots=True)
 class CheckStore:
     """Send the store a small request and report whether it answers."""
@@ -255,6 +275,7 @@
     ENTRY_SEEN = 'other entry seen'
     ENTRIES_SEEN = 'many other entries seen at once'
     ENTRY_LOST = 'other entry lost'
+    ADDRESSES_FOUND = 'unknown addresses of entries found in the store'
     READY = 'ready for requests'
     LEAVING = 'stopping'
     STOPPED = 'stopped'
@@ -302,6 +323,8 @@
     | DropConnections
     | WatchStore
     | ListStore
+    | ReadEntryAddresses
+    | WriteEntryAddresses
     | CheckStore
     | RestartStoreCalls
     | FetchStoreUpdate
--- a/worksrail/core/steering/events.py
+++ b/worksrail/core/steering/events.py
@@ -3,6 +3,7 @@
 Each event carries ``now``: seconds on the entry's monotonic clock.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum, unique
 
@@ -226,6 +227,17 @@
     """Peer address of the other entry."""
 
 
+@dataclass(frozen=True, slots=True)
+class EntryAddressesRead:
+    """The store was asked for addresses of entries."""
+
+    now: float
+    """Monotonic time in seconds."""
+
+    addresses: Mapping[ZoneName, tuple[str, ...]] | None
+    """Peer addresses by zone; None if the store did not answer."""
+
+
 @dataclass(frozen=True, slots=True)
 class DigestReceived:
     """A digest arrived from another entry."""
@@ -487,6 +499,7 @@
     | StoreChecked
     | StoreUpdateFetched
     | StoreUpdateFailed
+    | EntryAddressesRead
     | DigestReceived
     | LimitMessageReceived
     | PacingMessageReceived
--- a/worksrail/core/steering/state.py
+++ b/worksrail/core/steering/state.py
@@ -48,6 +48,20 @@
     """When they were counted."""
 
 
+@dataclass(slots=True)
+class DiscoverySchedule:
+    """When addresses of other entries are read from the store."""
+
+    next_read_at: float = 0
+    """When the next read is due."""
+
+    reading: bool = False
+    """Whether a read is in progress."""
+
+    reads_alone: int = 0
+    """Number of reads since other entries were known."""
+
+
 @dataclass(slots=True)
 class SteeringState:
     """The state that :func:`worksrail.core.steering.reduce` works on."""
@@ -204,6 +218,9 @@
     probing_until: float = 0
     """Until when upstreams that were missed are probed."""
 
+    discovery: DiscoverySchedule = field(default_factory=DiscoverySchedule)
+    """When addresses of other entries are read from the store."""
+
     pending_replies: set[str] = field(default_factory=set)
     """Peer addresses of newly seen entries, which the next digest answers."""
 
--- a/worksrail/daemon/steered/_adapter.py
+++ b/worksrail/daemon/steered/_adapter.py
@@ -44,7 +44,7 @@
 
 
 class SteeringStore(Protocol):
-    """The part of the platform's store that entries read."""
+    """The part of the platform's store that entries use."""
 
     async def read_all(
         self,
@@ -66,6 +66,16 @@
     ) -> StoreUpdate | StoreFault:
         """Wait at most some seconds for changes after a revision."""
 
+    async def read_entries(
+        self,
+    ) -> dict[ZoneName, tuple[str, ...]] | StoreFault:
+        """Read the peer addresses of entries, by zone; they may be stale."""
+
+    async def write_entries(
+        self, zone: ZoneName, addresses: tuple[str, ...], *, is_new: bool
+    ) -> StoreFault | None:
+        """Write the addresses of a zone's entries; return what failed."""
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamAnswer:
--- a/worksrail/daemon/steered/_daemon.py
+++ b/worksrail/daemon/steered/_daemon.py
@@ -43,6 +43,7 @@
 from worksrail.daemon.steered._checking import StoreChecker
 from worksrail.daemon.steered._decisions import DecisionLog
 from worksrail.daemon.steered._digests import DigestPort
+from worksrail.daemon.steered._discovering import EntryRecords
 from worksrail.daemon.steered._engine import Runner, SteeringEngine
 from worksrail.daemon.steered._following import Follower
 from worksrail.daemon.steered._metrics import SteeringMetrics
@@ -177,6 +178,7 @@
     def effect_runners(self) -> dict[type, Runner]:
         """Return the function that runs each type of effect."""
         news = NewsClient(self.engine, ConnectionPool(self.engine.now))
+        records = EntryRecords(self.engine, self.checker.store)
         return {
             effects.SendUpstream: self.requests.send_upstream,
             effects.PassRequest: self.requests.pass_request,
@@ -192,6 +194,8 @@
             effects.WatchStore: self.follow,
             effects.ListStore: self.list_store,
             effects.CheckStore: self.check_store,
+            effects.ReadEntryAddresses: records.read,
+            effects.WriteEntryAddresses: records.write,
             effects.RestartStoreCalls: self.restart_calls,
             effects.FetchStoreUpdate: news.fetch,
             effects.Decision: self.decisions.write,
--- a/worksrail/platform/_names.py
+++ b/worksrail/platform/_names.py
@@ -76,3 +76,5 @@
 CONFIGURATION_NAME: Final = 'main'
 UPSTREAM_KIND: Final = 'servers'
 EVACUATION_KIND: Final = 'evacuations'
+# The entries' own kind: one object for each zone.
+ENTRY_KIND: Final = 'entries'
--- a/worksrail/platform/_objects.py
+++ b/worksrail/platform/_objects.py
@@ -37,6 +37,8 @@
 _DRAINING_BY_STATE: Final = {'ready': False, 'draining': True}
 _PORT: Final = re.compile('[0-9]{1,5}')
 _MAX_PORT: Final = 65_535
+# Addresses of one zone's record that are read.
+_MAX_ENTRY_ADDRESSES: Final = 64
 _VERSION: Final = re.compile('r[0-9]{1,18}')
 # Seconds; a shorter timeout would refuse every request of its route.
 _MIN_TIMEOUT: Final = 0.001
@@ -100,16 +102,37 @@
     )
 
 
+def decode_entry_addresses(spec: Any) -> tuple[str, ...]:
+    """Decode the peer addresses of a zone's entries, without unusable ones."""
+    fields = Fields.from_value(spec, 'entries')
+    listed = fields.strings('Addresses')[:_MAX_ENTRY_ADDRESSES]
+    return tuple(address for address in listed if _is_address(address))
+
+
+def encode_entry_addresses(
+    zone: str, addresses: tuple[str, ...]
+) -> dict[str, Any]:
+    """Encode the record of a zone's entries."""
+    return {'Metadata': {'Name': zone}, 'Spec': {'Addresses': addresses}}
+
+
 def _decode_address(fields: Fields) -> str:
     address = fields.string('Address')
     host, _, port = address.rpartition(':')
     if not (_is_ip_address(host) and _PORT.fullmatch(port)):
         raise fields.error('Address', 'an IPv4 address and a port')
-    if not 0 < int(port) <= _MAX_PORT:
+    if not _is_address(address):
         raise fields.error('Address', 'a valid port')
     return address
 
 
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(':')
+    if not (_is_ip_address(host) and _PORT.fullmatch(port)):
+        return False
+    return 0 < int(port) <= _MAX_PORT
+
+
 def _is_ip_address(host: str) -> bool:
     try:
         IPv4Address(host)
--- a/worksrail/platform/_store.py
+++ b/worksrail/platform/_store.py
@@ -1,5 +1,7 @@
 """Client of the platform's store."""
 
+import contextlib
+import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import inf
@@ -9,6 +11,7 @@
 from logbook import Logger
 from tornado import httputil
 
+from worksrail.core.identity import ZoneName
 from worksrail.core.steering import (
     RoutingConfiguration,
     StoreUpdate,
@@ -16,7 +19,12 @@
 )
 from worksrail.core.steering.kinds import StoreKind
 from worksrail.daemon import _clock
-from worksrail.daemon.http._attempt import AttemptEnd, HttpAttempt, Outgoing
+from worksrail.daemon.http._attempt import (
+    AttemptEnd,
+    AttemptReport,
+    HttpAttempt,
+    Outgoing,
+)
 from worksrail.daemon.http._body import BodyStream
 from worksrail.daemon.http._collected import CollectedAnswer
 from worksrail.daemon.http._connections import ConnectionPool
@@ -28,11 +36,16 @@
     is_text,
 )
 from worksrail.platform._json import parse_json
-from worksrail.platform._objects import decode_configuration, decode_upstream
+from worksrail.platform._objects import (
+    decode_configuration,
+    decode_entry_addresses,
+    decode_upstream,
+    encode_entry_addresses,
+)
 
 _LOG: Final = Logger('worksrail.store')
 _MILLISECONDS: Final = 1000
-_OK_STATUS: Final = 200
+_OK_STATUSES: Final = frozenset((200, 201))
 _GONE_STATUS: Final = 410
 _REFUSED_STATUSES: Final = frozenset((429, 503))
 
@@ -42,6 +55,8 @@
 _MAX_ANSWER_BYTES: Final = 16_777_216
 _MAX_LIST_BYTES: Final = 134_217_728
 
+_ENTRIES: Final = names.OBJECTS + names.ENTRY_KIND
+_STALE_ENTRIES: Final = f'{_ENTRIES}?Serializable=1'
 _KINDS: Final = {
     StoreKind.CONFIGURATION: names.CONFIGURATION_KIND,
     StoreKind.UPSTREAMS: names.UPSTREAM_KIND,
@@ -202,6 +217,47 @@
             return StoreFault.MALFORMED
         return builder.build()
 
+    async def read_entries(
+        self,
+    ) -> dict[ZoneName, tuple[str, ...]] | StoreFault:
+        """Read the addresses of entries; those of odd records are left out."""
+        answer = await self._request('GET', _STALE_ENTRIES)
+        if isinstance(answer, StoreFault):
+            return answer
+        found: dict[ZoneName, tuple[str, ...]] = {}
+        for document in answer.table.get('items') or ():
+            zone = _name_of(document)
+            if zone:
+                with contextlib.suppress(MalformedDocumentError):
+                    found[zone] = decode_entry_addresses(document.get('Spec'))
+        return found
+
+    async def write_entries(
+        self, zone: ZoneName, addresses: tuple[str, ...], *, is_new: bool
+    ) -> StoreFault | None:
+        """Write the addresses of a zone's entries; return what failed."""
+        target = _ENTRIES if is_new else f'{_ENTRIES}/{quote(zone, safe="")}'
+        document = encode_entry_addresses(zone, addresses)
+        answer = await self._request(
+            'POST' if is_new else 'PUT', target, json.dumps(document).encode()
+        )
+        return answer if isinstance(answer, StoreFault) else None
+
+    async def _request(
+        self, method: str, target: str, body: bytes = b''
+    ) -> Fields | StoreFault:
+        """Make a call on the entries' own kind."""
+        self.count_call(names.ENTRY_KIND)
+        collector = CollectedAnswer()
+        attempt = HttpAttempt(
+            self.pool,
+            _clock.monotonic,
+            self._outgoing(method, target, ANSWER_TIMEOUT, body),
+            BodyStream.from_bytes(body),
+            collector,
+        )
+        return _parsed(await attempt.run(), collector)
+
     async def _call(
         self,
         builder: _UpdateBuilder,
@@ -228,17 +284,7 @@
                 extra={'kind': kind.value, 'bytes': collector.size},
             )
             return StoreFault.MALFORMED
-        if report.end is not AttemptEnd.WHOLE:
-            return StoreFault.CUT if report.closed else StoreFault.UNREACHABLE
-        if collector.status == _GONE_STATUS:
-            return StoreFault.HISTORY_GONE
-        if collector.status != _OK_STATUS:
-            refused = collector.status in _REFUSED_STATUSES
-            return StoreFault.REFUSED if refused else StoreFault.MALFORMED
-        try:
-            return Fields.from_value(parse_json(collector.body), 'answer')
-        except ValueError:
-            return StoreFault.MALFORMED
+        return _parsed(report, collector)
 
     def _build_request(
         self,
@@ -250,10 +296,35 @@
         target = names.OBJECTS + quote(_KINDS[kind])
         if parameters:
             target = f'{target}?{urlencode(parameters)}'
+        return self._outgoing('GET', target, timeout)
+
+    def _outgoing(
+        self, method: str, target: str, timeout: float, body: bytes = b''
+    ) -> Outgoing:
+        headers = httputil.HTTPHeaders({'Host': self.address})
+        if body:
+            headers['Content-Type'] = 'application/json'
+            headers['Content-Length'] = str(len(body))
         return Outgoing(
             self.address,
-            httputil.RequestStartLine('GET', target, 'HTTP/1.1'),
-            httputil.HTTPHeaders({'Host': self.address}),
+            httputil.RequestStartLine(method, target, 'HTTP/1.1'),
+            headers,
             inf,
             _clock.monotonic() + timeout,
         )
+
+
+def _parsed(
+    report: AttemptReport, collector: CollectedAnswer
+) -> Fields | StoreFault:
+    if report.end is not AttemptEnd.WHOLE:
+        return StoreFault.CUT if report.closed else StoreFault.UNREACHABLE
+    if collector.status == _GONE_STATUS:
+        return StoreFault.HISTORY_GONE
+    if collector.status not in _OK_STATUSES:
+        refused = collector.status in _REFUSED_STATUSES
+        return StoreFault.REFUSED if refused else StoreFault.MALFORMED
+    try:
+        return Fields.from_value(parse_json(collector.body), 'answer')
+    except ValueError:
+        return StoreFault.MALFORMED
