Record entries that have no configuration yet, too

Cause: records were written by ready entries only, the relays of the others read them before they were ready, and the next read is a minute later. Entries listen for digests from their start, so readiness does not matter.

test_entries_without_a_configuration_are_recorded_too: fails on the code before, passes now.

--- a/tests/steering/test_finding_each_other.py
+++ b/tests/steering/test_finding_each_other.py
@@ -151,3 +151,14 @@
     # One entry of each zone reads, and writes once.
     assert world.record_calls['read'] <= 3 * 8
     assert world.record_calls['write'] <= 3 * 2
+
+
+def test_entries_without_a_configuration_are_recorded_too() -> None:
+    # The record of a zone was written up to a minute after the start, if its
+    # relay was not ready when it read the records.
+    world = MembershipWorld({'a1': 2}, _REGIONS)
+    for state in world.states.values():
+        state.ready = False
+        state.kinds_read.clear()
+    world.wait(2)
+    assert len(world.records['a1']) == 2
--- a/worksrail/core/steering/_discovery.py
+++ b/worksrail/core/steering/_discovery.py
@@ -80,7 +80,7 @@
     peers = [contact.peer for contact in state.fleet.zone_peers(now)]
     live = {state.fleet.peer, *peers}
     known = live.intersection(recorded.get(zone, ()))
-    if not state.ready or len(known) >= min(_MIN_LIVE, len(live)):
+    if len(known) >= min(_MIN_LIVE, len(live)):
         return
     own, *others = state.fleet.peer, *sorted(peers)
     addresses = (own, *others[: _MAX_ADDRESSES - 1])
