--- a/worksrail/daemon/http/_headers.py
+++ b/worksrail/daemon/http/_headers.py
@@ -184,12 +184,17 @@
     length = request_length(method, received)
     headers.pop(_CONTENT_LENGTH, None)
     if length is BodyLength.COUNTED:
-        headers[_CONTENT_LENGTH] = str(int(received[_CONTENT_LENGTH]))
+        set_length(headers, int(received[_CONTENT_LENGTH]))
     elif length is BodyLength.CHUNKED and size is not None:
-        headers[_CONTENT_LENGTH] = str(size)
+        set_length(headers, size)
     return headers
 
 
+def set_length(headers: HTTPHeaders, size: int) -> None:
+    """Delimit a body by its size in bytes."""
+    headers[_CONTENT_LENGTH] = str(size)
+
+
 def _normalized(name: str) -> str:
     """Return the name of a header as the library writes it."""
     return '-'.join(part.capitalize() for part in name.strip().split('-'))
--- a/worksrail/platform/_store.py
+++ b/worksrail/platform/_store.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPMethod
 from math import inf
 from typing import Any, Final
 from urllib.parse import quote, urlencode
@@ -28,6 +29,7 @@
 from worksrail.daemon.http._body import BodyStream
 from worksrail.daemon.http._collected import CollectedAnswer
 from worksrail.daemon.http._connections import ConnectionPool
+from worksrail.daemon.http._headers import set_length
 from worksrail.daemon.steered import ANSWER_TIMEOUT, StoreFault
 from worksrail.platform import _names as names
 from worksrail.platform._fields import (
@@ -221,7 +223,7 @@
         self,
     ) -> dict[ZoneName, tuple[str, ...]] | StoreFault:
         """Read the addresses of entries; those of odd records are left out."""
-        answer = await self._request('GET', _STALE_ENTRIES)
+        answer = await self._request(HTTPMethod.GET, _STALE_ENTRIES)
         if isinstance(answer, StoreFault):
             return answer
         found: dict[ZoneName, tuple[str, ...]] = {}
@@ -236,15 +238,16 @@
         self, zone: ZoneName, addresses: tuple[str, ...], *, is_new: bool
     ) -> StoreFault | None:
         """Write the addresses of a zone's entries; return what failed."""
+        method = HTTPMethod.POST if is_new else HTTPMethod.PUT
         target = _ENTRIES if is_new else f'{_ENTRIES}/{quote(zone, safe="")}'
         document = encode_entry_addresses(zone, addresses)
         answer = await self._request(
-            'POST' if is_new else 'PUT', target, json.dumps(document).encode()
+            method, target, json.dumps(document).encode()
         )
         return answer if isinstance(answer, StoreFault) else None
 
     async def _request(
-        self, method: str, target: str, body: bytes = b''
+        self, method: HTTPMethod, target: str, body: bytes = b''
     ) -> Fields | StoreFault:
         """Make a call on the entries' own kind."""
         self.count_call(names.ENTRY_KIND)
@@ -296,18 +299,22 @@
         target = names.OBJECTS + quote(_KINDS[kind])
         if parameters:
             target = f'{target}?{urlencode(parameters)}'
-        return self._outgoing('GET', target, timeout)
+        return self._outgoing(HTTPMethod.GET, target, timeout)
 
     def _outgoing(
-        self, method: str, target: str, timeout: float, body: bytes = b''
+        self,
+        method: HTTPMethod,
+        target: str,
+        timeout: float,
+        body: bytes = b'',
     ) -> Outgoing:
         headers = httputil.HTTPHeaders({'Host': self.address})
         if body:
             headers['Content-Type'] = 'application/json'
-            headers['Content-Length'] = str(len(body))
+            set_length(headers, len(body))
         return Outgoing(
             self.address,
-            httputil.RequestStartLine(method, target, 'HTTP/1.1'),
+            httputil.RequestStartLine(method.value, target, 'HTTP/1.1'),
             headers,
             inf,
             _clock.monotonic() + timeout,
